--- /dev/null
+++ b/crates/tanagergw/src/serve.rs
@@ -0,0 +1,31 @@
+//! `tanagergw serve`.
+
+use crate::{logs, settings, signal};
+use std::{process::ExitCode, time::Duration};
+use tgw_serve::Options;
+
+/// Time for running requests to finish after SIGTERM.
+const DRAIN: Duration = Duration::from_secs(60);
+
+#[derive(clap::Args)]
+pub(crate) struct Args {
+    /// The settings file.
+    #[arg(long)]
+    settings: String,
+}
+
+pub(crate) fn run(args: &Args) -> anyhow::Result<ExitCode> {
+    let settings = match settings::open(&args.settings) {
+        Ok(settings) => settings,
+        Err(code) => return Ok(code),
+    };
+    logs::open(settings.log.json, &settings.log.filter);
+    let handle = tgw_serve::spawn(Options::new(settings))?;
+    tracing::info!(callers = %handle.callers(), operators = %handle.operators(),
+        peers = %handle.peers(), "serving");
+    signal::wait()?;
+    tracing::info!("leaving: finishing all requests");
+    let finished = handle.drain(DRAIN);
+    tracing::info!(finished, "stopped");
+    Ok(if finished { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
--- /dev/null
+++ b/crates/tanagergw/src/signal.rs
@@ -0,0 +1,18 @@
+//! Waits for the signals that end a process in order.
+
+use anyhow::Context;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Blocks until SIGTERM or SIGINT.
+pub(crate) fn wait() -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(async {
+        let mut term = signal(SignalKind::terminate()).context("SIGTERM")?;
+        let mut interrupt = signal(SignalKind::interrupt()).context("SIGINT")?;
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/tgw-dispatch/src/group.rs
@@ -0,0 +1,550 @@
+use crate::{
+    leaf::{Failure, Held, Key, Leaf, Outcome, Reply},
+    owner::{Action, Note, Options, Passed, Ticket, What},
+    pick::{Candidate, Policy},
+    trust::{Rank, Run, Trust},
+};
+use smallvec::SmallVec;
+use std::collections::{BTreeMap, BTreeSet};
+use tgw_clock::Millis;
+use tgw_tail::{Budget, Hedge};
+use tgw_topology::{Group as GroupId, Snapshot, Upstream, catalog::Node};
+
+/// Waiting requests looked at for one free slot; those behind them wait for the next.
+const SCAN: usize = 64;
+const RETRY_BURST: f64 = 20.0;
+
+/// A request that waits or runs.
+struct Task {
+    leaf: Leaf,
+    arrived: Millis,
+    /// Time in the queue before the first sending; `None` while it has not been sent.
+    waited: Option<Millis>,
+    /// Indices of the upstreams that may serve it; those that failed are taken out.
+    eligible: SmallVec<[usize; 4]>,
+    /// Sendings that run now.
+    runs: SmallVec<[(Ticket, usize); 2]>,
+    sent: u8,
+    hedged: bool,
+    /// What the last failed sending brought, for the answer when nothing is left to try.
+    last: Option<Outcome>,
+}
+
+/// One replica group.
+pub(crate) struct Group {
+    id: GroupId,
+    options: Options,
+    policy: Box<dyn Policy>,
+    upstreams: Vec<Trust>,
+    tasks: BTreeMap<u64, Task>,
+    keys: BTreeMap<Key, u64>,
+    /// Waiting requests by deadline, then arrival.
+    queue: BTreeSet<(Millis, u64)>,
+    next_task: u64,
+    hedge: Hedge,
+    retry: Budget,
+    share: f64,
+    released: bool,
+}
+
+impl Group {
+    pub(crate) fn new(id: GroupId, options: &Options, policy: Box<dyn Policy>) -> Self {
+        Self {
+            id,
+            options: options.clone(),
+            policy,
+            upstreams: Vec::new(),
+            tasks: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            queue: BTreeSet::new(),
+            next_task: 1,
+            hedge: Hedge::new(options.hedge),
+            retry: Budget::new(options.retry, RETRY_BURST),
+            share: 1.0,
+            released: false,
+        }
+    }
+
+    pub(crate) fn describe(&mut self, nodes: &[&Node], options: &Options) {
+        self.released = false;
+        self.hedge.set_share(options.hedge);
+        self.retry.set_share(options.retry);
+        self.options = options.clone();
+        for node in nodes.iter().filter(|n| n.group() == self.id) {
+            match self.upstreams.iter_mut().find(|u| u.id == node.id) {
+                Some(known) => {
+                    known.slots = node.slots;
+                    if node.leaving {
+                        known.leave();
+                    }
+                }
+                None => self.upstreams.push(Trust::new(node, options.ramp)),
+            }
+        }
+    }
+
+    pub(crate) fn share(&mut self, share: f64) {
+        self.share = share;
+    }
+
+    pub(crate) fn released(&self) -> bool {
+        self.released
+    }
+
+    pub(crate) fn idle(&self) -> bool {
+        self.tasks.is_empty() && self.upstreams.iter().all(|u| u.runs.is_empty())
+    }
+
+    /// Takes the waiting requests out; those that run stay.
+    pub(crate) fn release(&mut self) -> Vec<Key> {
+        self.released = true;
+        let waiting = std::mem::take(&mut self.queue);
+        let mut keys = Vec::with_capacity(waiting.len());
+        for (_, number) in waiting {
+            if let Some(task) = self.tasks.remove(&number) {
+                self.keys.remove(&task.leaf.key);
+                keys.push(task.leaf.key);
+            }
+        }
+        keys
+    }
+
+    pub(crate) fn running(&self, upstream: Upstream) -> usize {
+        self.upstreams.iter().find(|u| u.id == upstream).map_or(0, |u| u.runs.len())
+    }
+
+    pub(crate) fn belief(
+        &self,
+        now: Millis,
+        upstream: Upstream,
+    ) -> Option<(Rank, Option<&Held>, f64)> {
+        let trust = self.upstreams.iter().find(|u| u.id == upstream)?;
+        Some((trust.rank(now), trust.held(), trust.latency.get()))
+    }
+
+    pub(crate) fn holds(&self, snapshot: Snapshot) -> bool {
+        self.upstreams.iter().any(|u| !u.leaving() && u.holds(snapshot))
+    }
+
+    pub(crate) fn set_held(&mut self, upstream: Upstream, held: Held) {
+        if let Some(trust) = self.upstreams.iter_mut().find(|u| u.id == upstream) {
+            trust.set_held(held);
+        }
+    }
+
+    pub(crate) fn restarted(&mut self, upstream: Upstream) {
+        if let Some(trust) = self.upstreams.iter_mut().find(|u| u.id == upstream) {
+            trust.restart();
+        }
+    }
+
+    pub(crate) fn leaving(&mut self, now: Millis, upstream: Upstream, out: &mut Vec<Action>) {
+        let Some(trust) = self.upstreams.iter_mut().find(|u| u.id == upstream) else { return };
+        if trust.leave() {
+            note(None, upstream, What::Leaving, SmallVec::new(), out);
+        }
+        self.give_up_unservable(now, out);
+    }
+
+    pub(crate) fn ask(
+        &mut self,
+        now: Millis,
+        replicas: &[Upstream],
+        leaf: Leaf,
+        next: &mut Ticket,
+        out: &mut Vec<Action>,
+    ) {
+        let index = |id: &Upstream| self.upstreams.iter().position(|u| u.id == *id);
+        let mut eligible: SmallVec<[usize; 4]> = replicas.iter().filter_map(index).collect();
+        let candidates = self.candidates(now, &eligible);
+        if let Some(bound) = self.policy.bind(now, &candidates) {
+            eligible = SmallVec::from_slice(&eligible[bound..=bound]);
+        }
+        let number = self.next_task;
+        self.next_task += 1;
+        self.keys.insert(leaf.key, number);
+        self.queue.insert((leaf.deadline, number));
+        let task = Task {
+            leaf,
+            arrived: now,
+            waited: None,
+            eligible,
+            runs: SmallVec::new(),
+            sent: 0,
+            hedged: false,
+            last: None,
+        };
+        self.tasks.insert(number, task);
+        self.fill(now, next, out);
+        self.give_up_if_unservable(now, number, out);
+    }
+
+    pub(crate) fn cancel(&mut self, key: Key, out: &mut Vec<Action>) {
+        if let Some(number) = self.keys.get(&key).copied() {
+            self.remove(number, out);
+        }
+    }
+
+    pub(crate) fn done(
+        &mut self,
+        now: Millis,
+        ticket: Ticket,
+        result: Result<Reply, Failure>,
+        held: Option<Held>,
+        next: &mut Ticket,
+        out: &mut Vec<Action>,
+    ) {
+        let Some((index, run)) = self.take_run(ticket) else { return };
+        if let Some(held) = held {
+            self.upstreams[index].set_held(held);
+        }
+        let snapshot = self.tasks.get(&run.task).map(|t| (t.leaf.snapshot, t.leaf.key));
+        self.judge(now, index, &run, &result, snapshot, out);
+        if !run.aborted {
+            self.settle(now, index, &run, result, out);
+        }
+        self.fill(now, next, out);
+    }
+
+    fn take_run(&mut self, ticket: Ticket) -> Option<(usize, Run)> {
+        self.upstreams.iter_mut().enumerate().find_map(|(index, upstream)| {
+            let at = upstream.runs.iter().position(|r| r.ticket == ticket)?;
+            Some((index, upstream.runs.remove(at)))
+        })
+    }
+
+    /// Updates what is believed of the upstream by how a sending ended.
+    fn judge(
+        &mut self,
+        now: Millis,
+        index: usize,
+        run: &Run,
+        result: &Result<Reply, Failure>,
+        asked: Option<(Snapshot, Key)>,
+        out: &mut Vec<Action>,
+    ) {
+        let late = self.hedge.delay();
+        let upstream = &mut self.upstreams[index];
+        let age = now - run.started;
+        match result {
+            // A cancelled straggler says nothing of its speed; it stays as it was judged.
+            Ok(Reply::Cancelled) => {}
+            Ok(Reply::Items { .. }) if !run.aborted => upstream.good(age, late),
+            Ok(Reply::Items { .. } | Reply::Expired) => {}
+            Ok(Reply::Gone) => {
+                if let Some((snapshot, _)) = asked {
+                    upstream.lost(snapshot);
+                }
+            }
+            Ok(Reply::Shed) => upstream.shed(),
+            Ok(Reply::Draining) => {
+                if upstream.leave() {
+                    let id = upstream.id;
+                    note(None, id, What::Leaving, SmallVec::new(), out);
+                }
+            }
+            Err(_) => {
+                if upstream.fail(now) {
+                    note(asked.map(|a| a.1), upstream.id, What::Eject, SmallVec::new(), out);
+                }
+            }
+        }
+    }
+
+    /// Answers the request that a sending was for, or lets it be tried again.
+    fn settle(
+        &mut self,
+        now: Millis,
+        index: usize,
+        run: &Run,
+        result: Result<Reply, Failure>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(task) = self.tasks.get_mut(&run.task) else { return };
+        task.runs.retain(|(ticket, _)| *ticket != run.ticket);
+        let outcome = match result {
+            // An upstream that answers for another snapshot or shard than it was asked for would
+            // put foreign items into the answer; it counts as not holding what was asked.
+            Ok(Reply::Items { snapshot, shard, items }) => {
+                if (snapshot, shard) == (task.leaf.snapshot, task.leaf.key.shard) {
+                    self.answer(run.task, Outcome::Items(items), out);
+                    return;
+                }
+                Outcome::Gone
+            }
+            Ok(Reply::Gone) => Outcome::Gone,
+            Ok(Reply::Shed | Reply::Draining) => Outcome::Shed,
+            Ok(Reply::Expired) => Outcome::Expired,
+            Ok(Reply::Cancelled) => Outcome::Failed(Failure::Closed),
+            Err(failure) => Outcome::Failed(failure),
+        };
+        task.eligible.retain(|i| *i != index);
+        task.last = Some(outcome);
+        if task.runs.is_empty() {
+            self.try_again(now, run.task, out);
+        }
+    }
+
+    fn try_again(&mut self, now: Millis, number: u64, out: &mut Vec<Action>) {
+        let Some(task) = self.tasks.get_mut(&number) else { return };
+        let may = task.sent < self.options.attempts && !task.eligible.is_empty();
+        // A shed or missing snapshot cost the upstream nothing, so only work that may have been
+        // done is charged to the budget.
+        let free = matches!(task.last, Some(Outcome::Shed | Outcome::Gone));
+        if may && now < task.leaf.deadline && (free || self.retry.spend()) {
+            self.queue.insert((task.leaf.deadline, number));
+            self.give_up_if_unservable(now, number, out);
+        } else {
+            self.give_up(number, out);
+        }
+    }
+
+    fn give_up(&mut self, number: u64, out: &mut Vec<Action>) {
+        let last = self.tasks.get_mut(&number).and_then(|t| t.last.take());
+        let outcome = last.unwrap_or(Outcome::Failed(Failure::NoUpstream));
+        self.answer(number, outcome, out);
+    }
+
+    fn answer(&mut self, number: u64, outcome: Outcome, out: &mut Vec<Action>) {
+        let Some(task) = self.remove(number, out) else { return };
+        out.push(Action::Answer {
+            key: task.leaf.key,
+            outcome,
+            held: self.held(),
+            extra: task.sent.saturating_sub(1),
+            waited: task.waited.unwrap_or_default(),
+        });
+    }
+
+    /// Takes a request out and stops what still runs for it.
+    fn remove(&mut self, number: u64, out: &mut Vec<Action>) -> Option<Task> {
+        let task = self.tasks.remove(&number)?;
+        self.keys.remove(&task.leaf.key);
+        self.queue.remove(&(task.leaf.deadline, number));
+        for (ticket, index) in &task.runs {
+            let upstream = &mut self.upstreams[*index];
+            if let Some(run) = upstream.runs.iter_mut().find(|r| r.ticket == *ticket) {
+                run.aborted = true;
+                out.push(Action::Abort { ticket: *ticket, upstream: upstream.id });
+            }
+        }
+        Some(task)
+    }
+
+    /// The snapshots held by any upstream that may be used; `None` while nothing is known.
+    fn held(&self) -> Option<Held> {
+        let mut all = Held::new();
+        let known: SmallVec<[&Held; 4]> =
+            self.upstreams.iter().filter(|u| !u.leaving()).filter_map(Trust::held).collect();
+        if known.is_empty() {
+            return None;
+        }
+        for snapshot in known.into_iter().flatten() {
+            if !all.contains(snapshot) {
+                all.push(*snapshot);
+            }
+        }
+        Some(all)
+    }
+
+    pub(crate) fn tick(&mut self, now: Millis, next: &mut Ticket, out: &mut Vec<Action>) {
+        if self.tasks.is_empty() {
+            return;
+        }
+        self.expire(now, out);
+        self.mark_overdue(now, out);
+        self.fill(now, next, out);
+    }
+
+    fn expire(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let expired: SmallVec<[u64; 8]> =
+            self.tasks.iter().filter(|(_, t)| t.leaf.deadline <= now).map(|(n, _)| *n).collect();
+        for number in expired {
+            self.answer(number, Outcome::Expired, out);
+        }
+    }
+
+    fn mark_overdue(&mut self, now: Millis, out: &mut Vec<Action>) {
+        if !self.options.suspect {
+            return;
+        }
+        let late = self.hedge.delay();
+        for upstream in &mut self.upstreams {
+            let oldest = upstream.runs.iter().map(|r| now - r.started).max();
+            let Some(age) = oldest.filter(|age| *age >= late) else { continue };
+            if upstream.overdue(age) {
+                note(None, upstream.id, What::Suspect, SmallVec::new(), out);
+            }
+        }
+    }
+
+    fn fill(&mut self, now: Millis, next: &mut Ticket, out: &mut Vec<Action>) {
+        if self.options.hedge_first {
+            self.hedge_late(now, next, out);
+            self.place(now, next, out);
+        } else {
+            self.place(now, next, out);
+            self.hedge_late(now, next, out);
+        }
+    }
+
+    /// Sends waiting requests to free upstreams.
+    fn place(&mut self, now: Millis, next: &mut Ticket, out: &mut Vec<Action>) {
+        let mut from = (Millis::ZERO, 0);
+        for _ in 0..SCAN {
+            if !self.upstreams.iter().any(|u| u.free(now, self.share)) {
+                return;
+            }
+            let Some(at) = self.queue.range(from..).next().copied() else { return };
+            from = (at.0, at.1 + 1);
+            let Some(task) = self.tasks.get(&at.1) else { continue };
+            let usable = self.usable(task);
+            let candidates = self.candidates(now, &usable);
+            let Some(chosen) = self.policy.choose(now, &candidates) else { continue };
+            let what = if task.sent == 0 { What::Send } else { What::Retry };
+            self.queue.remove(&at);
+            if what == What::Send {
+                self.hedge.request();
+                self.retry.earn();
+            }
+            self.send(now, at.1, usable[chosen], what, next, out);
+        }
+    }
+
+    /// Sends requests that run late a second time, the longest running first.
+    fn hedge_late(&mut self, now: Millis, next: &mut Ticket, out: &mut Vec<Action>) {
+        let late = self.hedge.delay();
+        let mut due: SmallVec<[(Millis, u64); 8]> = SmallVec::new();
+        for run in self.upstreams.iter().flat_map(|u| &u.runs) {
+            let open = |t: &Task| !t.hedged && t.sent < self.options.attempts;
+            if !run.aborted
+                && now - run.started >= late
+                && self.tasks.get(&run.task).is_some_and(open)
+            {
+                due.push((run.started, run.task));
+            }
+        }
+        due.sort_unstable();
+        for (_, number) in due {
+            let Some(task) = self.tasks.get(&number) else { continue };
+            let mut usable = self.usable(task);
+            usable.retain(|i| {
+                self.upstreams[*i].free(now, self.share)
+                    && self.upstreams[*i].rank(now) == Rank::Trusted
+            });
+            let candidates = self.candidates(now, &usable);
+            let Some(chosen) = self.policy.choose(now, &candidates) else { continue };
+            if !self.hedge.fire() {
+                return;
+            }
+            self.send(now, number, usable[chosen], What::Hedge, next, out);
+        }
+    }
+
+    fn send(
+        &mut self,
+        now: Millis,
+        number: u64,
+        index: usize,
+        what: What,
+        next: &mut Ticket,
+        out: &mut Vec<Action>,
+    ) {
+        let traced = self.tasks.get(&number).is_some_and(|t| t.leaf.traced);
+        let passed = if traced { self.passed(now, number, index) } else { SmallVec::new() };
+        let Some(task) = self.tasks.get_mut(&number) else { return };
+        let ticket = *next;
+        *next += 1;
+        task.sent += 1;
+        task.hedged |= what == What::Hedge;
+        task.waited.get_or_insert(now - task.arrived);
+        task.runs.push((ticket, index));
+        let upstream = &mut self.upstreams[index];
+        upstream.runs.push(Run { ticket, task: number, started: now, aborted: false });
+        if traced {
+            note(Some(task.leaf.key), upstream.id, what, passed, out);
+        }
+        out.push(Action::Send { ticket, upstream: upstream.id, leaf: task.leaf.clone() });
+    }
+
+    /// The upstreams that may be sent a request: eligible, holding its snapshot, not running it.
+    fn usable(&self, task: &Task) -> SmallVec<[usize; 4]> {
+        let fits = |i: &&usize| {
+            let upstream = &self.upstreams[**i];
+            !upstream.leaving()
+                && upstream.holds(task.leaf.snapshot)
+                && !task.runs.iter().any(|(_, running)| running == *i)
+        };
+        task.eligible.iter().filter(fits).copied().collect()
+    }
+
+    fn candidates(&self, now: Millis, indices: &[usize]) -> SmallVec<[Candidate; 4]> {
+        let view = |i: &usize| {
+            let upstream = &self.upstreams[*i];
+            Candidate {
+                upstream: upstream.id,
+                free: upstream.free(now, self.share),
+                load: upstream.runs.len(),
+                latency: upstream.latency.get(),
+                rank: upstream.rank(now),
+            }
+        };
+        indices.iter().map(view).collect()
+    }
+
+    fn passed(&self, now: Millis, number: u64, chosen: usize) -> SmallVec<[(Upstream, Passed); 4]> {
+        let Some(task) = self.tasks.get(&number) else { return SmallVec::new() };
+        let reason = |index: usize, upstream: &Trust| match upstream.rank(now) {
+            Rank::Leaving => Passed::Leaving,
+            _ if !upstream.holds(task.leaf.snapshot) => Passed::Gone,
+            _ if !task.eligible.contains(&index) => Passed::Tried,
+            Rank::Ejected => Passed::Ejected,
+            Rank::Suspect => Passed::Suspect,
+            Rank::Trusted if upstream.free(now, self.share) => Passed::Lower,
+            Rank::Trusted => Passed::Busy,
+        };
+        self.upstreams
+            .iter()
+            .enumerate()
+            .filter(|(index, _)| *index != chosen)
+            .map(|(index, upstream)| (upstream.id, reason(index, upstream)))
+            .collect()
+    }
+
+    fn give_up_unservable(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let waiting: Vec<u64> = self.queue.iter().map(|(_, number)| *number).collect();
+        for number in waiting {
+            self.give_up_if_unservable(now, number, out);
+        }
+    }
+
+    /// Answers a waiting request at once when no upstream could ever be sent it.
+    fn give_up_if_unservable(&mut self, now: Millis, number: u64, out: &mut Vec<Action>) {
+        let Some(task) = self.tasks.get_mut(&number) else { return };
+        if !task.runs.is_empty() || !self.queue.contains(&(task.leaf.deadline, number)) {
+            return;
+        }
+        if task.leaf.deadline <= now {
+            self.answer(number, Outcome::Expired, out);
+            return;
+        }
+        let staying = |i: &&usize| !self.upstreams[**i].leaving();
+        let staying: SmallVec<[usize; 4]> = task.eligible.iter().filter(staying).copied().collect();
+        if staying.is_empty() {
+            self.give_up(number, out);
+        } else if !staying.iter().any(|i| self.upstreams[*i].holds(task.leaf.snapshot)) {
+            task.last = Some(Outcome::Gone);
+            self.give_up(number, out);
+        }
+    }
+}
+
+fn note(
+    key: Option<Key>,
+    upstream: Upstream,
+    what: What,
+    passed: SmallVec<[(Upstream, Passed); 4]>,
+    out: &mut Vec<Action>,
+) {
+    out.push(Action::Note(Note { key, upstream, what, passed }));
+}
--- /dev/null
+++ b/crates/tgw-dispatch/src/leaf.rs
@@ -0,0 +1,106 @@
+//! Leaf requests, their outcomes and what upstreams reply.
+
+use bytes::Bytes;
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+use tgw_clock::Millis;
+use tgw_topology::{Query, Shard, Snapshot, Vm};
+
+/// The snapshots that an upstream or a group holds.
+pub type Held = SmallVec<[Snapshot; 4]>;
+
+/// Tells an attempt at one shard of one query from every other, over all VMs and restarts.
+#[derive(
+    Copy, Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[display("{query}/{shard}#{attempt}")]
+pub struct Key {
+    /// The VM that took the query in and waits for the outcome.
+    pub from: Vm,
+    /// The query.
+    pub query: Query,
+    /// The shard.
+    pub shard: Shard,
+    /// The attempt, counted over the whole query from zero.
+    pub attempt: u8,
+}
+
+/// A request for one shard.
+#[derive(Clone, Debug)]
+pub struct Leaf {
+    /// Its identity.
+    pub key: Key,
+    /// The only snapshot whose items may be returned.
+    pub snapshot: Snapshot,
+    /// When its outcome stops being of use.
+    pub deadline: Millis,
+    /// What is searched for, opaque to the tier.
+    pub body: Bytes,
+    /// Whether decisions about it are logged.
+    pub traced: bool,
+}
+
+/// What came of a leaf request, as the entry VM is told.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// The items of the shard in the snapshot that was asked for.
+    Items(Bytes),
+    /// No upstream of the group that could be asked holds the snapshot.
+    Gone,
+    /// Every upstream that could be asked shed the request.
+    Shed,
+    /// The attempts failed.
+    Failed(Failure),
+    /// The deadline passed first.
+    Expired,
+    /// The VM does not own the group; another may.
+    Moved(Option<Vm>),
+}
+
+/// What an upstream replied to one request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    /// Items, with what the upstream says it served.
+    Items {
+        /// The snapshot that was searched.
+        snapshot: Snapshot,
+        /// The shard that was searched.
+        shard: Shard,
+        /// The items as a JSON array.
+        items: Bytes,
+    },
+    /// It does not hold the snapshot.
+    Gone,
+    /// It refuses work for now.
+    Shed,
+    /// It is leaving and refuses new work.
+    Draining,
+    /// It gave up at the deadline that was passed on.
+    Expired,
+    /// It stopped because it was asked to.
+    Cancelled,
+}
+
+/// Why a request brought no usable reply.
+#[derive(Copy, Clone, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Failure {
+    /// No connection could be had.
+    #[display("connect")]
+    Connect,
+    /// The connection broke.
+    #[display("closed")]
+    Closed,
+    /// The reply could not be understood.
+    #[display("malformed")]
+    Malformed,
+    /// The reply was larger than allowed.
+    #[display("oversized")]
+    Oversized,
+    /// The upstream answered with an error of its own.
+    #[display("upstream error")]
+    Upstream,
+    /// No upstream of the group may be used.
+    #[display("no upstream")]
+    NoUpstream,
+}
--- /dev/null
+++ b/crates/tgw-dispatch/src/trust.rs
@@ -0,0 +1,160 @@
+use crate::leaf::Held;
+use smallvec::SmallVec;
+use tgw_clock::Millis;
+use tgw_tail::Average;
+use tgw_topology::{Snapshot, Upstream, catalog::Node};
+
+/// Failures in a row after which an upstream is set aside.
+const FAILURES: u32 = 3;
+const FIRST_BACKOFF: Millis = Millis::new(250);
+const LONGEST_BACKOFF: Millis = Millis::new(4000);
+/// Growth of the limit for each good reply: two good replies win one more slot.
+const RAMP: f64 = 0.5;
+const LATENCY_WEIGHT: f64 = 0.2;
+const LATENCY_START_MS: f64 = 5.0;
+
+/// How far an upstream is trusted; lower is better.
+#[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rank {
+    /// It answers as expected.
+    Trusted,
+    /// A request on it was overdue, or it returns from being set aside: one request at a time.
+    Suspect,
+    /// It fails; used only when nothing else in the group can be.
+    Ejected,
+    /// It is leaving: no new work.
+    Leaving,
+}
+
+/// One request on an upstream.
+#[derive(Clone, Debug)]
+pub(crate) struct Run {
+    pub(crate) ticket: u64,
+    pub(crate) task: u64,
+    pub(crate) started: Millis,
+    /// Told to stop; the slot is taken until the upstream confirms.
+    pub(crate) aborted: bool,
+}
+
+/// What the owner knows of one upstream.
+#[derive(Clone, Debug)]
+pub(crate) struct Trust {
+    pub(crate) id: Upstream,
+    pub(crate) slots: u16,
+    pub(crate) runs: SmallVec<[Run; 4]>,
+    pub(crate) latency: Average,
+    held: Option<Held>,
+    limit: f64,
+    failures: u32,
+    backoff: Millis,
+    ejected_until: Option<Millis>,
+    suspect: bool,
+    leaving: bool,
+}
+
+impl Trust {
+    pub(crate) fn new(node: &Node, cold: bool) -> Self {
+        Self {
+            id: node.id,
+            slots: node.slots,
+            runs: SmallVec::new(),
+            latency: Average::new(LATENCY_START_MS, LATENCY_WEIGHT),
+            held: None,
+            limit: if cold { 1.0 } else { f64::from(node.slots) },
+            failures: 0,
+            backoff: FIRST_BACKOFF,
+            ejected_until: None,
+            suspect: false,
+            leaving: node.leaving,
+        }
+    }
+
+    pub(crate) fn rank(&self, now: Millis) -> Rank {
+        match self.ejected_until {
+            _ if self.leaving => Rank::Leaving,
+            Some(until) if now < until => Rank::Ejected,
+            Some(_) => Rank::Suspect,
+            None if self.suspect => Rank::Suspect,
+            None => Rank::Trusted,
+        }
+    }
+
+    /// Whether a request may start now; `share` is the part of the slots that this owner may use.
+    pub(crate) fn free(&self, now: Millis, share: f64) -> bool {
+        let limit = match self.rank(now) {
+            Rank::Leaving => return false,
+            // A straggler given its full slots again would hold a request in each of them.
+            Rank::Suspect | Rank::Ejected => 1,
+            Rank::Trusted => ((self.limit * share) as usize).max(1),
+        };
+        self.runs.len() < limit
+    }
+
+    pub(crate) fn holds(&self, snapshot: Snapshot) -> bool {
+        self.held.as_ref().is_none_or(|held| held.contains(&snapshot))
+    }
+
+    pub(crate) fn held(&self) -> Option<&Held> {
+        self.held.as_ref()
+    }
+
+    pub(crate) fn set_held(&mut self, held: Held) {
+        self.held = Some(held);
+    }
+
+    pub(crate) fn lost(&mut self, snapshot: Snapshot) {
+        if let Some(held) = &mut self.held {
+            held.retain(|s| *s != snapshot);
+        }
+    }
+
+    pub(crate) fn leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Records that the upstream leaves; true if that is news.
+    pub(crate) fn leave(&mut self) -> bool {
+        !std::mem::replace(&mut self.leaving, true)
+    }
+
+    /// A process with another incarnation answers: what was held against the old one is void.
+    pub(crate) fn restart(&mut self) {
+        self.leaving = false;
+        self.held = None;
+        self.limit = 1.0;
+        self.failures = 0;
+        self.ejected_until = None;
+    }
+
+    pub(crate) fn good(&mut self, latency: Millis, late: Millis) {
+        self.latency.add(latency.as_f64());
+        self.failures = 0;
+        self.backoff = FIRST_BACKOFF;
+        self.ejected_until = None;
+        self.limit = (self.limit + RAMP).min(f64::from(self.slots));
+        self.suspect = latency >= late;
+    }
+
+    /// A request has run longer than `age`; true if the upstream was trusted until now.
+    pub(crate) fn overdue(&mut self, age: Millis) -> bool {
+        self.latency.add(self.latency.get().max(age.as_f64()));
+        !std::mem::replace(&mut self.suspect, true)
+    }
+
+    pub(crate) fn shed(&mut self) {
+        self.limit = (self.limit - 1.0).max(1.0);
+    }
+
+    /// Counts a failure; true if the upstream is set aside by it.
+    pub(crate) fn fail(&mut self, now: Millis) -> bool {
+        self.failures += 1;
+        let returning = self.ejected_until.is_some_and(|until| now >= until);
+        if self.failures < FAILURES && !returning {
+            return false;
+        }
+        self.ejected_until = Some(now + self.backoff);
+        self.backoff = (self.backoff + self.backoff).min(LONGEST_BACKOFF);
+        self.limit = 1.0;
+        true
+    }
+}
--- /dev/null
+++ b/crates/tgw-member/src/member.rs
@@ -0,0 +1,742 @@
+use crate::{
+    Record,
+    gossip::Gossip,
+    packet::{Body, News, Packet},
+    probe::Probes,
+    relay::Relay,
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng, seq::SliceRandom};
+use smallvec::SmallVec;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
+use tgw_clock::Millis;
+use tgw_owner::{Directory, Member as Entry, State};
+use tgw_topology::{Place, Vm, place::Domain};
+use xxhash_rust::xxh3::xxh3_64;
+
+pub use crate::relay::Force;
+
+/// How often one VM of the domain is probed.
+const PERIOD: Millis = Millis::new(300);
+/// Time for a direct acknowledgement, before third VMs are asked.
+const DIRECT: Millis = Millis::new(100);
+/// Third VMs that are asked.
+const HELPERS: usize = 3;
+/// How long a suspect has to refute.
+const SUSPICION: Millis = Millis::new(1200);
+/// Last direct probes of a suspect whose time is up, and how long they may take in all.
+const LAST_PROBES: u8 = 3;
+const LAST_PROBE_GAP: Millis = Millis::new(100);
+/// VMs to which fresh news is pushed at once.
+const PUSH: usize = 3;
+/// VMs of each domain that keep contact with the others.
+const RELAYS: usize = 2;
+/// How often a relay contacts one other domain.
+const RELAY_PERIOD: Millis = Millis::new(250);
+/// How often a dead VM or a seed is tried again, so that a healed partition is noticed.
+const RETRY: Millis = Millis::new(1000);
+/// How often records are compared with those of another VM.
+const COMPARE: Millis = Millis::new(10_000);
+/// How often the edition in force is reported to the relays besides when it changes.
+const REPORT: Millis = Millis::new(2000);
+/// A dead VM's record is kept this long.
+const FORGET: Millis = Millis::new(600_000);
+/// A gap between two ticks that says that this VM was paused.
+const PAUSE: Millis = Millis::new(700);
+
+/// Who this VM is.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// This VM.
+    pub vm: Vm,
+    /// Its configured name.
+    pub name: String,
+    /// This life: higher than that of any earlier process of the VM.
+    pub incarnation: u64,
+    /// Where it lies.
+    pub place: Place,
+    /// Where its peers reach it.
+    pub addr: SocketAddr,
+    /// Whom to ask first.
+    pub seeds: Vec<SocketAddr>,
+    /// Seed of the choices made at random.
+    pub seed: u64,
+}
+
+/// What the core is told.
+#[derive(Debug)]
+pub enum Event {
+    /// A packet came.
+    Packet(SocketAddr, Box<Packet>),
+    /// Records came from another VM by comparison.
+    Records(Vec<Record>),
+    /// The platform names VMs to ask.
+    Seeds(Vec<SocketAddr>),
+    /// This edition of the table is in force here now.
+    Edit(u64),
+    /// The catalog of this version is in use here now.
+    World(u64),
+    /// This VM leaves.
+    Leave,
+    /// Time has passed.
+    Tick,
+}
+
+/// What must be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send a packet.
+    Send(SocketAddr, Box<Packet>),
+    /// Send these records to another VM reliably.
+    Sync(SocketAddr, Vec<Record>),
+    /// The directory has changed.
+    Changed,
+    /// A VM has a newer edition of the table or a newer catalog than this one.
+    Newer {
+        /// The VM.
+        vm: Vm,
+        /// Where it is reached.
+        addr: SocketAddr,
+        /// Its edition.
+        edit: u64,
+        /// The version of its catalog.
+        world: u64,
+    },
+    /// This VM was paused: others may have taken over what it owned.
+    Paused(Millis),
+}
+
+/// Counts since the start.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Stats {
+    /// Packets sent.
+    pub sent: u64,
+    /// Times a VM was suspected here first.
+    pub suspected: u64,
+    /// Times a VM was declared dead here first.
+    pub declared: u64,
+    /// Times this VM refuted a word about itself.
+    pub refuted: u64,
+}
+
+struct Suspicion {
+    until: Millis,
+    probes: u8,
+}
+
+/// Membership as one VM sees it.
+pub struct Member {
+    options: Options,
+    incarnation: u64,
+    leaving: bool,
+    edit: u64,
+    world: u64,
+    records: BTreeMap<Vm, Record>,
+    suspicions: BTreeMap<Vm, Suspicion>,
+    dead_since: BTreeMap<Vm, Millis>,
+    probes: Probes,
+    round: Vec<Vm>,
+    relay: Relay,
+    foreign_round: Vec<Domain>,
+    gossip: Gossip,
+    rng: SmallRng,
+    last_tick: Millis,
+    next_probe: Millis,
+    next_relay: Millis,
+    next_retry: Millis,
+    next_compare: Millis,
+    next_report: Millis,
+    stats: Stats,
+    changed: bool,
+}
+
+type Out = Vec<Action>;
+
+impl Member {
+    /// A VM that knows itself and its seeds.
+    pub fn new(options: Options) -> Self {
+        let rng = SmallRng::seed_from_u64(options.seed ^ options.vm.0);
+        let mut member = Self {
+            incarnation: options.incarnation,
+            options,
+            leaving: false,
+            edit: 0,
+            world: 0,
+            records: BTreeMap::new(),
+            suspicions: BTreeMap::new(),
+            dead_since: BTreeMap::new(),
+            probes: Probes::default(),
+            round: Vec::new(),
+            relay: Relay::default(),
+            foreign_round: Vec::new(),
+            gossip: Gossip::default(),
+            rng,
+            last_tick: Millis::ZERO,
+            next_probe: Millis::ZERO,
+            next_relay: Millis::ZERO,
+            next_retry: Millis::ZERO,
+            next_compare: COMPARE,
+            next_report: Millis::ZERO,
+            stats: Stats::default(),
+            changed: true,
+        };
+        let own = member.own_record();
+        member.records.insert(own.vm, own);
+        member
+    }
+
+    /// Counts since the start.
+    pub fn stats(&self) -> &Stats {
+        &self.stats
+    }
+
+    /// The VMs as they are seen now.
+    pub fn directory(&self) -> Directory {
+        let members = self.records.iter().map(|(vm, r)| (*vm, r.member.clone())).collect();
+        Directory { members, cut: self.relay.cut() }
+    }
+
+    /// Where a VM is reached.
+    pub fn directory_addr(&self, vm: Vm) -> Option<SocketAddr> {
+        self.addr(vm)
+    }
+
+    /// What each domain's live VMs have in force, as far as is known.
+    pub fn forces(&self) -> &BTreeMap<Domain, Force> {
+        self.relay.forces()
+    }
+
+    /// Whether this VM keeps contact with other domains, and watches the platform for its own.
+    pub fn is_relay(&self) -> bool {
+        self.relays(self.here()).contains(&self.options.vm)
+    }
+
+    /// All records, for comparison with another VM.
+    pub fn records(&self) -> Vec<Record> {
+        self.records.values().cloned().collect()
+    }
+
+    /// Handles one event at `now` and appends what must be done.
+    pub fn on(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Packet(addr, packet) => self.packet(now, addr, *packet, out),
+            Event::Records(records) => {
+                for record in records {
+                    self.learn(now, record, out);
+                }
+            }
+            Event::Seeds(seeds) => self.options.seeds = seeds,
+            Event::Edit(edit) => {
+                self.edit = self.edit.max(edit);
+                self.report(out);
+                self.push_edit(out);
+            }
+            Event::World(world) => {
+                self.world = self.world.max(world);
+                self.push_edit(out);
+            }
+            Event::Leave => self.leave(now, out),
+            Event::Tick => self.tick(now, out),
+        }
+        if std::mem::take(&mut self.changed) {
+            out.push(Action::Changed);
+        }
+    }
+
+    fn here(&self) -> Domain {
+        self.options.place.domain
+    }
+
+    fn own_record(&self) -> Record {
+        let state = if self.leaving { State::Leaving } else { State::Alive };
+        let Options { name, place, addr, vm, .. } = &self.options;
+        let (name, incarnation) = (name.clone(), self.incarnation);
+        let member = Entry { name, incarnation, place: *place, addr: *addr, state };
+        Record { vm: *vm, member }
+    }
+
+    /// The live VMs of a domain that keep contact with others: the lowest of them.
+    fn relays(&self, domain: Domain) -> SmallVec<[Vm; 2]> {
+        let live = self.records.values().filter(|r| r.member.place.domain == domain);
+        live.filter(|r| r.member.state.owns()).map(|r| r.vm).take(RELAYS).collect()
+    }
+
+    /// Other VMs of this domain that may answer.
+    fn neighbours(&self) -> Vec<Vm> {
+        let here = self.here();
+        let near = self.records.values().filter(|r| r.member.place.domain == here);
+        near.filter(|r| r.member.state != State::Dead && r.vm != self.options.vm)
+            .map(|r| r.vm)
+            .collect()
+    }
+
+    /// How often a piece of news is told by one VM: enough to reach all of the domain, and from a
+    /// relay all domains besides.
+    fn times(&self) -> u32 {
+        let count = self.neighbours().len() as u32 + 2;
+        let domains: BTreeSet<Domain> =
+            self.records.values().map(|r| r.member.place.domain).collect();
+        let relay = if self.is_relay() { 2 * domains.len() as u32 } else { 0 };
+        3 * (u32::BITS - count.leading_zeros()) + relay
+    }
+
+    fn addr(&self, vm: Vm) -> Option<SocketAddr> {
+        self.records.get(&vm).map(|r| r.member.addr)
+    }
+
+    fn send(&mut self, to: SocketAddr, body: Body, out: &mut Out) {
+        self.stats.sent += 1;
+        let news = self.gossip.take();
+        let Self { edit, world, .. } = *self;
+        let packet = Packet { from: self.options.vm, edit, world, body, news };
+        out.push(Action::Send(to, Box::new(packet)));
+    }
+
+    fn packet(&mut self, now: Millis, addr: SocketAddr, packet: Packet, out: &mut Out) {
+        let Packet { from, edit, world, body, news } = packet;
+        self.heard(now, from, out);
+        for item in news {
+            self.news(now, item, out);
+        }
+        if edit > self.edit || world > self.world {
+            out.push(Action::Newer { vm: from, addr, edit, world });
+        }
+        match body {
+            Body::Ping { seq } => self.answer_ping(from, addr, seq, out),
+            Body::Ack { seq } => self.acknowledged(seq, out),
+            Body::Indirect { seq, target } => {
+                let own = self.probes.next();
+                self.probes.relayed.insert(own, (addr, seq, now));
+                self.send(target, Body::Ping { seq: own }, out);
+            }
+            Body::Report => self.relay.report(from, edit),
+            Body::Hashes(theirs) => self.compare(addr, &theirs, out),
+            Body::Push => {}
+        }
+    }
+
+    fn heard(&mut self, now: Millis, from: Vm, out: &mut Out) {
+        let Some(domain) = self.records.get(&from).map(|r| r.member.place.domain) else { return };
+        if domain == self.here() {
+            return;
+        }
+        if let Some(news) = self.relay.heard(now, self.here(), domain) {
+            self.spread(news, out);
+            self.changed = true;
+        }
+    }
+
+    fn answer_ping(&mut self, from: Vm, addr: SocketAddr, seq: u64, out: &mut Out) {
+        // A VM that counts as dead or suspect here must hear of it to refute it; one that is not
+        // known must learn who this is.
+        let known = self.records.get(&from).cloned();
+        match known {
+            Some(record) if record.member.state != State::Alive => {
+                self.gossip.add(News::Record(record), 1);
+            }
+            Some(_) => {}
+            None => self.gossip.add(News::Record(self.own_record()), 1),
+        }
+        self.send(addr, Body::Ack { seq }, out);
+        if !self.records.contains_key(&from) {
+            out.push(Action::Sync(addr, self.records()));
+        }
+    }
+
+    fn acknowledged(&mut self, seq: u64, out: &mut Out) {
+        self.probes.open.remove(&seq);
+        if let Some((addr, theirs, _)) = self.probes.relayed.remove(&seq) {
+            self.send(addr, Body::Ack { seq: theirs }, out);
+        }
+    }
+
+    fn news(&mut self, now: Millis, item: News, out: &mut Out) {
+        match item {
+            News::Record(record) => self.learn(now, record, out),
+            News::Reach { seen_from, domain, cut, stamp } => {
+                let here = self.here();
+                if seen_from == here && domain != here && self.relay.told_reach(domain, cut, stamp)
+                {
+                    self.changed = true;
+                    self.spread(News::Reach { seen_from, domain, cut, stamp }, out);
+                }
+            }
+            News::Force { domain, edit, behind, example, stamp } => {
+                let force = Force { edit, behind, example, stamp };
+                let own = domain == self.here() && self.is_relay();
+                if !own && self.relay.told_force(domain, force) {
+                    let times = self.times();
+                    self.gossip.add(News::Force { domain, edit, behind, example, stamp }, times);
+                }
+            }
+        }
+    }
+
+    /// Takes in a word about a VM, if it counts more than what is known.
+    fn learn(&mut self, now: Millis, record: Record, out: &mut Out) {
+        if record.vm == self.options.vm {
+            return self.refute(&record, out);
+        }
+        let known = self.records.get(&record.vm);
+        if known.is_some_and(|known| !record.supersedes(known)) {
+            return;
+        }
+        match record.member.state {
+            State::Suspect => {
+                let until = now + SUSPICION;
+                self.suspicions.insert(record.vm, Suspicion { until, probes: 0 });
+                // The suspect itself must hear of it, or it cannot refute.
+                self.gossip.add(News::Record(record.clone()), 1);
+                self.send(record.member.addr, Body::Push, out);
+            }
+            State::Dead => {
+                self.suspicions.remove(&record.vm);
+                self.dead_since.insert(record.vm, now);
+            }
+            State::Leaving => {
+                self.suspicions.remove(&record.vm);
+                self.dead_since.insert(record.vm, now);
+            }
+            State::Alive => {
+                self.suspicions.remove(&record.vm);
+                self.dead_since.remove(&record.vm);
+            }
+        }
+        self.records.insert(record.vm, record.clone());
+        self.changed = true;
+        self.spread(News::Record(record), out);
+    }
+
+    /// Others say something of this VM that is not so.
+    fn refute(&mut self, record: &Record, out: &mut Out) {
+        let own = self.own_record();
+        if !record.supersedes(&own) {
+            return;
+        }
+        self.incarnation = record.member.incarnation + 1;
+        self.stats.refuted += 1;
+        let own = self.own_record();
+        self.records.insert(own.vm, own.clone());
+        self.changed = true;
+        self.spread(News::Record(own), out);
+    }
+
+    /// Queues news and pushes it to a few VMs of the domain at once.
+    fn spread(&mut self, news: News, out: &mut Out) {
+        let times = self.times();
+        self.gossip.add(news, times);
+        self.push(PUSH, out);
+    }
+
+    fn push(&mut self, count: usize, out: &mut Out) {
+        let mut near = self.neighbours();
+        near.shuffle(&mut self.rng);
+        for vm in near.into_iter().take(count) {
+            if let Some(addr) = self.addr(vm) {
+                self.send(addr, Body::Push, out);
+            }
+        }
+    }
+
+    /// Tells a few VMs of the domain, and from a relay one in each other domain, that a newer
+    /// edition can be had here.
+    fn push_edit(&mut self, out: &mut Out) {
+        self.push(PUSH, out);
+        if self.is_relay() {
+            for domain in self.foreign_domains() {
+                self.contact(domain, Body::Push, out);
+            }
+        }
+    }
+
+    fn leave(&mut self, now: Millis, out: &mut Out) {
+        self.leaving = true;
+        self.incarnation += 1;
+        let own = self.own_record();
+        self.records.insert(own.vm, own.clone());
+        self.changed = true;
+        let times = self.times();
+        self.gossip.add(News::Record(own), times.max(self.records.len() as u32));
+        // A few lost packets must not hide the leaving: every neighbour is told, and a relay of each
+        // other domain.
+        let near = self.neighbours().len();
+        self.push(near.min(16), out);
+        for domain in self.foreign_domains() {
+            self.contact(domain, Body::Push, out);
+        }
+        self.next_probe = now;
+    }
+
+    fn report(&mut self, out: &mut Out) {
+        self.relay.report(self.options.vm, self.edit);
+        for vm in self.relays(self.here()) {
+            if let Some(addr) = self.addr(vm).filter(|_| vm != self.options.vm) {
+                self.send(addr, Body::Report, out);
+            }
+        }
+    }
+
+    fn foreign_domains(&self) -> Vec<Domain> {
+        let all = self.records.values().filter(|r| r.member.state != State::Dead);
+        let domains: BTreeSet<Domain> = all.map(|r| r.member.place.domain).collect();
+        domains.into_iter().filter(|d| *d != self.here()).collect()
+    }
+
+    /// Sends something to one relay of another domain.
+    fn contact(&mut self, domain: Domain, body: Body, out: &mut Out) -> Option<Vm> {
+        let relays = self.relays(domain);
+        let vm = *relays.get(self.rng.random_range(0..relays.len().max(1)))?;
+        let addr = self.addr(vm)?;
+        self.send(addr, body, out);
+        Some(vm)
+    }
+
+    fn tick(&mut self, now: Millis, out: &mut Out) {
+        let gap = now - self.last_tick;
+        if self.last_tick > Millis::ZERO && gap >= PAUSE {
+            self.resume(now, gap, out);
+        }
+        self.last_tick = now;
+        self.check_probes(now, out);
+        self.check_suspects(now, out);
+        if now >= self.next_probe {
+            self.next_probe = now + PERIOD;
+            self.probe_neighbour(now, out);
+        }
+        if now >= self.next_relay {
+            self.next_relay = now + RELAY_PERIOD;
+            self.relay_turn(now, out);
+        }
+        if now >= self.next_report {
+            self.next_report = now + REPORT;
+            self.report(out);
+        }
+        if now >= self.next_retry {
+            self.next_retry = now + RETRY;
+            self.retry(out);
+        }
+        if now >= self.next_compare {
+            self.next_compare = now + COMPARE;
+            self.start_compare(out);
+            self.forget(now);
+        }
+    }
+
+    /// After a pause every timer has run out at once: judging others by them would declare the whole
+    /// fleet dead. Probes under way are dropped and suspicions begin anew.
+    fn resume(&mut self, now: Millis, gap: Millis, out: &mut Out) {
+        self.probes.open.clear();
+        for suspicion in self.suspicions.values_mut() {
+            *suspicion = Suspicion { until: now + SUSPICION, probes: 0 };
+        }
+        out.push(Action::Paused(gap));
+    }
+
+    fn probe_neighbour(&mut self, now: Millis, out: &mut Out) {
+        if self.round.is_empty() {
+            self.round = self.neighbours();
+            self.round.shuffle(&mut self.rng);
+        }
+        while let Some(vm) = self.round.pop() {
+            let live = self.records.get(&vm).filter(|r| r.member.state != State::Dead);
+            if let Some(addr) = live.map(|r| r.member.addr) {
+                let seq = self.probes.start(now, vm, false);
+                return self.send(addr, Body::Ping { seq }, out);
+            }
+        }
+    }
+
+    fn relay_turn(&mut self, now: Millis, out: &mut Out) {
+        if !self.is_relay() {
+            return;
+        }
+        if self.foreign_round.is_empty() {
+            self.foreign_round = self.foreign_domains();
+            self.foreign_round.shuffle(&mut self.rng);
+        }
+        if let Some(domain) = self.foreign_round.pop() {
+            self.relay.asked(now, domain);
+            let seq = self.probes.next();
+            self.contact(domain, Body::Ping { seq }, out);
+        }
+        for news in self.relay.newly_cut(now, self.here()) {
+            self.changed = true;
+            self.spread(news, out);
+        }
+        let live: Vec<Vm> = {
+            let near = self.records.values().filter(|r| r.member.place.domain == self.here());
+            near.filter(|r| r.member.state.owns()).map(|r| r.vm).collect()
+        };
+        if live.first() != Some(&self.options.vm) {
+            return;
+        }
+        if let Some(news) = self.relay.sum_up(self.here(), &live) {
+            let times = self.times();
+            self.gossip.add(news, times);
+        }
+    }
+
+    /// Probes that were not answered: asks third VMs, then suspects.
+    fn check_probes(&mut self, now: Millis, out: &mut Out) {
+        let direct: Vec<(u64, Vm)> = self
+            .probes
+            .open
+            .iter()
+            .filter(|(_, p)| !p.indirect && now - p.sent >= DIRECT)
+            .map(|(seq, p)| (*seq, p.target))
+            .collect();
+        for (seq, target) in direct {
+            self.ask_helpers(seq, target, out);
+        }
+        let late: Vec<(u64, Vm, bool)> = self
+            .probes
+            .open
+            .iter()
+            .filter(|(_, p)| now - p.sent >= PERIOD)
+            .map(|(seq, p)| (*seq, p.target, p.foreign))
+            .collect();
+        for (seq, target, foreign) in late {
+            self.probes.open.remove(&seq);
+            if !foreign {
+                self.suspect(now, target, out);
+            }
+        }
+        self.probes.forget_relayed(now, PERIOD + PERIOD);
+    }
+
+    fn ask_helpers(&mut self, seq: u64, target: Vm, out: &mut Out) {
+        if let Some(probe) = self.probes.open.get_mut(&seq) {
+            probe.indirect = true;
+        }
+        let Some(addr) = self.addr(target) else { return };
+        let mut helpers = self.neighbours();
+        helpers.retain(|vm| *vm != target);
+        if helpers.is_empty() {
+            // A domain of two VMs: those of other domains are the only third ones.
+            helpers = self.foreign_domains().into_iter().flat_map(|d| self.relays(d)).collect();
+        }
+        helpers.shuffle(&mut self.rng);
+        for helper in helpers.into_iter().take(HELPERS) {
+            if let Some(via) = self.addr(helper) {
+                self.send(via, Body::Indirect { seq, target: addr }, out);
+            }
+        }
+    }
+
+    fn suspect(&mut self, now: Millis, target: Vm, out: &mut Out) {
+        let Some(mut record) = self.records.get(&target).cloned() else { return };
+        if !matches!(record.member.state, State::Alive | State::Leaving) {
+            return;
+        }
+        self.stats.suspected += 1;
+        if record.member.state == State::Leaving {
+            record.member.state = State::Dead;
+        } else {
+            record.member.state = State::Suspect;
+        }
+        self.learn(now, record, out);
+    }
+
+    /// Suspects whose time is up are probed a few last times, then declared dead.
+    fn check_suspects(&mut self, now: Millis, out: &mut Out) {
+        let up: Vec<Vm> =
+            self.suspicions.iter().filter(|(_, s)| s.until <= now).map(|(vm, _)| *vm).collect();
+        for vm in up {
+            let Some(suspicion) = self.suspicions.get_mut(&vm) else { continue };
+            suspicion.probes += 1;
+            suspicion.until = now + LAST_PROBE_GAP;
+            let last = suspicion.probes > LAST_PROBES;
+            let Some(mut record) = self.records.get(&vm).cloned() else { continue };
+            if last {
+                self.stats.declared += 1;
+                record.member.state = State::Dead;
+                self.learn(now, record, out);
+            } else {
+                self.gossip.add(News::Record(record.clone()), 1);
+                let seq = self.probes.next();
+                self.send(record.member.addr, Body::Ping { seq }, out);
+            }
+        }
+    }
+
+    /// Tries a dead VM or a seed that is not known: after a partition nobody else would.
+    fn retry(&mut self, out: &mut Out) {
+        let known: BTreeSet<SocketAddr> = self
+            .records
+            .values()
+            .filter(|r| r.member.state != State::Dead)
+            .map(|r| r.member.addr)
+            .collect();
+        let dead = self.records.values().filter(|r| r.member.state == State::Dead);
+        let mut targets: Vec<SocketAddr> = dead.map(|r| r.member.addr).collect();
+        targets.extend(self.options.seeds.iter().copied());
+        targets.retain(|addr| !known.contains(addr));
+        targets.shuffle(&mut self.rng);
+        for addr in targets.into_iter().take(2) {
+            self.gossip.add(News::Record(self.own_record()), 1);
+            let seq = self.probes.next();
+            self.send(addr, Body::Ping { seq }, out);
+        }
+    }
+
+    fn hashes(&self) -> SmallVec<[(Domain, u64); 4]> {
+        let mut sums: BTreeMap<Domain, u64> = BTreeMap::new();
+        for record in self.records.values() {
+            let member = &record.member;
+            let text = (record.vm.0, member.incarnation, member.state as u8);
+            let mut bytes = [0; 17];
+            bytes[..8].copy_from_slice(&text.0.to_le_bytes());
+            bytes[8..16].copy_from_slice(&text.1.to_le_bytes());
+            bytes[16] = text.2;
+            *sums.entry(member.place.domain).or_default() ^= xxh3_64(&bytes);
+        }
+        sums.into_iter().collect()
+    }
+
+    fn start_compare(&mut self, out: &mut Out) {
+        let hashes = self.hashes();
+        let mut partners = self.neighbours();
+        partners.shuffle(&mut self.rng);
+        if let Some(addr) = partners.first().and_then(|vm| self.addr(*vm)) {
+            self.send(addr, Body::Hashes(hashes.clone()), out);
+        }
+        let foreign = self.foreign_domains();
+        if self.is_relay() && !foreign.is_empty() {
+            let domain = foreign[self.rng.random_range(0..foreign.len())];
+            self.contact(domain, Body::Hashes(hashes), out);
+        }
+    }
+
+    /// Sends the records of the domains in which another VM's differ.
+    fn compare(&mut self, addr: SocketAddr, theirs: &[(Domain, u64)], out: &mut Out) {
+        let differs = |(domain, hash): &(Domain, u64)| !theirs.contains(&(*domain, *hash));
+        let domains: BTreeSet<Domain> =
+            self.hashes().iter().filter(|h| differs(h)).map(|h| h.0).collect();
+        if domains.is_empty() {
+            return;
+        }
+        let records: Vec<Record> = self
+            .records
+            .values()
+            .filter(|r| domains.contains(&r.member.place.domain))
+            .cloned()
+            .collect();
+        out.push(Action::Sync(addr, records));
+    }
+
+    fn forget(&mut self, now: Millis) {
+        let old: Vec<Vm> = self
+            .dead_since
+            .iter()
+            .filter(|(_, since)| now - **since >= FORGET)
+            .map(|(vm, _)| *vm)
+            .collect();
+        for vm in old {
+            self.dead_since.remove(&vm);
+            self.records.remove(&vm);
+            self.changed = true;
+        }
+    }
+}
--- /dev/null
+++ b/crates/tgw-node/src/lib.rs
@@ -0,0 +1,14 @@
+//! The whole decision core of one VM: its entry, the groups it dispatches to, and the moves of
+//! ownership between VMs. The same core runs in `serve`, in replays, in experiments and in tests.
+//!
+//! Performs no I/O: inputs and the time go in, outputs come out.
+
+/// Ownership of groups: taking, standing in, handing over.
+mod groups;
+/// What VMs tell one another.
+pub mod message;
+/// The core.
+mod node;
+
+pub use message::Message;
+pub use node::{Input, Node, Note, Options, Output, Placement};
--- /dev/null
+++ b/crates/tgw-node/src/message.rs
@@ -0,0 +1,56 @@
+//! What VMs tell one another over their links.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use tgw_clock::Millis;
+use tgw_dispatch::leaf::{Held, Key, Outcome};
+use tgw_topology::{Group, Snapshot, Upstream};
+
+/// One message.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// Dispatch a leaf request.
+    Ask(Ask),
+    /// A leaf request's outcome is no longer wanted.
+    Cancel(Key),
+    /// What came of a leaf request.
+    Outcome(Told),
+    /// The VM lives and works on what it was asked.
+    Alive,
+    /// An upstream leaves: no new work for it from anyone.
+    Leaving(Upstream),
+}
+
+/// A leaf request for the VM that dispatches to its group.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Ask {
+    /// The replica group.
+    pub group: Group,
+    /// The VM is asked in the owner's place.
+    pub stand_in: bool,
+    /// The request.
+    pub key: Key,
+    /// The snapshot to be searched.
+    pub snapshot: Snapshot,
+    /// Time left; clocks of two VMs are not compared.
+    pub left: Millis,
+    /// What is searched for.
+    pub body: Bytes,
+    /// Whether decisions about it are logged.
+    pub traced: bool,
+}
+
+/// What came of a leaf request.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Told {
+    /// The request.
+    pub key: Key,
+    /// What came of it.
+    pub outcome: Outcome,
+    /// The snapshots held in its group, if known.
+    pub held: Option<Held>,
+    /// Sendings beyond the first.
+    pub extra: u8,
+    /// Time in the queue.
+    pub waited: Millis,
+}
--- /dev/null
+++ b/crates/tgw-node/src/node.rs
@@ -0,0 +1,597 @@
+use crate::{
+    groups::{Groups, HALF, Step},
+    message::{Ask, Message, Told},
+};
+use smallvec::SmallVec;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+use tgw_clock::Millis;
+use tgw_dispatch::{
+    Leaf, Owner, Rank,
+    leaf::{Failure, Held, Outcome, Reply},
+    owner::{self, Ticket},
+    pick::Policy,
+};
+use tgw_owner::{Directory, Map, State};
+use tgw_query::{
+    Action, Answer, Entry, Event, Owners, Stats, View,
+    answer::Refusal,
+    step::{Note as EntryNote, Token},
+};
+use tgw_table::Document;
+use tgw_topology::{Catalog, Group, Place, Service, Upstream, Vm, place::Distance};
+
+/// How often rights to groups are looked over.
+const GROUPS: Millis = Millis::new(100);
+/// How often a VM that works for others says that it lives.
+const ALIVE: Millis = Millis::new(20);
+/// How long an upstream that was told to be leaving stays so without being told again.
+const LEAVING: Millis = Millis::new(60_000);
+
+/// How the core works.
+pub struct Options {
+    /// The entry's options.
+    pub entry: tgw_query::Options,
+    /// Where the VM lies.
+    pub place: Place,
+    /// Network delays that estimates start from.
+    pub distance: Distance,
+    /// How upstreams are chosen in a group.
+    pub policy: Box<dyn Fn(Group) -> Box<dyn Policy> + Send>,
+    /// How groups are dispatched to; budgets are taken from the table's rows.
+    pub dispatch: owner::Options,
+}
+
+/// What the core is told.
+#[derive(Debug)]
+pub enum Input {
+    /// A caller's search.
+    Submit {
+        /// Names the caller's request.
+        token: Token,
+        /// The service.
+        service: Service,
+        /// Time that the caller gives, if less than the row's.
+        within: Option<Millis>,
+        /// What is searched for.
+        body: bytes::Bytes,
+    },
+    /// The caller went away.
+    Abandon(Token),
+    /// A message from another VM.
+    Peer(Vm, Message),
+    /// The connection to a VM broke, or it is dead.
+    Lost(Vm),
+    /// A sending to an upstream has ended.
+    Done {
+        /// The sending.
+        ticket: Ticket,
+        /// The reply, or why there is none.
+        result: Result<Reply, Failure>,
+        /// The snapshots that the upstream says it holds.
+        held: Option<Held>,
+    },
+    /// The upstream's own word, or the platform's, that it leaves.
+    Leaving(Upstream),
+    /// An upstream answers with another incarnation than before.
+    Restarted(Upstream),
+    /// An upstream's own word on the snapshots it holds.
+    Held(Upstream, Held),
+    /// Services and upstreams as the platform describes them now.
+    Catalog(Arc<Catalog>),
+    /// A newer edition of the table.
+    Table(Arc<Document>),
+    /// The VMs as membership sees them now.
+    Directory(Arc<Directory>),
+    /// The VM was paused: others may have taken over what it owned.
+    Paused,
+    /// The VM leaves: refuse new queries, finish the rest.
+    Drain,
+    /// Time has passed.
+    Tick,
+}
+
+/// What must be done.
+#[derive(Debug)]
+pub enum Output {
+    /// Send a message to another VM.
+    Tell(Vm, Message),
+    /// Send a request to an upstream.
+    Send {
+        /// Names the sending in [`Input::Done`].
+        ticket: Ticket,
+        /// The upstream.
+        upstream: Upstream,
+        /// The request.
+        leaf: Leaf,
+    },
+    /// Ask an upstream to stop.
+    Abort {
+        /// The sending.
+        ticket: Ticket,
+        /// The upstream.
+        upstream: Upstream,
+    },
+    /// Answer a caller.
+    Answer(Token, Answer),
+    /// Tell a caller that the query was not run.
+    Refuse(Token, Refusal),
+    /// Dispatching to these upstreams begins: connect to them.
+    Connect(SmallVec<[Upstream; 4]>),
+    /// Dispatching to these upstreams has ended: close their connections.
+    Disconnect(SmallVec<[Upstream; 4]>),
+    /// A decision for the log.
+    Note(Note),
+}
+
+/// A decision for the log.
+#[derive(Clone, Debug)]
+pub enum Note {
+    /// About a query, at its entry.
+    Entry(EntryNote),
+    /// About a leaf request or an upstream, at the owner.
+    Dispatch(owner::Note),
+    /// About a group.
+    Placement(Placement),
+}
+
+/// A move of a group between VMs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Placement {
+    /// The group.
+    pub group: Group,
+    /// Its upstreams.
+    pub upstreams: SmallVec<[Upstream; 4]>,
+    /// Its owner now, as this VM sees it.
+    pub owner: Option<Vm>,
+    /// What this VM does, and why.
+    pub what: &'static str,
+}
+
+/// Owners as the entry asks for them.
+struct Seen<'a> {
+    map: &'a Map,
+    catalog: &'a Catalog,
+}
+
+impl Owners for Seen<'_> {
+    fn owners(&self, group: Group) -> SmallVec<[Vm; 2]> {
+        let place = self.catalog.place(group.domain);
+        place.map(|place| self.map.owners(group, place)).unwrap_or_default()
+    }
+
+    fn place(&self, vm: Vm) -> Option<Place> {
+        self.map.directory().members.get(&vm).map(|m| m.place)
+    }
+}
+
+/// The decision core of one VM.
+pub struct Node {
+    me: Vm,
+    place: Place,
+    distance: Distance,
+    dispatch: owner::Options,
+    entry: Entry,
+    owner: Owner,
+    groups: Groups,
+    map: Map,
+    catalog: Arc<Catalog>,
+    table: Option<Arc<Document>>,
+    /// Upstreams known to leave, and since when, whatever else says that they are well.
+    leaving: BTreeMap<Upstream, Millis>,
+    /// VMs whose requests are worked on.
+    working_for: BTreeSet<Vm>,
+    looked_over: Millis,
+    said_alive: Millis,
+    draining: bool,
+}
+
+impl Node {
+    /// A core that knows nothing of the world yet.
+    pub fn new(options: Options) -> Self {
+        Self {
+            me: options.entry.vm,
+            place: options.place,
+            distance: options.distance,
+            dispatch: options.dispatch,
+            entry: Entry::new(options.entry),
+            owner: Owner::new(options.policy),
+            groups: Groups::default(),
+            map: Map::new(Arc::default()),
+            catalog: Arc::default(),
+            table: None,
+            leaving: BTreeMap::new(),
+            working_for: BTreeSet::new(),
+            looked_over: Millis::ZERO,
+            said_alive: Millis::ZERO,
+            draining: false,
+        }
+    }
+
+    /// Counts of the entry.
+    pub fn stats(&self) -> &Stats {
+        self.entry.stats()
+    }
+
+    /// The entry, for its figures.
+    pub fn entry(&self) -> &Entry {
+        &self.entry
+    }
+
+    /// Services and upstreams in use.
+    pub fn catalog(&self) -> &Arc<Catalog> {
+        &self.catalog
+    }
+
+    /// The table in force.
+    pub fn table(&self) -> Option<&Arc<Document>> {
+        self.table.as_ref()
+    }
+
+    /// The directory in use.
+    pub fn directory(&self) -> &Arc<Directory> {
+        self.map.directory()
+    }
+
+    /// The owner of a group as this VM sees it.
+    pub fn owner_of(&self, group: Group) -> Option<Vm> {
+        Seen { map: &self.map, catalog: &self.catalog }.owners(group).first().copied()
+    }
+
+    /// The groups that this VM owns.
+    pub fn owned(&self) -> Vec<Group> {
+        self.groups.owned().collect()
+    }
+
+    /// Requests running on an upstream from here.
+    pub fn running(&self, upstream: Upstream) -> usize {
+        self.owner.running(upstream)
+    }
+
+    /// What the owner believes of an upstream, if this VM dispatches to it.
+    pub fn belief(&self, now: Millis, upstream: Upstream) -> Option<(Rank, Option<&Held>, f64)> {
+        self.owner.belief(now, upstream)
+    }
+
+    /// Whether an upstream is known to leave.
+    pub fn is_leaving(&self, upstream: Upstream) -> bool {
+        self.leaving.contains_key(&upstream)
+    }
+
+    /// Whether nothing is left to finish.
+    pub fn idle(&self) -> bool {
+        self.entry.pending() == 0 && self.owner.pending() == 0
+    }
+
+    /// Handles one input at `now` and appends what must be done.
+    pub fn on(&mut self, now: Millis, input: Input, out: &mut Vec<Output>) {
+        match input {
+            Input::Submit { token, service, within, body } => {
+                self.at_entry(now, Event::Submit { token, service, within, body }, out);
+            }
+            Input::Abandon(token) => self.at_entry(now, Event::Abandon(token), out),
+            Input::Peer(from, message) => self.peer(now, from, message, out),
+            Input::Lost(vm) => {
+                self.working_for.remove(&vm);
+                self.at_entry(now, Event::Lost(vm), out);
+            }
+            Input::Done { ticket, result, held } => {
+                self.at_owner(now, owner::Event::Done { ticket, result, held }, out);
+            }
+            Input::Leaving(upstream) => self.upstream_leaves(now, upstream, true, out),
+            Input::Restarted(upstream) => {
+                self.leaving.remove(&upstream);
+                self.at_owner(now, owner::Event::Restarted(upstream), out);
+            }
+            Input::Held(upstream, held) => {
+                self.at_owner(now, owner::Event::Held(upstream, held), out);
+            }
+            Input::Catalog(catalog) => self.set_catalog(now, catalog, out),
+            Input::Table(table) => {
+                self.table = Some(table);
+                self.describe();
+            }
+            Input::Directory(directory) => self.set_directory(now, directory, out),
+            Input::Paused => self.resume(now, out),
+            Input::Drain => {
+                self.draining = true;
+                self.entry.drain();
+            }
+            Input::Tick => self.tick(now, out),
+        }
+    }
+
+    fn peer(&mut self, now: Millis, from: Vm, message: Message, out: &mut Vec<Output>) {
+        match message {
+            Message::Ask(ask) => self.asked(now, from, ask, out),
+            Message::Cancel(key) => self.at_owner(now, owner::Event::Cancel(key), out),
+            Message::Outcome(Told { key, outcome, held, extra, waited }) => {
+                let event = Event::Outcome { from, key, outcome, held, extra, waited };
+                self.at_entry(now, event, out);
+            }
+            Message::Alive => self.at_entry(now, Event::Heard(from), out),
+            Message::Leaving(upstream) => self.upstream_leaves(now, upstream, false, out),
+        }
+    }
+
+    fn asked(&mut self, now: Millis, from: Vm, ask: Ask, out: &mut Vec<Output>) {
+        if from != self.me {
+            self.working_for.insert(from);
+        }
+        let Ask { group, stand_in, key, snapshot, left, body, traced } = ask;
+        if stand_in {
+            let steps = self.groups.stand_in(now, group);
+            self.carry_out(now, group, steps, "stands in: the owner is silent", out);
+        }
+        if !self.groups.serves(group) {
+            let outcome = Outcome::Moved(self.owner_of(group).filter(|vm| *vm != self.me));
+            let told = Told { key, outcome, held: None, extra: 0, waited: Millis::ZERO };
+            return self.tell(now, from, Message::Outcome(told), out);
+        }
+        let replicas = self.catalog.replicas(group.service, snapshot.layout, key.shard).into();
+        let leaf = Leaf { key, snapshot, deadline: now + left, body, traced };
+        self.at_owner(now, owner::Event::Ask { group, replicas, leaf }, out);
+    }
+
+    fn at_entry(&mut self, now: Millis, event: Event, out: &mut Vec<Output>) {
+        let seen = Seen { map: &self.map, catalog: &self.catalog };
+        let view = View {
+            catalog: &self.catalog,
+            table: self.table.as_deref(),
+            owners: &seen,
+            here: self.place,
+            distance: self.distance,
+        };
+        let mut actions = Vec::new();
+        self.entry.on(now, event, &view, &mut actions);
+        for action in actions {
+            match action {
+                Action::Ask { to, group, stand_in, leaf } => {
+                    let Leaf { key, snapshot, deadline, body, traced } = leaf;
+                    let left = deadline - now;
+                    let ask = Ask { group, stand_in, key, snapshot, left, body, traced };
+                    self.tell(now, to, Message::Ask(ask), out);
+                }
+                Action::Cancel { to, key } => self.tell(now, to, Message::Cancel(key), out),
+                Action::Answer { token, answer } => out.push(Output::Answer(token, answer)),
+                Action::Refuse { token, refusal } => out.push(Output::Refuse(token, refusal)),
+                Action::Note(note) => out.push(Output::Note(Note::Entry(note))),
+            }
+        }
+    }
+
+    fn at_owner(&mut self, now: Millis, event: owner::Event, out: &mut Vec<Output>) {
+        let mut actions = Vec::new();
+        self.owner.on(now, event, &mut actions);
+        for action in actions {
+            match action {
+                owner::Action::Send { ticket, upstream, leaf } => {
+                    out.push(Output::Send { ticket, upstream, leaf });
+                }
+                owner::Action::Abort { ticket, upstream } => {
+                    out.push(Output::Abort { ticket, upstream });
+                }
+                owner::Action::Answer { key, outcome, held, extra, waited } => {
+                    let told = Told { key, outcome, held, extra, waited };
+                    self.tell(now, key.from, Message::Outcome(told), out);
+                }
+                owner::Action::Note(note) => {
+                    if note.what == owner::What::Leaving {
+                        self.upstream_leaves(now, note.upstream, true, out);
+                    }
+                    out.push(Output::Note(Note::Dispatch(note)));
+                }
+            }
+        }
+    }
+
+    /// Sends a message; one to this VM itself is handled at once.
+    fn tell(&mut self, now: Millis, to: Vm, message: Message, out: &mut Vec<Output>) {
+        if to == self.me {
+            self.peer(now, to, message, out);
+        } else {
+            out.push(Output::Tell(to, message));
+        }
+    }
+
+    /// The first word that an upstream leaves wins and is passed on; any later word that it is well
+    /// does not count, as health and platform lag behind. Only a restart makes it well again.
+    fn upstream_leaves(
+        &mut self,
+        now: Millis,
+        upstream: Upstream,
+        first_hand: bool,
+        out: &mut Vec<Output>,
+    ) {
+        if self.leaving.insert(upstream, now).is_some() {
+            return;
+        }
+        self.at_owner(now, owner::Event::Leaving(upstream), out);
+        let domain = self.catalog.upstreams.get(&upstream).map(|u| u.place.domain);
+        if !first_hand {
+            return;
+        }
+        // Only VMs that may own the upstream's group place work on it: those of its domain, and the
+        // owner and stand-in that replace them where the domain has no VM.
+        let mut told: BTreeSet<Vm> = self
+            .map
+            .directory()
+            .owners()
+            .filter(|(_, m)| Some(m.place.domain) == domain)
+            .map(|o| o.0)
+            .collect();
+        if let Some(node) = self.catalog.upstreams.get(&upstream) {
+            told.extend(self.map.owners(node.group(), node.place));
+        }
+        for vm in told.into_iter().filter(|vm| *vm != self.me) {
+            out.push(Output::Tell(vm, Message::Leaving(upstream)));
+        }
+    }
+
+    fn set_catalog(&mut self, now: Millis, catalog: Arc<Catalog>, out: &mut Vec<Output>) {
+        self.catalog = catalog;
+        self.map.set(self.map.directory().clone());
+        let leaving: Vec<Upstream> =
+            self.catalog.upstreams.values().filter(|u| u.leaving).map(|u| u.id).collect();
+        for upstream in leaving {
+            self.upstream_leaves(now, upstream, true, out);
+        }
+        self.describe();
+        self.settle_all(now, "the catalog changed", out);
+    }
+
+    fn set_directory(&mut self, now: Millis, directory: Arc<Directory>, out: &mut Vec<Output>) {
+        let gone: Vec<Vm> = {
+            let old = self.map.directory();
+            let usable: BTreeSet<Vm> = directory.owners().map(|(vm, _)| vm).collect();
+            old.owners().map(|(vm, _)| vm).filter(|vm| !usable.contains(vm)).collect()
+        };
+        self.map.set(directory);
+        self.settle_all(now, "membership changed", out);
+        for vm in gone {
+            // A leaving VM finishes what it was asked; a dead or unreachable one does not.
+            if vm != self.me && !self.finishes(vm) {
+                self.working_for.remove(&vm);
+                self.at_entry(now, Event::Lost(vm), out);
+            }
+        }
+    }
+
+    /// Whether a VM has said that it leaves and can still be reached.
+    fn finishes(&self, vm: Vm) -> bool {
+        let directory = self.map.directory();
+        directory
+            .members
+            .get(&vm)
+            .is_some_and(|m| m.state == State::Leaving && !directory.cut.contains(&m.place.domain))
+    }
+
+    /// After a pause the groups owned before may have new owners, who use all slots by now. What is
+    /// owned still is taken again with half of the slots, as by any new owner.
+    fn resume(&mut self, now: Millis, out: &mut Vec<Output>) {
+        for group in self.groups.renew(now) {
+            self.owner.share(group, HALF);
+            self.placement(group, "resumed after a pause with half of the slots", out);
+        }
+    }
+
+    /// Compares every group's owner with the rights held here.
+    fn settle_all(&mut self, now: Millis, why: &'static str, out: &mut Vec<Output>) {
+        let places: Vec<(Group, Place)> = {
+            let groups = self.catalog.groups();
+            groups.iter().filter_map(|(g, nodes)| Some((*g, nodes.first()?.place))).collect()
+        };
+        let sole = self.map.directory().owners().count() <= 1;
+        for (group, place) in places {
+            let owner = self.map.owners(group, place).first().copied();
+            let steps = self.groups.settle(now, group, owner, self.me, sole);
+            self.carry_out(now, group, steps, why, out);
+        }
+    }
+
+    fn carry_out(
+        &mut self,
+        now: Millis,
+        group: Group,
+        steps: Vec<Step>,
+        why: &'static str,
+        out: &mut Vec<Output>,
+    ) {
+        for step in steps {
+            match step {
+                Step::Take => {
+                    self.take(now, group, out);
+                    self.placement(group, why, out);
+                }
+                Step::Share(share) => self.owner.share(group, share),
+                Step::HandOver(to) => {
+                    let mut actions = Vec::new();
+                    self.owner.hand_over(group, to, &mut actions);
+                    for action in actions {
+                        if let owner::Action::Answer { key, outcome, held, extra, waited } = action
+                        {
+                            let told = Told { key, outcome, held, extra, waited };
+                            self.tell(now, key.from, Message::Outcome(told), out);
+                        }
+                    }
+                    self.placement(group, why, out);
+                }
+                Step::Forget => {
+                    if self.owner.forget(group) {
+                        self.groups.forget(group);
+                        out.push(Output::Disconnect(self.upstreams(group)));
+                    }
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, now: Millis, group: Group, out: &mut Vec<Output>) {
+        let options = self.options(group);
+        let groups = self.catalog.groups();
+        let nodes = groups.get(&group).cloned().unwrap_or_default();
+        self.owner.take(group, &nodes, &options);
+        let known: Vec<Upstream> =
+            nodes.iter().map(|n| n.id).filter(|u| self.leaving.contains_key(u)).collect();
+        for upstream in known {
+            self.at_owner(now, owner::Event::Leaving(upstream), out);
+        }
+        out.push(Output::Connect(self.upstreams(group)));
+    }
+
+    /// Takes the table's and the catalog's newer description into the groups served here.
+    fn describe(&mut self) {
+        let groups = self.catalog.groups();
+        for (group, nodes) in &groups {
+            if self.groups.serves(*group) {
+                let options = self.options(*group);
+                self.owner.take(*group, nodes, &options);
+            }
+        }
+    }
+
+    fn options(&self, group: Group) -> owner::Options {
+        let mut options = self.dispatch.clone();
+        let name = self.catalog.services.get(&group.service).map(|s| &s.name);
+        let row = name.and_then(|n| self.table.as_ref()?.rows.get(n));
+        if let Some(row) = row {
+            options.hedge = options.hedge.min(row.hedge_pct / 100.0);
+            options.retry = row.retry_pct / 100.0;
+            options.attempts = row.attempts;
+        }
+        options
+    }
+
+    fn upstreams(&self, group: Group) -> SmallVec<[Upstream; 4]> {
+        self.catalog.upstreams.values().filter(|u| u.group() == group).map(|u| u.id).collect()
+    }
+
+    fn placement(&self, group: Group, what: &'static str, out: &mut Vec<Output>) {
+        let owner = self.owner_of(group);
+        let upstreams = self.upstreams(group);
+        out.push(Output::Note(Note::Placement(Placement { group, upstreams, owner, what })));
+    }
+
+    fn tick(&mut self, now: Millis, out: &mut Vec<Output>) {
+        self.at_entry(now, Event::Tick, out);
+        self.at_owner(now, owner::Event::Tick, out);
+        if now - self.looked_over >= GROUPS {
+            self.looked_over = now;
+            self.leaving.retain(|_, since| now - *since < LEAVING);
+            for (group, step) in self.groups.tick(now) {
+                self.carry_out(now, group, vec![step], "time is up", out);
+            }
+        }
+        if now - self.said_alive >= ALIVE {
+            self.said_alive = now;
+            if self.owner.pending() == 0 {
+                self.working_for.clear();
+            }
+            for vm in &self.working_for {
+                out.push(Output::Tell(*vm, Message::Alive));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/tgw-platform/src/http.rs
@@ -0,0 +1,141 @@
+use crate::{
+    object::{Error, LIMIT_BYTES, List, Object, Version},
+    store::{Expect, Store, Wait},
+};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Method, Request, StatusCode, body::Bytes};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use serde::{Deserialize, de::DeserializeOwned};
+use serde_json::Value;
+use std::{net::SocketAddr, time::Duration};
+use tgw_clock::Millis;
+
+/// A list may hold many objects; what is larger than this is refused unread.
+const REPLY_LIMIT: usize = 64 * LIMIT_BYTES;
+
+/// The platform over HTTP/JSON.
+#[derive(Clone, Debug)]
+pub struct Http {
+    client: Client<HttpConnector, Full<Bytes>>,
+    addr: SocketAddr,
+    timeout: Millis,
+}
+
+/// What a write answers.
+#[derive(Deserialize)]
+struct Written {
+    version: Version,
+}
+
+impl Http {
+    /// An adapter to the platform at `addr`; each call gets `timeout`. Connects on first use.
+    pub fn open(addr: SocketAddr, timeout: Millis) -> Self {
+        let client = Client::builder(TokioExecutor::new()).build_http();
+        Self { client, addr, timeout }
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: String,
+        body: Option<&Value>,
+        extra: Millis,
+    ) -> Result<(StatusCode, Bytes), Error> {
+        let bytes = body.map(|v| Bytes::from(v.to_string())).unwrap_or_default();
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.addr))
+            .body(Full::new(bytes))
+            .map_err(|e| unavailable(&e))?;
+        let exchange = async {
+            let response = self.client.request(request).await.map_err(|e| {
+                // A connection that was never made carried no request; anything later may have.
+                if e.is_connect() { unavailable(&e) } else { unknown(&e) }
+            })?;
+            let status = response.status();
+            let body = Limited::new(response.into_body(), REPLY_LIMIT);
+            let bytes = body.collect().await.map_err(|e| unknown(&e))?.to_bytes();
+            Ok((status, bytes))
+        };
+        let limit: Duration = (self.timeout + extra).into();
+        match tokio::time::timeout(limit, exchange).await {
+            Ok(result) => result,
+            Err(_) => Err(Error::Unknown { reason: format!("no reply in {}", self.timeout) }),
+        }
+    }
+}
+
+fn unavailable(error: &dyn std::fmt::Display) -> Error {
+    Error::Unavailable { reason: error.to_string() }
+}
+
+fn unknown(error: &dyn std::fmt::Display) -> Error {
+    Error::Unknown { reason: error.to_string() }
+}
+
+fn decode<T: DeserializeOwned>((status, bytes): (StatusCode, Bytes)) -> Result<T, Error> {
+    match status {
+        StatusCode::OK => serde_json::from_slice(&bytes).map_err(|e| unknown(&e)),
+        StatusCode::CONFLICT => {
+            let current = serde_json::from_slice::<Written>(&bytes).map_or(0, |w| w.version);
+            Err(Error::Conflict { current })
+        }
+        StatusCode::GONE => Err(Error::Gone),
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
+            Err(unavailable(&String::from_utf8_lossy(&bytes)))
+        }
+        other => Err(Error::Unknown { reason: format!("status {other}") }),
+    }
+}
+
+impl Store for Http {
+    fn get<'a>(&'a self, kind: &'a str, name: &'a str) -> Wait<'a, Option<Object>> {
+        Box::pin(async move {
+            let path = format!("/objects/{kind}/{name}");
+            let reply = self.call(Method::GET, path, None, Millis::ZERO).await?;
+            if reply.0 == StatusCode::NOT_FOUND { Ok(None) } else { decode(reply).map(Some) }
+        })
+    }
+
+    fn put<'a>(
+        &'a self,
+        kind: &'a str,
+        name: &'a str,
+        expect: Expect,
+        value: &'a Value,
+    ) -> Wait<'a, Version> {
+        Box::pin(async move {
+            let expected = match expect {
+                Expect::Absent => 0,
+                Expect::At(version) => version,
+            };
+            let path = format!("/objects/{kind}/{name}?if={expected}");
+            let reply = self.call(Method::PUT, path, Some(value), Millis::ZERO).await?;
+            decode::<Written>(reply).map(|w| w.version)
+        })
+    }
+
+    fn delete<'a>(&'a self, kind: &'a str, name: &'a str, version: Version) -> Wait<'a, ()> {
+        Box::pin(async move {
+            let path = format!("/objects/{kind}/{name}?if={version}");
+            let reply = self.call(Method::DELETE, path, None, Millis::ZERO).await?;
+            decode::<Written>(reply).map(|_| ())
+        })
+    }
+
+    fn list<'a>(&'a self, kind: &'a str) -> Wait<'a, List> {
+        Box::pin(async move {
+            decode(self.call(Method::GET, format!("/objects/{kind}"), None, Millis::ZERO).await?)
+        })
+    }
+
+    fn watch<'a>(&'a self, kind: &'a str, from: Version, wait: Millis) -> Wait<'a, List> {
+        Box::pin(async move {
+            let path = format!("/watch/{kind}?from={from}&wait_ms={}", wait.whole());
+            decode(self.call(Method::GET, path, None, wait).await?)
+        })
+    }
+}
--- /dev/null
+++ b/crates/tgw-query/src/attempt.rs
@@ -0,0 +1,117 @@
+use crate::{
+    context::Cx,
+    entry::{Entry, Tail},
+    running::{Attempt, Part, Running},
+    step::{Action, What, Why},
+};
+use smallvec::SmallVec;
+use tgw_dispatch::leaf::{Key, Leaf};
+use tgw_tail::{Average, Budget, Hedge};
+use tgw_topology::{Group, Service, Vm};
+
+/// Hedges across groups that are always allowed, as a part of all requests.
+const HEDGE_LEAST: f64 = 0.002;
+const EXTRA_WEIGHT: f64 = 0.002;
+/// Retries that may be saved up: a dead owner's requests are all asked again at once.
+const RETRY_BURST: f64 = 512.0;
+
+/// Where one leaf request goes.
+struct Route {
+    group: Group,
+    to: Vm,
+    stand_in: bool,
+    estimate: f64,
+    passed: SmallVec<[(Group, f64); 3]>,
+}
+
+impl Entry {
+    pub(crate) fn tail(&mut self, cx: &Cx<'_>, service: Service) -> &mut Tail {
+        let row = cx.row(service);
+        let share = row.map_or(0.0, |r| r.hedge_pct / 100.0);
+        let retry = row.map_or(0.0, |r| r.retry_pct / 100.0);
+        let tail = self.tails.entry(service).or_insert_with(|| Tail {
+            hedge: Hedge::new(share),
+            retry: Budget::new(retry, RETRY_BURST),
+            extra: Average::new(0.0, EXTRA_WEIGHT),
+        });
+        // Owners spend from the same row's budget: what they use is not there for the entry.
+        let left = (share - tail.extra.get()).max(HEDGE_LEAST.min(share));
+        tail.hedge.set_share(left);
+        tail.retry.set_share(retry);
+        tail
+    }
+
+    /// Asks for one shard; false if no group can be asked.
+    pub(crate) fn ask(
+        &mut self,
+        cx: &mut Cx<'_>,
+        running: &mut Running,
+        index: usize,
+        why: Why,
+    ) -> bool {
+        let Some(route) = self.route(cx, running, index, why) else { return false };
+        let Route { group, to, stand_in, estimate, passed } = route;
+        let traced = running.traced;
+        let part = &mut running.parts[index];
+        let number = part.next;
+        part.next = part.next.saturating_add(1);
+        part.attempts.push(Attempt { number, group, to, sent: cx.now, open: true });
+        let key =
+            Key { from: self.options.vm, query: running.query, shard: part.shard, attempt: number };
+        let shard = part.shard;
+        self.paths.ask(cx.now, group, to);
+        if why != Why::First && why != Why::Moved {
+            self.stats.extra += 1;
+        }
+        cx.note(running, What::Ask { shard, attempt: number, group, to, why, estimate, passed });
+        let leaf = Leaf {
+            key,
+            snapshot: running.snapshot,
+            deadline: running.deadline,
+            body: running.body.clone(),
+            traced,
+        };
+        cx.out.push(Action::Ask { to, group, stand_in, leaf });
+        true
+    }
+
+    /// The group and VM to ask for one shard; untried groups first, then by expected answer.
+    fn route(&self, cx: &Cx<'_>, running: &Running, index: usize, why: Why) -> Option<Route> {
+        let part = &running.parts[index];
+        let replicas =
+            cx.view.catalog.replicas(running.service, running.snapshot.layout, part.shard);
+        let mut options: SmallVec<[(bool, f64, Group); 4]> = SmallVec::new();
+        for node in replicas.iter().filter_map(|u| cx.view.catalog.upstreams.get(u)) {
+            let group = node.group();
+            if options.iter().any(|o| o.2 == group) || !self.paths.holds(group, running.snapshot) {
+                continue;
+            }
+            let tried = part.tried(group) && !matches!(why, Why::Moved | Why::Silent);
+            options.push((tried, self.paths.estimate(cx.now, group, cx.view), group));
+        }
+        options.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        if why == Why::Hedge {
+            options.retain(|o| !o.0);
+        }
+        let chosen = options.iter().find_map(|(_, estimate, group)| {
+            let (to, stand_in) = self.vm_for(cx, *group, part, why)?;
+            Some((*group, to, stand_in, *estimate))
+        });
+        let (group, to, stand_in, estimate) = chosen?;
+        let passed = if running.traced {
+            options.iter().filter(|o| o.2 != group).map(|o| (o.2, o.1)).collect()
+        } else {
+            SmallVec::new()
+        };
+        Some(Route { group, to, stand_in, estimate, passed })
+    }
+
+    /// The VM to ask for a group: its owner, or a stand-in while the owner is silent.
+    fn vm_for(&self, cx: &Cx<'_>, group: Group, part: &Part, why: Why) -> Option<(Vm, bool)> {
+        let owners = cx.view.owners.owners(group);
+        let asked = |vm: &Vm| part.attempts.iter().any(|a| a.to == *vm && a.group == group);
+        let free = |vm: &&Vm| !self.paths.stalled(**vm) && (why != Why::Silent || !asked(vm));
+        let usable = owners.iter().find(free).or(owners.first().filter(|_| why == Why::First))?;
+        Some((*usable, Some(usable) != owners.first()))
+    }
+}
--- /dev/null
+++ b/crates/tgw-query/src/path.rs
@@ -0,0 +1,136 @@
+use crate::step::View;
+use std::collections::BTreeMap;
+use tgw_clock::Millis;
+use tgw_dispatch::leaf::Held;
+use tgw_tail::Average;
+use tgw_topology::{Group, Snapshot, Vm};
+
+const LATENCY_WEIGHT: f64 = 0.1;
+/// Service time assumed before the first reply, in milliseconds.
+const SERVICE_START_MS: f64 = 5.0;
+/// Time after which an estimate that no reply renewed has lost most of its weight, in ms. Without
+/// it, a group that was slow once would never be asked again and never be seen to recover.
+const FADE_MS: f64 = 2000.0;
+/// Silence of a VM that owes answers before it counts as stalled, besides the way there and back.
+const STALL: Millis = Millis::new(80);
+
+/// What is known of the way to one group.
+#[derive(Clone, Debug)]
+struct Path {
+    latency: Average,
+    seen: Millis,
+    flying: u32,
+    held: Option<Held>,
+    /// Snapshots that the group has said it does not hold since it last listed those it does.
+    lost: Held,
+}
+
+/// What is known of another VM.
+#[derive(Clone, Debug, Default)]
+struct Link {
+    heard: Millis,
+    flying: u32,
+    /// Since when answers are owed without a break.
+    owing: Millis,
+    stalled: bool,
+}
+
+/// The ways to replica groups and to the VMs that own them.
+#[derive(Clone, Debug, Default)]
+pub struct Paths {
+    groups: BTreeMap<Group, Path>,
+    links: BTreeMap<Vm, Link>,
+}
+
+impl Paths {
+    /// Whether a group is believed to hold a snapshot; what is not known is assumed.
+    pub fn holds(&self, group: Group, snapshot: Snapshot) -> bool {
+        let Some(path) = self.groups.get(&group) else { return true };
+        let held = path.held.as_ref().is_none_or(|held| held.contains(&snapshot));
+        held && !path.lost.contains(&snapshot)
+    }
+
+    /// A group has said that it does not hold a snapshot.
+    pub(crate) fn set_lost(&mut self, now: Millis, group: Group, snapshot: Snapshot) {
+        if self.holds(group, snapshot) {
+            self.path(now, group).lost.push(snapshot);
+        }
+    }
+
+    /// Takes in which snapshots a group holds.
+    pub fn set_held(&mut self, now: Millis, group: Group, held: Held) {
+        let path = self.path(now, group);
+        path.held = Some(held);
+        path.lost.clear();
+    }
+
+    /// When an answer from a group is expected, in milliseconds from now.
+    pub(crate) fn estimate(&self, now: Millis, group: Group, view: &View<'_>) -> f64 {
+        let place = view.catalog.place(group.domain).unwrap_or(view.here);
+        let base = 2.0 * view.distance.between(view.here, place) + SERVICE_START_MS;
+        let Some(path) = self.groups.get(&group) else { return base };
+        let fade = (-((now - path.seen).as_f64()) / FADE_MS).exp();
+        let latency = base + (path.latency.get() - base) * fade;
+        latency + f64::from(path.flying)
+    }
+
+    pub(crate) fn ask(&mut self, now: Millis, group: Group, to: Vm) {
+        self.path(now, group).flying += 1;
+        let link = self.links.entry(to).or_default();
+        if link.flying == 0 {
+            link.owing = now;
+        }
+        link.flying += 1;
+    }
+
+    pub(crate) fn answered(&mut self, now: Millis, group: Group, from: Vm, took: Option<Millis>) {
+        let path = self.path(now, group);
+        path.flying = path.flying.saturating_sub(1);
+        if let Some(took) = took {
+            path.latency.add(took.as_f64());
+            path.seen = now;
+        }
+        if let Some(link) = self.links.get_mut(&from) {
+            link.flying = link.flying.saturating_sub(1);
+        }
+    }
+
+    pub(crate) fn heard(&mut self, now: Millis, vm: Vm) {
+        let link = self.links.entry(vm).or_default();
+        link.heard = now;
+        link.stalled = false;
+    }
+
+    pub(crate) fn lost(&mut self, vm: Vm) {
+        self.links.entry(vm).or_default().stalled = true;
+    }
+
+    pub(crate) fn stalled(&self, vm: Vm) -> bool {
+        self.links.get(&vm).is_some_and(|l| l.stalled)
+    }
+
+    /// The VMs that have just become stalled: they owe answers and have been silent for too long.
+    pub(crate) fn newly_stalled(&mut self, now: Millis, view: &View<'_>) -> Vec<Vm> {
+        let mut found = Vec::new();
+        for (vm, link) in &mut self.links {
+            let place = view.owners.place(*vm).unwrap_or(view.here);
+            let way = Millis::from_f64(2.0 * view.distance.between(view.here, place));
+            let silent = now - link.heard.max(link.owing);
+            if !link.stalled && link.flying > 0 && silent > STALL + way {
+                link.stalled = true;
+                found.push(*vm);
+            }
+        }
+        found
+    }
+
+    fn path(&mut self, now: Millis, group: Group) -> &mut Path {
+        self.groups.entry(group).or_insert_with(|| Path {
+            latency: Average::new(SERVICE_START_MS, LATENCY_WEIGHT),
+            seen: now,
+            flying: 0,
+            held: None,
+            lost: Held::new(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/tgw-ring/src/ring.rs
@@ -0,0 +1,101 @@
+use crossbeam_queue::ArrayQueue;
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, AtomicU64, Ordering},
+};
+use tokio::sync::Notify;
+
+struct Shared<T> {
+    queue: ArrayQueue<T>,
+    ready: Notify,
+    closed: AtomicBool,
+    refused: AtomicU64,
+}
+
+/// The sending end; any number of duties may hold one.
+pub struct Sender<T>(Arc<Shared<T>>);
+
+/// The receiving end; one duty holds it.
+pub struct Receiver<T>(Arc<Shared<T>>);
+
+/// A ring that holds up to `capacity` values.
+pub fn pair<T>(capacity: usize) -> (Sender<T>, Receiver<T>) {
+    let shared = Arc::new(Shared {
+        queue: ArrayQueue::new(capacity.max(1)),
+        ready: Notify::new(),
+        closed: AtomicBool::new(false),
+        refused: AtomicU64::new(0),
+    });
+    (Sender(shared.clone()), Receiver(shared))
+}
+
+impl<T> Clone for Sender<T> {
+    fn clone(&self) -> Self {
+        Self(self.0.clone())
+    }
+}
+
+impl<T> Sender<T> {
+    /// Puts a value in; gives it back if the ring is full or its receiver gone.
+    pub fn push(&self, value: T) -> Result<(), T> {
+        if self.0.closed.load(Ordering::Acquire) {
+            return Err(value);
+        }
+        match self.0.queue.push(value) {
+            Ok(()) => {
+                self.0.ready.notify_one();
+                Ok(())
+            }
+            Err(value) => {
+                self.0.refused.fetch_add(1, Ordering::Relaxed);
+                Err(value)
+            }
+        }
+    }
+
+    /// Values that wait.
+    pub fn len(&self) -> usize {
+        self.0.queue.len()
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.0.queue.is_empty()
+    }
+
+    /// Values that a full ring refused since the start.
+    pub fn refused(&self) -> u64 {
+        self.0.refused.load(Ordering::Relaxed)
+    }
+}
+
+impl<T> Receiver<T> {
+    /// Takes the oldest value without waiting.
+    pub fn pop(&self) -> Option<T> {
+        self.0.queue.pop()
+    }
+
+    /// Waits until a value may be there; it may also return without one.
+    pub async fn ready(&self) {
+        if self.0.queue.is_empty() {
+            self.0.ready.notified().await;
+        }
+    }
+
+    /// Waits for the oldest value.
+    pub async fn recv(&self) -> T {
+        loop {
+            if let Some(value) = self.pop() {
+                return value;
+            }
+            self.0.ready.notified().await;
+        }
+    }
+}
+
+impl<T> Drop for Receiver<T> {
+    fn drop(&mut self) {
+        self.0.closed.store(true, Ordering::Release);
+        while self.0.queue.pop().is_some() {}
+    }
+}
--- /dev/null
+++ b/crates/tgw-serve/src/log.rs
@@ -0,0 +1,110 @@
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+use tgw_clock::Millis;
+use tgw_node::Note;
+
+/// Queries whose decisions are kept for `explain`.
+const KEPT: usize = 4096;
+/// Decisions kept of one query.
+const LINES: usize = 1024;
+
+/// One decision as `explain` shows it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Line {
+    /// Milliseconds since this VM's process started.
+    pub at_ms: f64,
+    /// The VM that decided.
+    pub vm: String,
+    /// The part of the core that decided.
+    pub part: String,
+    /// What was decided.
+    pub text: String,
+}
+
+/// Writes a line for each decision and keeps the latest for `explain`.
+pub(crate) struct Log {
+    vm: String,
+    kept: BTreeMap<String, Vec<Line>>,
+    order: VecDeque<String>,
+    labels: BTreeMap<String, String>,
+}
+
+impl Log {
+    pub(crate) fn new(vm: &str) -> Self {
+        Self {
+            vm: vm.into(),
+            kept: BTreeMap::new(),
+            order: VecDeque::new(),
+            labels: BTreeMap::new(),
+        }
+    }
+
+    /// The decisions about a query, named by its identity or by its caller's label.
+    pub(crate) fn explain(&self, id: &str) -> Vec<Line> {
+        let id = self.labels.get(id).map_or(id, String::as_str);
+        self.kept.get(id).cloned().unwrap_or_default()
+    }
+
+    /// Remembers the caller's own name for a query.
+    pub(crate) fn label(&mut self, label: &str, query: &str) {
+        if self.labels.len() >= KEPT {
+            self.labels.clear();
+        }
+        self.labels.insert(label.into(), query.into());
+    }
+
+    pub(crate) fn note(&mut self, now: Millis, note: &Note) {
+        match note {
+            Note::Entry(note) => {
+                let query = note.query.to_string();
+                let (service, left) = (note.service, note.left.as_f64());
+                tracing::info!(target: "tgw::decision", %query, %service, left_ms = left,
+                    decision = %note.what);
+                let text = format!("{} ({left:.1} ms left)", note.what);
+                self.keep(now, &query, "entry", text);
+            }
+            Note::Dispatch(note) => {
+                let query = note.key.map(|k| k.query.to_string()).unwrap_or_default();
+                let (upstream, what) = (note.upstream, note.what);
+                let passed: Vec<String> =
+                    note.passed.iter().map(|(u, why)| format!("{u}: {why}")).collect();
+                let passed = passed.join(", ");
+                match note.key {
+                    Some(key) => {
+                        let (shard, attempt) = (key.shard, key.attempt);
+                        tracing::info!(target: "tgw::decision", %query, %shard, attempt,
+                            %upstream, decision = %what, %passed);
+                        let text = format!(
+                            "{what} shard {shard}#{attempt} to {upstream}, passed [{passed}]"
+                        );
+                        self.keep(now, &query, "owner", text);
+                    }
+                    None => {
+                        tracing::info!(target: "tgw::decision", %upstream, decision = %what);
+                    }
+                }
+            }
+            Note::Placement(place) => {
+                let owner = place.owner.map(|vm| vm.to_string()).unwrap_or_default();
+                tracing::info!(target: "tgw::placement", group = %place.group,
+                    upstreams = ?place.upstreams, owner, cause = place.what);
+            }
+        }
+    }
+
+    fn keep(&mut self, now: Millis, query: &str, part: &str, text: String) {
+        if !self.kept.contains_key(query) {
+            if self.order.len() >= KEPT
+                && let Some(oldest) = self.order.pop_front()
+            {
+                self.kept.remove(&oldest);
+            }
+            self.order.push_back(query.into());
+        }
+        let lines = self.kept.entry(query.into()).or_default();
+        if lines.len() < LINES {
+            let (vm, part) = (self.vm.clone(), part.into());
+            lines.push(Line { at_ms: now.as_f64(), vm, part, text });
+        }
+    }
+}
--- /dev/null
+++ b/crates/tgw-serve/src/queries.rs
@@ -0,0 +1,339 @@
+use crate::{
+    log::Log,
+    metrics::Gauges,
+    status::{Counters, DomainLine, Status, UpstreamLine, VmLine},
+    work::{Errand, Said, Search, Work},
+};
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, atomic::Ordering},
+};
+use tgw_clock::{Clock, Millis};
+use tgw_member::Force;
+use tgw_node::{Input, Message, Node, Output};
+use tgw_peer::{Outgoing, Parcel};
+use tgw_query::answer::{Cause, Refusal};
+use tgw_ring::{Receiver, Sender};
+use tgw_topology::{Upstream, Vm, place::Domain};
+use tokio::{
+    sync::{oneshot, watch},
+    time::{MissedTickBehavior, interval},
+};
+
+const TICK: Millis = Millis::new(1);
+/// Values taken from the ring before time is looked at again.
+const BATCH: usize = 256;
+const RETRY: Millis = Millis::new(1000);
+
+/// The thread that runs the core.
+pub(crate) struct Queries {
+    pub(crate) name: String,
+    pub(crate) place: String,
+    pub(crate) node: Node,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) gauges: Arc<Gauges>,
+    pub(crate) work: Receiver<Work>,
+    /// The same ring's sending end, for its figures.
+    pub(crate) depth: Sender<Work>,
+    pub(crate) errands: Sender<Errand>,
+    pub(crate) peers: Sender<Outgoing>,
+    pub(crate) log: Log,
+    pub(crate) idle: watch::Sender<bool>,
+    replies: BTreeMap<u64, (oneshot::Sender<Said>, Option<String>)>,
+    forces: BTreeMap<Domain, Force>,
+    next: u64,
+    draining: bool,
+}
+
+/// The ends that the duty is given.
+pub(crate) struct Ends {
+    pub(crate) work: Receiver<Work>,
+    pub(crate) depth: Sender<Work>,
+    pub(crate) errands: Sender<Errand>,
+    pub(crate) peers: Sender<Outgoing>,
+    pub(crate) idle: watch::Sender<bool>,
+}
+
+impl Queries {
+    pub(crate) fn new(
+        name: &str,
+        place: &str,
+        node: Node,
+        clock: Arc<dyn Clock>,
+        gauges: Arc<Gauges>,
+        ends: Ends,
+    ) -> Self {
+        Self {
+            name: name.into(),
+            place: place.into(),
+            node,
+            clock,
+            gauges,
+            work: ends.work,
+            depth: ends.depth,
+            errands: ends.errands,
+            peers: ends.peers,
+            log: Log::new(name),
+            idle: ends.idle,
+            replies: BTreeMap::new(),
+            forces: BTreeMap::new(),
+            next: 1,
+            draining: false,
+        }
+    }
+
+    /// Runs on the current thread until `stop` changes.
+    pub(crate) fn run(mut self, mut stop: watch::Receiver<bool>) {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build();
+        let Ok(runtime) = runtime else { return };
+        runtime.block_on(async move {
+            let mut tick = interval(TICK.into());
+            tick.set_missed_tick_behavior(MissedTickBehavior::Skip);
+            loop {
+                tokio::select! {
+                    _ = stop.changed() => return,
+                    _ = tick.tick() => self.step(true),
+                    () = self.work.ready() => self.step(false),
+                }
+            }
+        });
+    }
+
+    fn step(&mut self, tick: bool) {
+        let mut out = Vec::new();
+        for _ in 0..BATCH {
+            let Some(work) = self.work.pop() else { break };
+            self.work(work, &mut out);
+        }
+        if tick {
+            self.abandoned(&mut out);
+            self.node.on(self.clock.now(), Input::Tick, &mut out);
+            self.publish();
+        }
+        self.carry_out(out);
+    }
+
+    fn work(&mut self, work: Work, out: &mut Vec<Output>) {
+        let now = self.clock.now();
+        let input = match work {
+            Work::Search(search) => return self.search(now, search, out),
+            Work::Messages(from, messages) => {
+                for message in messages {
+                    self.node.on(now, Input::Peer(from, message), out);
+                }
+                return;
+            }
+            Work::Forces(forces) => {
+                self.forces = forces;
+                return;
+            }
+            Work::Inspect(reply) => {
+                let _ = reply.send(self.status(now));
+                return;
+            }
+            Work::Explain(id, reply) => {
+                let _ = reply.send(self.log.explain(&id));
+                return;
+            }
+            Work::Paused(gap) => {
+                tracing::warn!(target: "tgw::placement", gap_ms = gap.whole(), "this VM was paused");
+                Input::Paused
+            }
+            Work::Drain => {
+                self.draining = true;
+                Input::Drain
+            }
+            Work::Lost(vm) => Input::Lost(vm),
+            Work::Done { ticket, result, held } => Input::Done { ticket, result, held },
+            Work::Held(upstream, held) => Input::Held(upstream, held),
+            Work::Leaving(upstream) => Input::Leaving(upstream),
+            Work::Restarted(upstream) => Input::Restarted(upstream),
+            Work::Catalog(catalog) => Input::Catalog(catalog),
+            Work::Table(table) => Input::Table(table),
+            Work::Directory(directory) => Input::Directory(directory),
+        };
+        self.node.on(now, input, out);
+    }
+
+    fn search(&mut self, now: Millis, search: Search, out: &mut Vec<Output>) {
+        let Search { service, within, label, body, reply } = search;
+        let Some(id) = self.node.catalog().service(&service).map(|s| s.id) else {
+            let known = !self.node.catalog().services.is_empty();
+            let reason = if known { Cause::UnknownService } else { Cause::NotReady };
+            let _ = reply.send(Said::Refusal(Refusal { reason, retry_after: RETRY }));
+            return;
+        };
+        let token = self.next;
+        self.next += 1;
+        self.replies.insert(token, (reply, label));
+        self.node.on(now, Input::Submit { token, service: id, within, body }, out);
+    }
+
+    /// Callers that went away: their work is stopped.
+    fn abandoned(&mut self, out: &mut Vec<Output>) {
+        let gone: Vec<u64> =
+            self.replies.iter().filter(|(_, r)| r.0.is_closed()).map(|(t, _)| *t).collect();
+        for token in gone {
+            self.replies.remove(&token);
+            self.node.on(self.clock.now(), Input::Abandon(token), out);
+        }
+    }
+
+    fn carry_out(&mut self, out: Vec<Output>) {
+        let mut letters: BTreeMap<Vm, Vec<Message>> = BTreeMap::new();
+        for output in out {
+            match output {
+                Output::Tell(to, message) => letters.entry(to).or_default().push(message),
+                Output::Send { ticket, upstream, leaf } => {
+                    self.errand(Errand::Send { ticket, upstream, leaf });
+                }
+                Output::Abort { ticket, upstream } => {
+                    self.errand(Errand::Abort { ticket, upstream });
+                }
+                Output::Connect(upstreams) => {
+                    for upstream in upstreams {
+                        self.connect(upstream);
+                    }
+                }
+                Output::Disconnect(upstreams) => {
+                    for upstream in upstreams {
+                        self.errand(Errand::Disconnect(upstream));
+                    }
+                }
+                Output::Answer(token, answer) => {
+                    if let Some((reply, label)) = self.replies.remove(&token) {
+                        if let Some(label) = label {
+                            self.log.label(&label, &answer.query.to_string());
+                        }
+                        let _ = reply.send(Said::Answer(answer));
+                    }
+                }
+                Output::Refuse(token, refusal) => {
+                    if let Some((reply, _)) = self.replies.remove(&token) {
+                        let _ = reply.send(Said::Refusal(refusal));
+                    }
+                }
+                Output::Note(note) => self.log.note(self.clock.now(), &note),
+            }
+        }
+        for (to, messages) in letters {
+            if self.peers.push(Outgoing::Parcel(to, Parcel::Messages(messages))).is_err() {
+                // The peers' ring is full: what was asked cannot reach the VM. The core is told that
+                // the way is lost and asks a stand-in or reports the shards missing.
+                let mut out = Vec::new();
+                self.node.on(self.clock.now(), Input::Lost(to), &mut out);
+                out.retain(|o| !matches!(o, Output::Tell(..)));
+                self.carry_out(out);
+            }
+        }
+    }
+
+    fn errand(&mut self, errand: Errand) {
+        if let Err(Errand::Send { ticket, .. }) = self.errands.push(errand) {
+            let mut out = Vec::new();
+            let result = Err(tgw_dispatch::leaf::Failure::Connect);
+            let input = Input::Done { ticket, result, held: None };
+            self.node.on(self.clock.now(), input, &mut out);
+            self.carry_out(out);
+        }
+    }
+
+    fn connect(&mut self, upstream: Upstream) {
+        let node = self.node.catalog().upstreams.get(&upstream);
+        if let Some((addr, slots)) = node.map(|n| (n.addr, n.slots)) {
+            self.errand(Errand::Connect { upstream, addr, slots });
+        }
+    }
+
+    /// Whether new queries are taken.
+    fn ready(&self) -> bool {
+        !self.draining && self.node.table().is_some() && !self.node.catalog().services.is_empty()
+    }
+
+    fn publish(&self) {
+        let stats = self.node.stats();
+        let set = |cell: &std::sync::atomic::AtomicU64, value: u64| {
+            cell.store(value, Ordering::Relaxed);
+        };
+        let gauges = &self.gauges;
+        gauges.ready.store(self.ready(), Ordering::Relaxed);
+        set(&gauges.edit, self.node.table().map_or(0, |t| t.edit));
+        set(&gauges.running, self.node.entry().pending() as u64);
+        set(&gauges.leafs, stats.leafs);
+        set(&gauges.extra_entry, stats.extra);
+        set(&gauges.extra_owner, stats.extra_owner);
+        set(&gauges.late, stats.late);
+        set(&gauges.crossed, stats.crossed);
+        set(&gauges.restarts, stats.restarts);
+        set(&gauges.members, self.node.directory().owners().count() as u64);
+        set(&gauges.ring_core, self.depth.len() as u64);
+        set(&gauges.ring_core_refused, self.depth.refused());
+        let idle = self.draining && self.node.idle() && self.replies.is_empty();
+        self.idle.send_if_modified(|old| std::mem::replace(old, idle) != idle);
+    }
+
+    fn vm_name(&self, vm: Vm) -> String {
+        let member = self.node.directory().members.get(&vm);
+        member.map_or_else(|| vm.to_string(), |m| m.name.clone())
+    }
+
+    fn status(&self, now: Millis) -> Status {
+        let directory = self.node.directory();
+        let vms = directory.members.values().map(|m| VmLine {
+            name: m.name.clone(),
+            place: m.place.to_string(),
+            state: m.state.to_string(),
+            addr: m.addr.to_string(),
+            reachable: !directory.cut.contains(&m.place.domain),
+        });
+        let domains = self.forces.iter().map(|(domain, force)| DomainLine {
+            domain: domain.0,
+            reachable: !directory.cut.contains(domain),
+            edit: force.edit,
+            behind: force.behind,
+            example: force.example.map(|vm| self.vm_name(vm)),
+        });
+        let stats = self.node.stats();
+        Status {
+            vm: self.name.clone(),
+            place: self.place.clone(),
+            ready: self.ready(),
+            draining: self.draining,
+            edit: self.node.table().map_or(0, |t| t.edit),
+            world: self.node.catalog().version,
+            vms: vms.collect(),
+            domains: domains.collect(),
+            upstreams: self.upstream_lines(now),
+            counters: Counters {
+                leafs: stats.leafs,
+                extra_entry: stats.extra,
+                extra_owner: stats.extra_owner,
+                late: stats.late,
+                crossed: stats.crossed,
+                restarts: stats.restarts,
+                whole: stats.whole,
+                partial: stats.partial,
+                short: stats.short,
+                refused: stats.refused,
+            },
+        }
+    }
+
+    fn upstream_lines(&self, now: Millis) -> Vec<UpstreamLine> {
+        let catalog = self.node.catalog();
+        let line = |node: &tgw_topology::catalog::Node| UpstreamLine {
+            upstream: node.id.to_string(),
+            service: catalog
+                .services
+                .get(&node.service)
+                .map(|s| s.name.clone())
+                .unwrap_or_default(),
+            group: node.group().to_string(),
+            owner: self.node.owner_of(node.group()).map(|vm| self.vm_name(vm)).unwrap_or_default(),
+            state: self.node.belief(now, node.id).map(|b| format!("{:?}", b.0)).unwrap_or_default(),
+            running: self.node.running(node.id),
+            leaving: self.node.is_leaving(node.id),
+        };
+        catalog.upstreams.values().map(line).collect()
+    }
+}
--- /dev/null
+++ b/crates/tgw-settings/tests/settings.rs
@@ -0,0 +1,48 @@
+//! Tests of reading and checking settings files.
+
+#![allow(clippy::expect_used, clippy::unwrap_used, clippy::panic)] // A test fails by panic.
+
+use test_case::test_case;
+
+const EXAMPLE: &str = include_str!("../../../examples/tanagergw.ini");
+
+#[test]
+fn example_file_has_no_findings() {
+    let settings = tgw_settings::parse("example.ini", EXAMPLE).expect("the example is valid");
+    assert_eq!(settings.vm.name, "entry-1");
+    assert_eq!(settings.listen.body_limit, 65_536);
+}
+
+#[test_case("region = 0", "region = x", "example.ini:7: vm.region: not a number"; "not a number")]
+#[test_case("region = 0", "region = 300", "example.ini:7: vm.region: 300 is outside 0 to 255"; "out of range")]
+#[test_case("region = 0", "regoin = 0", "example.ini:7: vm.regoin: unknown key"; "unknown key")]
+#[test_case("name = entry-1", "", "example.ini:3: vm.name: missing; expected a name unique in the fleet"; "missing")]
+#[test_case("addr = 127.0.0.1:7900", "addr = nowhere", "platform.addr: not an address"; "bad address")]
+#[test_case("[log]", "[logs]", "logs.: unknown section"; "unknown section")]
+fn mistake_is_found_with_its_place(from: &str, to: &str, expected: &str) {
+    let findings = tgw_settings::parse("example.ini", &EXAMPLE.replacen(from, to, 1))
+        .expect_err("the file is wrong");
+    let texts: Vec<String> = findings.iter().map(ToString::to_string).collect();
+    assert!(texts.iter().any(|t| t.contains(expected)), "{texts:#?}");
+}
+
+#[test]
+fn all_findings_are_reported_together() {
+    let text = EXAMPLE.replace("region = 0", "region = x").replace("key = 3f", "key = zz");
+    let findings = tgw_settings::parse("s.ini", &text).expect_err("two mistakes");
+    assert_eq!(findings.len(), 2, "{findings:?}");
+}
+
+// An operator pastes the output of a failed start into a ticket. The frame key was mistyped, the
+// finding repeated its value, and the key was out.
+#[test]
+fn secrets_are_never_printed() {
+    let secret = "3f1c0b5a7e6d4c2b1a09f8e7d6c5b4a3928170ffeeddccbbaa9988776655443z";
+    let text =
+        EXAMPLE.replace("3f1c0b5a7e6d4c2b1a09f8e7d6c5b4a3928170ffeeddccbbaa99887766554433", secret);
+    let findings = tgw_settings::parse("s.ini", &text).expect_err("the key is malformed");
+    assert!(!format!("{findings:?}").contains(secret));
+    let settings = tgw_settings::parse("s.ini", EXAMPLE).expect("valid");
+    let shown = format!("{settings:?}");
+    assert!(!shown.contains("change-this-token") && !shown.contains("3f1c0b"), "{shown}");
+}
--- /dev/null
+++ b/crates/tgw-standin/src/size.rs
@@ -0,0 +1,218 @@
+//! The two users' sizes.
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+use std::{
+    collections::BTreeMap,
+    net::{Ipv4Addr, SocketAddr},
+};
+use tgw_table::{Document, Row, row::Choice};
+use tgw_topology::{
+    Catalog, Layout, Place, Service, Snapshot, Upstream,
+    catalog::{Entry, Node, Partition, Replicas},
+    place::{Distance, Domain, Region},
+};
+
+/// Failure domains of a region.
+pub const DOMAINS: u8 = 2;
+/// Regions of each user.
+pub const REGIONS: u8 = 3;
+/// Replicas of a shard of a service without instances.
+const REPLICAS: usize = 3;
+const FIRST: Snapshot = Snapshot { version: 1, layout: Layout(1) };
+
+/// One of the two users.
+#[derive(Copy, Clone, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum User {
+    /// Vegetation records along railways: coverage weighs most.
+    #[display("coimbra")]
+    Coimbra,
+    /// Cellar temperature logs: tail latency weighs most.
+    #[display("aspen")]
+    Aspen,
+}
+
+/// How an instance's upstreams lie.
+#[derive(Copy, Clone, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Spread {
+    /// All in one failure domain; instances take the domains in turn.
+    #[display("together")]
+    Together,
+    /// Each in another region.
+    #[display("apart")]
+    Apart,
+}
+
+/// The size of one service.
+#[derive(Copy, Clone, Debug)]
+pub struct Size {
+    /// Its name.
+    pub name: &'static str,
+    /// Instances; zero if its upstreams share all shards.
+    pub instances: u16,
+    /// Upstreams of each instance, or in all.
+    pub upstreams: u16,
+    /// Slots of an upstream.
+    pub slots: u16,
+    /// Connections of an upstream.
+    pub connections: u16,
+    /// What a new connection costs, in milliseconds.
+    pub connect_ms: u64,
+    /// Its row's least coverage.
+    pub least_coverage_pct: f64,
+    /// Its row's deadline.
+    pub deadline_ms: u32,
+    /// Whether it takes orders.
+    pub orders: bool,
+}
+
+impl User {
+    /// Both users.
+    pub const ALL: [Self; 2] = [Self::Coimbra, Self::Aspen];
+
+    /// The user of that name.
+    pub fn named(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|u| u.to_string() == name)
+    }
+
+    /// One-way network delays.
+    pub fn distance(self) -> Distance {
+        match self {
+            Self::Coimbra => Distance { local: 0.1, domains: 1.5, regions: 12.0 },
+            Self::Aspen => Distance { local: 0.1, domains: 1.0, regions: 20.0 },
+        }
+    }
+
+    /// One-way delay to callers, in milliseconds.
+    pub fn to_callers(self) -> f64 {
+        match self {
+            Self::Coimbra => 3.0,
+            Self::Aspen => 1.0,
+        }
+    }
+
+    /// The services, in the order of their numbers.
+    pub fn services(self) -> [Size; 4] {
+        let (least, deadline) = match self {
+            Self::Coimbra => (90.0, 1500),
+            Self::Aspen => (60.0, 600),
+        };
+        let instance = Size {
+            name: "inspector-desk",
+            instances: 10,
+            upstreams: 3,
+            slots: 2,
+            connections: 25,
+            connect_ms: 6,
+            least_coverage_pct: least,
+            deadline_ms: deadline,
+            orders: false,
+        };
+        let plain = |name, upstreams, slots, connections| Size {
+            name,
+            instances: 0,
+            upstreams,
+            slots,
+            connections,
+            connect_ms: 1,
+            orders: true,
+            ..instance
+        };
+        match self {
+            Self::Coimbra => [
+                instance,
+                Size { name: "crew-roster", instances: 15, ..instance },
+                plain("permit-office", 8, 4, 100),
+                plain("herbicide-log", 4, 4, 100),
+            ],
+            Self::Aspen => [
+                instance,
+                Size { name: "brewery-tech", instances: 15, ..instance },
+                plain("publican-panel", 7, 3, 40),
+                plain("ledger-bridge", 3, 3, 40),
+            ],
+        }
+    }
+
+    /// The table that the user starts with.
+    pub fn table(self) -> Document {
+        let row = |size: &Size| Row {
+            least_coverage_pct: size.least_coverage_pct,
+            deadline_ms: size.deadline_ms,
+            orders: size.orders,
+            snapshot: Choice::Covered,
+            changed: 1,
+            ..Row::named(size.name)
+        };
+        let rows = self.services().iter().map(|s| (s.name.to_owned(), row(s))).collect();
+        Document { edit: 1, rows, removed: BTreeMap::new() }
+    }
+
+    /// Services and upstreams; addresses are unset until the upstreams are started.
+    pub fn catalog(self, spread: Spread) -> Catalog {
+        let mut catalog = Catalog::default();
+        for (index, size) in self.services().iter().enumerate() {
+            add(&mut catalog, Service(index as u16), size, spread);
+        }
+        catalog
+    }
+}
+
+/// The place with number `index`, domains of different regions in turn.
+pub fn place(index: usize) -> Place {
+    let domain = (index % usize::from(REGIONS * DOMAINS)) as u8;
+    Place { region: Region(domain % REGIONS), domain: Domain(domain) }
+}
+
+fn add(catalog: &mut Catalog, service: Service, size: &Size, spread: Spread) {
+    let first = catalog.upstreams.len() as u32;
+    let count = size.instances.max(1) * size.upstreams;
+    for index in 0..count {
+        let (instance, member) = match size.instances {
+            0 => (0, index),
+            _ => (index / size.upstreams, index % size.upstreams),
+        };
+        let place = match (size.instances, spread) {
+            (0, _) => place(usize::from(index)),
+            (_, Spread::Together) => place(usize::from(instance)),
+            (_, Spread::Apart) => place(usize::from(instance + member)),
+        };
+        let id = Upstream(first + u32::from(index));
+        let node = Node {
+            id,
+            service,
+            instance,
+            place,
+            addr: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            slots: size.slots,
+            connections: size.connections,
+            leaving: false,
+        };
+        catalog.upstreams.insert(id, node);
+    }
+    let parts = if size.instances > 0 { size.instances } else { size.upstreams };
+    let layouts = (1..=2)
+        .map(|id| Partition {
+            id: Layout(id),
+            shards: (0..parts * id as u16).map(|s| replicas(first, size, s % parts)).collect(),
+        })
+        .collect();
+    let entry = Entry { id: service, name: size.name.into(), snapshots: vec![FIRST], layouts };
+    catalog.services.insert(service, entry);
+}
+
+fn replicas(first: u32, size: &Size, part: u16) -> Replicas {
+    let base = u32::from(part);
+    let upstreams = u32::from(size.upstreams);
+    let ids: SmallVec<[Upstream; 4]> = match size.instances {
+        0 => {
+            let count = REPLICAS.min(usize::from(size.upstreams)) as u32;
+            (0..count).map(|r| Upstream(first + (base + r) % upstreams)).collect()
+        }
+        _ => (0..upstreams).map(|r| Upstream(first + base * upstreams + r)).collect(),
+    };
+    ids
+}
--- /dev/null
+++ b/crates/tgw-table/tests/table.rs
@@ -0,0 +1,131 @@
+//! Tests of the operators' table: checks, differences, deltas, adoption.
+
+#![allow(clippy::expect_used, clippy::unwrap_used, clippy::panic)] // A test fails by panic.
+
+use tgw_table::{
+    Document,
+    adopt::{Outcome, State},
+    diff,
+};
+
+const CSV: &str = "\
+service,weight,concurrency,queue,deadline_ms,least_coverage_pct,hedge_pct,retry_pct,attempts,snapshot,orders
+inspector-desk,10,64,64,800,90,3,10,3,covered,no
+permit-office,5,32,32,1500,50,3,10,3,newest,yes
+";
+
+fn document(csv: &str) -> Document {
+    Document::from_csv(csv).expect("a valid table")
+}
+
+/// The first edition and three that follow it, each with one change.
+fn editions() -> Vec<Document> {
+    let first = Document::default().next(&document(CSV));
+    let second = first.next(&document(&CSV.replace("800", "900")));
+    let third = second.next(&document(CSV.lines().take(2).collect::<Vec<_>>().join("\n").as_str()));
+    let fourth = third.next(&document(CSV));
+    vec![first, second, third, fourth]
+}
+
+#[test]
+fn csv_reads_back_as_written() {
+    let first = document(CSV);
+    assert_eq!(document(&first.to_csv()), first);
+}
+
+#[test]
+fn every_finding_names_row_and_column() {
+    let csv = CSV.replace("10,64", "0,64").replace("newest", "latest").replace("1500", "soon");
+    let findings = Document::from_csv(&csv).expect_err("three mistakes");
+    let texts: Vec<String> = findings.iter().map(ToString::to_string).collect();
+    assert_eq!(
+        texts,
+        [
+            "row 2, column weight: 0 is outside 1 to 10000",
+            "row 3, column deadline_ms: `soon` is not a number",
+            "row 3, column snapshot: `latest` is not newest or covered",
+        ]
+    );
+}
+
+#[test]
+fn second_row_of_a_service_is_a_finding() {
+    let csv = format!("{CSV}permit-office,5,32,32,1500,50,3,10,3,newest,yes\n");
+    let findings = Document::from_csv(&csv).expect_err("a row stands twice");
+    assert_eq!(
+        findings[0].to_string(),
+        "row 4, column service: the service `permit-office` has a row already"
+    );
+}
+
+#[test]
+fn difference_names_each_field() {
+    let editions = editions();
+    let changes = diff::between(&editions[0], &editions[1]);
+    let texts: Vec<String> = changes.iter().map(ToString::to_string).collect();
+    assert_eq!(texts, ["~ inspector-desk.deadline_ms: 800 -> 900"]);
+}
+
+#[test]
+fn delta_from_any_edition_gives_the_newest() {
+    let editions = editions();
+    let newest = editions.last().expect("four editions");
+    for old in &editions[..3] {
+        let applied = old.apply(&newest.delta(old.edit)).expect("the delta connects");
+        assert_eq!(applied.rows, newest.rows, "from edition {}", old.edit);
+        assert_eq!(applied.edit, newest.edit);
+    }
+    assert!(editions[0].apply(&newest.delta(2)).is_none(), "a gap must not be applied");
+}
+
+// Operators see an accepted deadline jump back for some VMs. A VM learned edition 4 from a peer, then
+// a slow watch delivered edition 2, and the VM put that in force.
+#[test]
+fn older_edition_never_replaces_a_newer_one() {
+    let editions = editions();
+    for order in permutations(&[0, 1, 2, 3]) {
+        let mut state = State::default();
+        let mut highest = 0;
+        for index in order {
+            let before = state.edit();
+            let outcome = state.offer(editions[index].clone());
+            assert_eq!(outcome == Outcome::Adopted, editions[index].edit > before);
+            highest = highest.max(editions[index].edit);
+            assert_eq!(state.edit(), highest);
+        }
+    }
+}
+
+// As above, with deltas from peers on both sides of a partition mixed in between whole editions.
+#[test]
+fn deltas_in_any_order_never_revert_or_skip() {
+    let editions = editions();
+    let newest = editions.last().expect("four editions");
+    for order in permutations(&[0, 1, 2, 3]) {
+        let mut state = State::default();
+        for index in order {
+            let since = editions[index].edit - 1;
+            let before = state.edit();
+            let outcome = state.offer_delta(&newest.delta(since));
+            assert!(state.edit() >= before);
+            assert_eq!(outcome == Outcome::Gap, before < since);
+        }
+        assert_eq!(state.document().map(|d| d.rows.clone()), Some(newest.rows.clone()));
+    }
+}
+
+fn permutations(items: &[usize]) -> Vec<Vec<usize>> {
+    if items.is_empty() {
+        return vec![Vec::new()];
+    }
+    let mut all = Vec::new();
+    for (at, first) in items.iter().enumerate() {
+        let mut rest = items.to_vec();
+        rest.remove(at);
+        for mut tail in permutations(&rest) {
+            tail.insert(0, *first);
+            all.push(tail);
+        }
+    }
+    all
+}
