fix(node): own nothing before the VM has met another or waited a second

Cause: a starting VM knows only itself, took all 32 groups and opened connections to all 87 upstreams. Change: ownership begins when another VM is met, or after one second alone.

--- a/crates/tgw-node/src/node.rs
+++ b/crates/tgw-node/src/node.rs
@@ -27,6 +27,8 @@
 const GROUPS: Millis = Millis::new(100);
 /// How often a VM that works for others says that it lives.
 const ALIVE: Millis = Millis::new(20);
+/// How long a VM that starts waits to meet the others before it takes what nobody else owns.
+const JOIN: Millis = Millis::new(1000);
 /// How long an upstream that was told to be leaving stays so without being told again.
 const LEAVING: Millis = Millis::new(60_000);
 
@@ -186,6 +188,8 @@
     looked_over: Millis,
     said_alive: Millis,
     draining: bool,
+    /// Whether the VM has met another one, or has waited long enough to count itself alone.
+    joined: bool,
 }
 
 impl Node {
@@ -207,6 +211,7 @@
             looked_over: Millis::ZERO,
             said_alive: Millis::ZERO,
             draining: false,
+            joined: false,
         }
     }
 
@@ -448,6 +453,7 @@
             let usable: BTreeSet<Vm> = directory.owners().map(|(vm, _)| vm).collect();
             old.owners().map(|(vm, _)| vm).filter(|vm| !usable.contains(vm)).collect()
         };
+        self.joined |= directory.owners().any(|(vm, _)| vm != self.me);
         self.map.set(directory);
         self.settle_all(now, "membership changed", out);
         for vm in gone {
@@ -479,6 +485,11 @@
 
     /// Compares every group's owner with the rights held here.
     fn settle_all(&mut self, now: Millis, why: &'static str, out: &mut Vec<Output>) {
+        // A VM that starts knows only itself. If it took all groups at once, each start would open
+        // connections to every upstream of the fleet and close them again a moment later.
+        if !self.joined {
+            return;
+        }
         let places: Vec<(Group, Place)> = {
             let groups = self.catalog.groups();
             groups.iter().filter_map(|(g, nodes)| Some((*g, nodes.first()?.place))).collect()
@@ -579,6 +590,10 @@
         self.at_owner(now, owner::Event::Tick, out);
         if now - self.looked_over >= GROUPS {
             self.looked_over = now;
+            if !self.joined && now >= JOIN {
+                self.joined = true;
+                self.settle_all(now, "no other VM was met", out);
+            }
             self.leaving.retain(|_, since| now - *since < LEAVING);
             for (group, step) in self.groups.tick(now) {
                 self.carry_out(now, group, vec![step], "time is up", out);
--- a/crates/tgw-tail/src/hedge.rs
+++ b/crates/tgw-tail/src/hedge.rs
@@ -13,7 +13,7 @@
 
 /// Finds the age at which a running request is hedged.
 ///
-/// The delay follows the quantile of the running requests' ages at which hedges make up [`AIM`] of
+/// The delay follows the quantile of the running requests' ages at which hedges make up a set part of
 /// the allowed share: each hedge raises it, each request lowers it, and the two balance there
 /// (stochastic approximation of a quantile). The budget behind it is a hard bound.
 #[derive(Clone, Debug)]
