feat(bench): experiments on the real core under a virtual clock, with baselines

Cause: policies could not be compared; the first run showed the half share after a take-over never ending for groups taken at time zero, since zero stood for 'ended'. Change: tgw-bench runs whole nodes with small upstream models, eight policies, twelve scenarios; the half share is an Option now.

--- /dev/null
+++ b/crates/tanagergw/src/bench.rs
@@ -0,0 +1,130 @@
+//! `tanagergw bench`.
+
+use anyhow::Context;
+use std::{path::PathBuf, process::ExitCode};
+use tgw_bench::{
+    Policy, Report, Scenario, plot,
+    scenario::{self, Options},
+};
+use tgw_standin::size::{Spread, User};
+
+#[derive(clap::Args)]
+pub(crate) struct Args {
+    /// An experiment, `all`, or `list`.
+    scenario: String,
+    /// Whose size: coimbra, aspen or both.
+    #[arg(long, default_value = "both")]
+    user: String,
+    /// Policies compared, separated by commas; `all` for all.
+    #[arg(long)]
+    policy: Option<String>,
+    /// Seeds, separated by commas.
+    #[arg(long, default_value = "1", value_delimiter = ',')]
+    seed: Vec<u64>,
+    /// Demand as a part of all slots; by default the experiment's own.
+    #[arg(long)]
+    load: Option<f64>,
+    /// VMs of the tier.
+    #[arg(long, default_value_t = 6)]
+    vms: usize,
+    /// Leave the delays between places out.
+    #[arg(long)]
+    no_distances: bool,
+    /// Lay each instance's upstreams apart, in three regions.
+    #[arg(long)]
+    apart: bool,
+    /// Print JSON instead of tables.
+    #[arg(long)]
+    json: bool,
+    /// Write SVG plots into this folder.
+    #[arg(long)]
+    out: Option<PathBuf>,
+}
+
+pub(crate) fn run(args: &Args) -> anyhow::Result<ExitCode> {
+    if args.scenario == "list" {
+        for scenario in Scenario::ALL {
+            println!("{:<20} {}", scenario.to_string(), scenario.about());
+        }
+        return Ok(ExitCode::SUCCESS);
+    }
+    let scenarios = match args.scenario.as_str() {
+        "all" => Scenario::ALL.to_vec(),
+        name => vec![
+            Scenario::named(name)
+                .with_context(|| format!("no experiment `{name}`: see `tanagergw bench list`"))?,
+        ],
+    };
+    let users = match args.user.as_str() {
+        "both" => User::ALL.to_vec(),
+        name => vec![User::named(name).with_context(|| format!("--user {name}: unknown"))?],
+    };
+    let mut jobs = Vec::new();
+    for scenario in scenarios {
+        for user in &users {
+            for seed in &args.seed {
+                jobs.push((scenario, options(args, *user, *seed)?));
+            }
+        }
+    }
+    let reports = run_all(&jobs);
+    for report in &reports {
+        if let Some(dir) = &args.out {
+            plot::write(report, dir)?;
+        }
+        if !args.json {
+            println!("{report}");
+        }
+    }
+    if args.json {
+        println!("{}", serde_json::to_string_pretty(&reports)?);
+    }
+    let kept = reports.iter().flat_map(|r| &r.policies).all(|p| p.mixed + p.lost + p.doubled == 0);
+    Ok(if kept { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+fn options(args: &Args, user: User, seed: u64) -> anyhow::Result<Options> {
+    let mut options = Options::new(user, seed);
+    options.vms = args.vms;
+    options.hops = !args.no_distances;
+    options.spread = if args.apart { Spread::Apart } else { Spread::Together };
+    options.load = args.load;
+    match args.policy.as_deref() {
+        None => {}
+        Some("all") => options.policies = Policy::ALL.to_vec(),
+        Some(names) => {
+            let named = |name: &str| {
+                Policy::named(name).with_context(|| {
+                    let known: Vec<String> = Policy::ALL.iter().map(Policy::to_string).collect();
+                    format!("--policy {name}: expected some of {}", known.join(", "))
+                })
+            };
+            options.policies = names.split(',').map(named).collect::<anyhow::Result<_>>()?;
+        }
+    }
+    Ok(options)
+}
+
+/// Runs all jobs on as many threads as the machine has processors; the order stays.
+fn run_all(jobs: &[(Scenario, Options)]) -> Vec<Report> {
+    let threads = std::thread::available_parallelism().map_or(1, usize::from);
+    let next = std::sync::atomic::AtomicUsize::new(0);
+    let done = std::sync::Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for _ in 0..threads.min(jobs.len()) {
+            scope.spawn(|| {
+                loop {
+                    let index = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+                    let Some((scenario, options)) = jobs.get(index) else { return };
+                    let report = scenario::report(*scenario, options);
+                    done.lock()
+                        .unwrap_or_else(std::sync::PoisonError::into_inner)
+                        .push((index, report));
+                }
+            });
+        }
+    });
+    let mut reports = done.into_inner().unwrap_or_else(std::sync::PoisonError::into_inner);
+    reports.sort_by_key(|(index, _)| *index);
+    reports.into_iter().map(|(_, report)| report).collect()
+}
--- a/crates/tanagergw/src/main.rs
+++ b/crates/tanagergw/src/main.rs
@@ -1,5 +1,6 @@
 //! The command line of tanagergw: a thin layer over the crates that do the work.
 
+mod bench;
 mod demo;
 mod logs;
 mod serve;
@@ -26,6 +27,8 @@
     Settings(settings::Args),
     /// Run stand-ins and several VMs in this process, with queries and faults.
     Demo(demo::Args),
+    /// Run experiments under a virtual clock.
+    Bench(bench::Args),
     /// Run one stand-in, so that `serve` can be tried as separate processes.
     Standin(standin::Args),
 }
@@ -35,6 +38,7 @@
         Command::Serve(args) => serve::run(&args),
         Command::Settings(args) => settings::run(&args),
         Command::Demo(args) => demo::run(&args),
+        Command::Bench(args) => bench::run(&args),
         Command::Standin(args) => standin::run(&args),
     };
     done.unwrap_or_else(|error| {
--- /dev/null
+++ b/crates/tgw-bench/src/lib.rs
@@ -0,0 +1,23 @@
+//! Experiments: the decision core of several VMs under a virtual clock, with small models of
+//! upstreams and of the way between places. The same seed gives the same figures.
+//!
+//! A measuring tool, not a cluster simulator: membership and platform are reduced to when a VM
+//! learns of a change, and every delay is a constant or drawn from one distribution.
+
+/// What one run yields.
+pub mod figures;
+/// The upstreams' model.
+mod model;
+/// SVG plots.
+pub mod plot;
+/// The ways of dispatching that are compared.
+pub mod policy;
+/// The experiments.
+pub mod scenario;
+/// The virtual clock's loop.
+mod sim;
+
+pub use figures::Figures;
+pub use policy::Policy;
+pub use scenario::{Report, Scenario};
+pub use sim::{Fault, Setup, run};
--- /dev/null
+++ b/crates/tgw-bench/src/policy.rs
@@ -0,0 +1,122 @@
+//! The ways of dispatching that are compared.
+
+use derive_more::Display;
+use std::{
+    collections::BTreeSet,
+    sync::{Arc, Mutex},
+};
+use tgw_clock::Millis;
+use tgw_dispatch::{
+    owner,
+    pick::{Candidate, Late, Least, Policy as Pick, Random, RoundRobin},
+};
+use tgw_topology::{Group, Upstream};
+
+/// A way of dispatching.
+#[derive(Copy, Clone, Debug, Display, PartialEq, Eq)]
+pub enum Policy {
+    /// The tier as it ships: one owner a group, late binding, hedges, suspicion.
+    #[display("tier")]
+    Tier,
+    /// The tier without hedges.
+    #[display("tier-no-hedge")]
+    TierNoHedge,
+    /// The tier without suspicion of overdue upstreams.
+    #[display("tier-no-suspicion")]
+    TierNoSuspicion,
+    /// One owner a group that binds each request at once to the least loaded upstream; hedges.
+    #[display("owner-early")]
+    OwnerEarly,
+    /// Each VM dispatches directly to the upstream with the least load and latency; hedges.
+    #[display("direct-least")]
+    DirectLeast,
+    /// Each VM dispatches directly to a random replica; no hedges.
+    #[display("direct-random")]
+    DirectRandom,
+    /// Each VM dispatches directly, replicas in turn, within a fixed share of the slots.
+    #[display("direct-shares")]
+    DirectShares,
+    /// One owner a group that knows which upstreams are slow: a lower bound.
+    #[display("oracle")]
+    Oracle,
+}
+
+impl Policy {
+    /// All policies.
+    pub const ALL: [Self; 8] = [
+        Self::Tier,
+        Self::TierNoHedge,
+        Self::TierNoSuspicion,
+        Self::OwnerEarly,
+        Self::DirectLeast,
+        Self::DirectRandom,
+        Self::DirectShares,
+        Self::Oracle,
+    ];
+
+    /// The policy of that name.
+    pub fn named(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|p| p.to_string() == name)
+    }
+
+    /// Whether every VM dispatches to every upstream itself.
+    pub(crate) fn direct(self) -> bool {
+        matches!(self, Self::DirectLeast | Self::DirectRandom | Self::DirectShares)
+    }
+
+    /// Whether requests are hedged at all.
+    pub(crate) fn hedges(self) -> bool {
+        matches!(self, Self::Tier | Self::TierNoSuspicion | Self::OwnerEarly | Self::DirectLeast)
+    }
+
+    pub(crate) fn options(self) -> owner::Options {
+        let hedge = if self.hedges() { 1.0 } else { 0.0 };
+        let suspect = matches!(self, Self::Tier | Self::TierNoHedge);
+        owner::Options { hedge, suspect, ramp: self == Self::Tier, ..owner::Options::default() }
+    }
+
+    pub(crate) fn pick(self, seed: u64, truth: &Truth, group: Group) -> Box<dyn Pick> {
+        let own = seed ^ u64::from(group.instance) ^ u64::from(group.service.0) << 16;
+        match self {
+            Self::Tier | Self::TierNoHedge | Self::TierNoSuspicion => Box::new(Late),
+            Self::OwnerEarly | Self::DirectLeast => Box::new(Least),
+            Self::DirectRandom => Box::new(Random::seeded(own)),
+            Self::DirectShares => Box::new(RoundRobin::default()),
+            Self::Oracle => Box::new(Foresight(truth.clone())),
+        }
+    }
+}
+
+/// Which upstreams are slow or broken now, as only the model knows.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Truth(Arc<Mutex<BTreeSet<Upstream>>>);
+
+impl Truth {
+    pub(crate) fn set(&self, slow: impl Iterator<Item = Upstream>) {
+        *self.0.lock().unwrap_or_else(std::sync::PoisonError::into_inner) = slow.collect();
+    }
+
+    fn slow(&self, upstream: Upstream) -> bool {
+        self.0.lock().unwrap_or_else(std::sync::PoisonError::into_inner).contains(&upstream)
+    }
+}
+
+/// Never places on a slow upstream while the group has another: waiting for a slot there takes a
+/// few milliseconds, a slow upstream ten times as long.
+struct Foresight(Truth);
+
+impl Pick for Foresight {
+    fn bind(&mut self, _now: Millis, _candidates: &[Candidate]) -> Option<usize> {
+        None
+    }
+
+    fn choose(&mut self, now: Millis, candidates: &[Candidate]) -> Option<usize> {
+        let fast: Vec<usize> =
+            (0..candidates.len()).filter(|i| !self.0.slow(candidates[*i].upstream)).collect();
+        if fast.is_empty() {
+            return Late.choose(now, candidates);
+        }
+        let usable: Vec<Candidate> = fast.iter().map(|i| candidates[*i]).collect();
+        Late.choose(now, &usable).map(|chosen| fast[chosen])
+    }
+}
--- /dev/null
+++ b/crates/tgw-bench/src/sim.rs
@@ -0,0 +1,737 @@
+use crate::{
+    figures::{Collector, Figures},
+    model::{self, Job, Taken, Upstream},
+    policy::{Policy, Truth},
+};
+use bytes::Bytes;
+use rand::{Rng, SeedableRng, rngs::SmallRng, seq::SliceRandom};
+use rand_distr::{Distribution, Exp};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet, BinaryHeap},
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+};
+use tgw_clock::Millis;
+use tgw_dispatch::{
+    Leaf,
+    leaf::{Failure, Held, Reply},
+};
+use tgw_node::{Input, Message, Node, Options, Output};
+use tgw_owner::{Directory, Member, State};
+use tgw_query::Answer;
+use tgw_standin::size::{self, Spread, User};
+use tgw_table::Document;
+use tgw_topology::{
+    Catalog, Place, Query, Service, Snapshot, Vm,
+    place::{Distance, Domain},
+};
+
+const TICK: Millis = Millis::new(1);
+/// Requests that wait at an upstream before more are shed, as a multiple of its slots.
+const BACKLOG: usize = 2;
+/// Backlog under direct dispatch, where upstreams queue: as good as without bound.
+const DIRECT_BACKLOG: usize = 10_000;
+/// How often the stragglers change in turn.
+const TURN: Millis = Millis::new(300);
+/// The part of the upstreams that straggle, and by how much.
+const STRAGGLERS: f64 = 0.05;
+const SLOWER: f64 = 10.0;
+/// How long membership takes to declare a VM dead, as measured at 312 VMs in a domain.
+pub(crate) const DETECTION: Millis = Millis::new(2000);
+/// How long a broken connection takes to be noticed.
+const RESET: Millis = Millis::new(1);
+/// Time after the end in which running queries may still be answered.
+const TAIL: Millis = Millis::new(3000);
+
+/// What goes wrong in a run, and when.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Fault {
+    /// The same 5% of upstreams are ten times slower from now on.
+    Stragglers,
+    /// Every 300 ms another 5% are ten times slower.
+    StragglersInTurn,
+    /// One replica of every shard breaks its connections.
+    ReplicaLost,
+    /// A newer index version arrives at one replica after the other, this far apart; then the older
+    /// one goes in the same way.
+    Version(Millis),
+    /// The same with a layout of twice the shards.
+    Repartition(Millis),
+    /// A third of the upstreams are restarted cold.
+    Cold,
+    /// VM 1 is killed.
+    Kill,
+    /// VM 1 is paused for this time.
+    Pause(Millis),
+    /// VM 0's failure domain is cut off from the others for this time.
+    Partition(Millis),
+    /// Half the replicas break their connections for this time.
+    HalfLost(Millis),
+}
+
+/// One run.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// Whose size.
+    pub user: User,
+    /// VMs.
+    pub vms: usize,
+    /// How instances' upstreams lie.
+    pub spread: Spread,
+    /// Whether places are apart; without, every way takes no time.
+    pub hops: bool,
+    /// Seed of all that is random.
+    pub seed: u64,
+    /// Demand as a part of all slots.
+    pub load: f64,
+    /// Time that is not measured.
+    pub warm_up: Millis,
+    /// Time that is measured.
+    pub measured: Millis,
+    /// Queries that one VM runs at once over all services.
+    pub places: u32,
+    /// The table.
+    pub table: Document,
+    /// What goes wrong, and when after the start.
+    pub faults: Vec<(Millis, Fault)>,
+}
+
+#[derive(Debug)]
+enum Event {
+    Arrive(Service),
+    Letter { to: usize, life: u32, from: usize, message: Message },
+    Lost { at: usize, vm: usize },
+    AtUpstream { upstream: usize, job: Box<Job> },
+    Finish { upstream: usize, run: u64 },
+    Stop { upstream: usize, vm: usize, ticket: u64 },
+    Done { vm: usize, life: u32, ticket: u64, result: Result<Reply, Failure>, held: Held },
+    Tick(usize, u32),
+    Fault(usize),
+    Turn,
+    Directory,
+    Resume(usize),
+    Rejoin,
+    Roll { step: usize, new: Snapshot, gap: Millis },
+    Mend,
+}
+
+struct Waiting {
+    service: Service,
+    at: Millis,
+    body: u64,
+    measured: bool,
+}
+
+struct VmState {
+    node: Node,
+    vm: Vm,
+    place: Place,
+    life: u32,
+    up: bool,
+    paused: Vec<Event>,
+    is_paused: bool,
+}
+
+struct Sim {
+    setup: Setup,
+    policy: Policy,
+    distance: Distance,
+    now: Millis,
+    heap: BinaryHeap<Reverse<(Millis, u64)>>,
+    events: BTreeMap<u64, Event>,
+    seq: u64,
+    rng: SmallRng,
+    arrivals: SmallRng,
+    vms: Vec<VmState>,
+    upstreams: Vec<Upstream>,
+    catalog: Catalog,
+    truth: Truth,
+    waiting: BTreeMap<(usize, u64), Waiting>,
+    next_token: u64,
+    sent_measured: BTreeSet<Query>,
+    collector: Collector,
+    cut: BTreeSet<(Domain, Domain)>,
+}
+
+/// Runs one policy through one setup.
+pub fn run(setup: &Setup, policy: Policy) -> Figures {
+    let mut sim = Sim::new(setup.clone(), policy);
+    sim.run();
+    let restarts = sim.vms.iter().map(|vm| vm.node.stats().restarts).sum();
+    let seconds = setup.measured.as_f64() / 1000.0;
+    sim.collector.figures(&policy.to_string(), seconds, restarts)
+}
+
+impl Sim {
+    fn new(setup: Setup, policy: Policy) -> Self {
+        let catalog = setup.user.catalog(setup.spread);
+        let distance = if setup.hops {
+            setup.user.distance()
+        } else {
+            Distance { local: 0.0, domains: 0.0, regions: 0.0 }
+        };
+        let truth = Truth::default();
+        let backlog = if policy.direct() { DIRECT_BACKLOG } else { BACKLOG };
+        let held = |node: &tgw_topology::catalog::Node| {
+            catalog.services.get(&node.service).map(|s| s.snapshots.clone()).unwrap_or_default()
+        };
+        let upstreams = catalog
+            .upstreams
+            .values()
+            .map(|n| Upstream::new(n, held(n), backlog * usize::from(n.slots)))
+            .collect();
+        let mut sim = Self {
+            policy,
+            distance,
+            now: Millis::ZERO,
+            heap: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            seq: 0,
+            rng: SmallRng::seed_from_u64(setup.seed),
+            arrivals: SmallRng::seed_from_u64(setup.seed ^ 0x5eed),
+            vms: Vec::new(),
+            upstreams,
+            catalog,
+            truth,
+            waiting: BTreeMap::new(),
+            next_token: 1,
+            sent_measured: BTreeSet::new(),
+            collector: Collector::new(),
+            cut: BTreeSet::new(),
+            setup,
+        };
+        for index in 0..sim.setup.vms {
+            let vm = sim.make_vm(index, 1);
+            sim.vms.push(vm);
+        }
+        sim
+    }
+
+    fn make_vm(&self, index: usize, life: u32) -> VmState {
+        let vm = Vm::named(&format!("vm-{index}"));
+        let place = size::place(index);
+        let (policy, seed, truth) = (self.policy, self.setup.seed, self.truth.clone());
+        let node = Node::new(Options {
+            entry: tgw_query::Options {
+                vm,
+                incarnation: (index as u64 + 1) << 20 | u64::from(life),
+                places: self.setup.places,
+                adapt: matches!(policy, Policy::Tier),
+                sample: 0,
+                hedge: policy.hedges() && !policy.direct(),
+            },
+            place,
+            distance: self.distance,
+            policy: Box::new(move |group| policy.pick(seed, &truth, group)),
+            dispatch: policy.options(),
+        });
+        VmState { node, vm, place, life, up: true, paused: Vec::new(), is_paused: false }
+    }
+
+    fn at(&mut self, time: Millis, event: Event) {
+        self.seq += 1;
+        self.heap.push(Reverse((time, self.seq)));
+        self.events.insert(self.seq, event);
+    }
+
+    fn after(&mut self, delay_ms: f64, event: Event) {
+        self.at(self.now + Millis::from_f64(delay_ms), event);
+    }
+
+    fn run(&mut self) {
+        for index in 0..self.vms.len() {
+            self.introduce(index);
+            self.after(0.1 * index as f64, Event::Tick(index, 1));
+        }
+        let services: Vec<Service> = self.catalog.services.keys().copied().collect();
+        for service in services {
+            self.schedule_arrival(service);
+        }
+        for index in 0..self.setup.faults.len() {
+            self.at(self.setup.faults[index].0, Event::Fault(index));
+        }
+        let end = self.setup.warm_up + self.setup.measured + TAIL;
+        while let Some(Reverse((time, seq))) = self.heap.pop() {
+            if time > end {
+                break;
+            }
+            self.now = time;
+            if let Some(event) = self.events.remove(&seq) {
+                self.handle(event);
+            }
+        }
+        // Every measured query must have been answered or refused by now.
+        self.collector.lost += self.waiting.values().filter(|w| w.measured).count() as u64;
+    }
+
+    /// Tells a VM what it knows at its start.
+    fn introduce(&mut self, index: usize) {
+        let directory = Arc::new(self.directory(index));
+        let catalog = Arc::new(self.catalog_for(index));
+        let table = Arc::new(self.setup.table.clone());
+        self.input(index, Input::Catalog(catalog));
+        self.input(index, Input::Table(table));
+        self.input(index, Input::Directory(directory));
+    }
+
+    /// The catalog; with fixed shares each VM is told of its part of the slots only.
+    fn catalog_for(&self, _index: usize) -> Catalog {
+        let mut catalog = self.catalog.clone();
+        if self.policy == Policy::DirectShares {
+            let vms = self.setup.vms as u16;
+            for node in catalog.upstreams.values_mut() {
+                node.slots = (node.slots / vms).max(1);
+            }
+        } else if self.policy.direct() {
+            for node in catalog.upstreams.values_mut() {
+                node.slots = u16::MAX;
+            }
+        }
+        catalog
+    }
+
+    /// The VMs as VM `index` sees them; under direct dispatch each owns all groups itself.
+    fn directory(&self, index: usize) -> Directory {
+        let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+        let mut directory = Directory::default();
+        let here = self.vms[index].place.domain;
+        for (other, state) in self.vms.iter().enumerate() {
+            let own = other == index;
+            if (self.policy.direct() && !own) || !state.up {
+                continue;
+            }
+            let member = Member {
+                name: format!("vm-{other}"),
+                incarnation: u64::from(state.life),
+                place: state.place,
+                addr,
+                state: State::Alive,
+            };
+            directory.members.insert(state.vm, member);
+        }
+        directory.cut = self.cut.iter().filter(|c| c.0 == here).map(|c| c.1).collect();
+        directory
+    }
+
+    fn schedule_arrival(&mut self, service: Service) {
+        let shards = self.catalog.partition(service, tgw_topology::Layout(1));
+        let shards = shards.map_or(1, |p| p.shards.len()) as f64;
+        let slots: f64 = self
+            .catalog
+            .upstreams
+            .values()
+            .filter(|u| u.service == service)
+            .map(|u| f64::from(u.slots))
+            .sum();
+        let per_ms = self.setup.load * slots / model::mean_ms() / shards;
+        let gap = Exp::new(per_ms).map_or(1.0, |e| e.sample(&mut self.arrivals));
+        if self.now < self.setup.warm_up + self.setup.measured {
+            self.after(gap, Event::Arrive(service));
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive(service) => self.arrive(service),
+            Event::Letter { to, life, from, message } => {
+                if self.held_back(to, life) {
+                    let event = Event::Letter { to, life, from, message };
+                    return self.vms[to].paused.push(event);
+                }
+                let cut = self.is_cut(self.vms[from].place, self.vms[to].place);
+                if self.vms[to].up && self.vms[to].life == life && !cut {
+                    let sender = self.vms[from].vm;
+                    self.input(to, Input::Peer(sender, message));
+                }
+            }
+            Event::Lost { at, vm } => {
+                let vm = self.vms[vm].vm;
+                self.input(at, Input::Lost(vm));
+            }
+            Event::AtUpstream { upstream, job } => self.at_upstream(upstream, &job),
+            Event::Finish { upstream, run } => self.finish(upstream, run),
+            Event::Stop { upstream, vm, ticket } => self.stop(upstream, vm, ticket),
+            Event::Done { vm, life, ticket, result, held } => {
+                if self.held_back(vm, life) {
+                    let event = Event::Done { vm, life, ticket, result, held };
+                    return self.vms[vm].paused.push(event);
+                }
+                if self.vms[vm].up && self.vms[vm].life == life {
+                    self.input(vm, Input::Done { ticket, result, held: Some(held) });
+                }
+            }
+            Event::Tick(vm, life) => {
+                if self.vms[vm].up && self.vms[vm].life == life {
+                    self.at(self.now + TICK, Event::Tick(vm, life));
+                    if !self.vms[vm].is_paused {
+                        self.input(vm, Input::Tick);
+                    }
+                }
+            }
+            Event::Fault(index) => {
+                let fault = self.setup.faults[index].1.clone();
+                self.fault(&fault);
+            }
+            Event::Turn => self.turn(),
+            Event::Directory => self.spread_directory(),
+            Event::Resume(vm) => self.resume(vm),
+            Event::Rejoin => {
+                self.cut.clear();
+                self.spread_directory();
+            }
+            Event::Roll { step, new, gap } => self.roll(step, new, gap),
+            Event::Mend => self.upstreams.iter_mut().for_each(|u| u.broken = false),
+        }
+    }
+
+    fn held_back(&self, vm: usize, life: u32) -> bool {
+        self.vms[vm].is_paused && self.vms[vm].life == life
+    }
+
+    fn is_cut(&self, a: Place, b: Place) -> bool {
+        self.cut.contains(&(a.domain, b.domain))
+    }
+
+    fn arrive(&mut self, service: Service) {
+        self.schedule_arrival(service);
+        let up: Vec<usize> =
+            (0..self.vms.len()).filter(|i| self.vms[*i].up && !self.vms[*i].is_paused).collect();
+        let vm = up[self.arrivals.random_range(0..up.len())];
+        let token = self.next_token;
+        self.next_token += 1;
+        let measured =
+            self.now >= self.setup.warm_up && self.now < self.setup.warm_up + self.setup.measured;
+        if measured {
+            self.collector.queries += 1;
+        }
+        let waiting = Waiting { service, at: self.now, body: token, measured };
+        self.waiting.insert((vm, token), waiting);
+        let body = Bytes::copy_from_slice(&token.to_le_bytes());
+        self.input(vm, Input::Submit { token, service, within: None, body });
+    }
+
+    fn input(&mut self, vm: usize, input: Input) {
+        let mut out = Vec::new();
+        self.vms[vm].node.on(self.now, input, &mut out);
+        for output in out {
+            self.output(vm, output);
+        }
+    }
+
+    fn output(&mut self, vm: usize, output: Output) {
+        match output {
+            Output::Tell(to, message) => self.tell(vm, to, message),
+            Output::Send { ticket, upstream, leaf } => {
+                if self.waiting.get(&self.owner_of_query(&leaf)).is_some_and(|w| w.measured) {
+                    self.collector.sent += 1;
+                    self.sent_measured.insert(leaf.key.query);
+                }
+                let index = upstream.0 as usize;
+                let way = self.way_to_upstream(vm, index);
+                let job = Job { vm, life: self.vms[vm].life, ticket, leaf };
+                let cut = self.is_cut(self.vms[vm].place, self.upstreams[index].node.place);
+                if cut {
+                    let life = self.vms[vm].life;
+                    let result = Err(Failure::Connect);
+                    let event = Event::Done { vm, life, ticket, result, held: Held::new() };
+                    return self.after(RESET.as_f64(), event);
+                }
+                self.after(way, Event::AtUpstream { upstream: index, job: Box::new(job) });
+            }
+            Output::Abort { ticket, upstream } => {
+                let upstream = upstream.0 as usize;
+                let way = self.way_to_upstream(vm, upstream);
+                self.after(way, Event::Stop { upstream, vm, ticket });
+            }
+            Output::Answer(token, answer) => self.answered(vm, token, &answer),
+            Output::Refuse(token, _) => {
+                if let Some(waiting) = self.waiting.remove(&(vm, token)).filter(|w| w.measured) {
+                    self.collector.refused += 1;
+                    let after = self.now - waiting.at;
+                    self.collector.refused_after = self.collector.refused_after.max(after);
+                }
+            }
+            Output::Connect(_) | Output::Disconnect(_) | Output::Note(_) => {}
+        }
+    }
+
+    /// The token of the query that a leaf request belongs to.
+    fn owner_of_query(&self, leaf: &Leaf) -> (usize, u64) {
+        let mut token = [0; 8];
+        token.copy_from_slice(&leaf.body[..8]);
+        let vm = self.vms.iter().position(|v| v.vm == leaf.key.from).unwrap_or(0);
+        (vm, u64::from_le_bytes(token))
+    }
+
+    fn way_to_upstream(&self, vm: usize, upstream: usize) -> f64 {
+        self.distance.between(self.vms[vm].place, self.upstreams[upstream].node.place)
+    }
+
+    fn tell(&mut self, from: usize, to: Vm, message: Message) {
+        let Some(to) = self.vms.iter().position(|v| v.vm == to) else { return };
+        let way = self.distance.between(self.vms[from].place, self.vms[to].place);
+        if !self.vms[to].up {
+            return self.after(RESET.as_f64(), Event::Lost { at: from, vm: to });
+        }
+        let life = self.vms[to].life;
+        self.after(way, Event::Letter { to, life, from, message });
+    }
+
+    fn at_upstream(&mut self, index: usize, job: &Job) {
+        let upstream = &mut self.upstreams[index];
+        let reply = if upstream.broken {
+            Some(Err(Failure::Closed))
+        } else if upstream.draining {
+            Some(Ok(Reply::Draining))
+        } else if !upstream.held.contains(&job.leaf.snapshot) {
+            Some(Ok(Reply::Gone))
+        } else {
+            None
+        };
+        if let Some(result) = reply {
+            return self.reply(index, job, result);
+        }
+        let over = upstream.running.len() + upstream.queue.len() + 1;
+        let slots = usize::from(upstream.node.slots);
+        if over > slots && !self.policy.direct() {
+            self.collector.over_slots = self.collector.over_slots.max((over - slots) as u64);
+        }
+        match self.upstreams[index].arrive(job.clone(), &mut self.rng) {
+            Taken::Runs(run, time) => {
+                self.at(self.now + time, Event::Finish { upstream: index, run });
+            }
+            Taken::Waits => {}
+            Taken::Shed => self.reply(index, job, Ok(Reply::Shed)),
+        }
+    }
+
+    fn reply(&mut self, index: usize, job: &Job, result: Result<Reply, Failure>) {
+        let way = self.way_to_upstream(job.vm, index);
+        let held = self.upstreams[index].held.iter().copied().collect();
+        let Job { vm, life, ticket, .. } = *job;
+        self.after(way, Event::Done { vm, life, ticket, result, held });
+    }
+
+    fn finish(&mut self, index: usize, run: u64) {
+        if let Some(job) = self.upstreams[index].finish(run) {
+            let result = if self.upstreams[index].broken {
+                Err(Failure::Closed)
+            } else {
+                let Leaf { key, snapshot, body, .. } = &job.leaf;
+                let items = items(body, *snapshot, key.shard.0);
+                Ok(Reply::Items { snapshot: *snapshot, shard: key.shard, items })
+            };
+            self.reply(index, &job, result);
+        }
+        self.start_next(index);
+    }
+
+    fn start_next(&mut self, index: usize) {
+        while let Some((run, time)) = self.upstreams[index].next(&mut self.rng) {
+            self.at(self.now + time, Event::Finish { upstream: index, run });
+        }
+    }
+
+    fn stop(&mut self, index: usize, vm: usize, ticket: u64) {
+        if self.upstreams[index].stop(vm, ticket) {
+            let way = self.way_to_upstream(vm, index);
+            let held = self.upstreams[index].held.iter().copied().collect();
+            let life = self.vms[vm].life;
+            let result = Ok(Reply::Cancelled);
+            self.after(way, Event::Done { vm, life, ticket, result, held });
+        }
+        self.start_next(index);
+    }
+
+    fn answered(&mut self, vm: usize, token: u64, answer: &Answer) {
+        let Some(waiting) = self.waiting.remove(&(vm, token)).filter(|w| w.measured) else {
+            return;
+        };
+        self.check(&waiting, answer);
+        let name = self.catalog.services.get(&waiting.service).map(|s| s.name.clone());
+        let coverage = &answer.coverage;
+        let counts = (coverage.shards as u64, coverage.answered as u64);
+        let took = self.now - waiting.at;
+        let name = name.unwrap_or_default();
+        self.collector.answer(waiting.at, took, &name, answer.enough, counts);
+    }
+
+    /// Compares an answer with what the upstreams were asked for.
+    fn check(&mut self, waiting: &Waiting, answer: &Answer) {
+        let mut seen = BTreeSet::new();
+        for (shard, found) in &answer.items {
+            if !seen.insert(*shard) {
+                self.collector.doubled += 1;
+            }
+            let body = waiting.body.to_le_bytes();
+            if *found != items(&body, answer.snapshot, shard.0) {
+                self.collector.mixed += 1;
+            }
+        }
+        if seen.len() != answer.coverage.answered
+            || answer.coverage.answered + answer.coverage.missing.len() != answer.coverage.shards
+        {
+            self.collector.lost += 1;
+        }
+    }
+
+    fn fault(&mut self, fault: &Fault) {
+        match fault {
+            Fault::Stragglers => {
+                self.slow(|index, _| index % (1.0 / STRAGGLERS) as usize == 0);
+            }
+            Fault::StragglersInTurn => self.turn(),
+            Fault::ReplicaLost => self.break_replicas(1),
+            Fault::HalfLost(time) => {
+                self.break_replicas(2);
+                self.at(self.now + *time, Event::Mend);
+            }
+            Fault::Version(gap) => self.begin_roll(*gap, |layout| layout),
+            Fault::Repartition(gap) => self.begin_roll(*gap, |_| tgw_topology::Layout(2)),
+            Fault::Cold => {
+                for upstream in self.upstreams.iter_mut().step_by(3) {
+                    upstream.cold = model::COLD_REQUESTS;
+                }
+                let restarted: Vec<_> =
+                    self.upstreams.iter().step_by(3).map(|u| u.node.id).collect();
+                for vm in 0..self.vms.len() {
+                    for id in &restarted {
+                        self.input(vm, Input::Restarted(*id));
+                    }
+                }
+            }
+            Fault::Kill => self.kill(1),
+            Fault::Pause(time) => {
+                self.vms[1].is_paused = true;
+                self.at(self.now + *time, Event::Resume(1));
+                if *time > DETECTION {
+                    self.at(self.now + DETECTION, Event::Directory);
+                }
+            }
+            Fault::Partition(time) => {
+                let own = self.vms[0].place.domain;
+                let domains: BTreeSet<Domain> =
+                    self.upstreams.iter().map(|u| u.node.place.domain).collect();
+                for other in domains.into_iter().filter(|d| *d != own) {
+                    self.cut.insert((own, other));
+                    self.cut.insert((other, own));
+                }
+                self.at(self.now + DETECTION, Event::Directory);
+                self.at(self.now + *time, Event::Rejoin);
+            }
+        }
+    }
+
+    fn slow(&mut self, slow: impl Fn(usize, &Upstream) -> bool) {
+        for index in 0..self.upstreams.len() {
+            let is = slow(index, &self.upstreams[index]);
+            self.upstreams[index].factor = if is { SLOWER } else { 1.0 };
+        }
+        let slow = self.upstreams.iter().filter(|u| u.factor > 1.0).map(|u| u.node.id);
+        self.truth.set(slow);
+    }
+
+    fn turn(&mut self) {
+        let count = (self.upstreams.len() as f64 * STRAGGLERS).round() as usize;
+        let mut order: Vec<usize> = (0..self.upstreams.len()).collect();
+        order.shuffle(&mut self.arrivals);
+        let chosen: BTreeSet<usize> = order.into_iter().take(count).collect();
+        self.slow(|index, _| chosen.contains(&index));
+        self.at(self.now + TURN, Event::Turn);
+    }
+
+    /// Breaks the first `count` replicas of every shard.
+    fn break_replicas(&mut self, count: usize) {
+        let broken: BTreeSet<u32> = self
+            .catalog
+            .services
+            .values()
+            .flat_map(|s| s.layouts.iter().flat_map(|l| &l.shards))
+            .flat_map(|replicas| {
+                // Where replicas of different shards overlap, breaking one of each shard must not
+                // break all of another: every third upstream stands for one of three replicas.
+                replicas.iter().filter(|u| (u.0 as usize) % 3 < count).map(|u| u.0)
+            })
+            .collect();
+        for upstream in &mut self.upstreams {
+            upstream.broken = broken.contains(&upstream.node.id.0);
+        }
+        let now_broken = self.upstreams.iter().filter(|u| u.broken).map(|u| u.node.id);
+        self.truth.set(now_broken);
+    }
+
+    fn begin_roll(
+        &mut self,
+        gap: Millis,
+        layout: impl Fn(tgw_topology::Layout) -> tgw_topology::Layout,
+    ) {
+        let old = Snapshot { version: 1, layout: tgw_topology::Layout(1) };
+        let new = Snapshot { version: 2, layout: layout(old.layout) };
+        for entry in self.catalog.services.values_mut() {
+            entry.snapshots = vec![new, old];
+        }
+        for vm in 0..self.vms.len() {
+            let catalog = Arc::new(self.catalog_for(vm));
+            self.input(vm, Input::Catalog(catalog));
+        }
+        self.at(self.now + gap, Event::Roll { step: 0, new, gap });
+    }
+
+    /// Steps 0 to 2 bring the new snapshot to one replica in three, 3 to 5 take the old one away.
+    fn roll(&mut self, step: usize, new: Snapshot, gap: Millis) {
+        const STEPS: usize = 6;
+        for upstream in self.upstreams.iter_mut().skip(step % 3).step_by(3) {
+            if step < 3 {
+                upstream.held.insert(0, new);
+            } else {
+                upstream.held.truncate(1);
+            }
+        }
+        if step + 1 < STEPS {
+            self.at(self.now + gap, Event::Roll { step: step + 1, new, gap });
+        }
+    }
+
+    fn kill(&mut self, vm: usize) {
+        self.vms[vm].up = false;
+        self.waiting.retain(|(owner, _), _| *owner != vm);
+        for other in (0..self.vms.len()).filter(|o| *o != vm) {
+            self.after(RESET.as_f64(), Event::Lost { at: other, vm });
+        }
+        self.at(self.now + DETECTION, Event::Directory);
+    }
+
+    fn resume(&mut self, vm: usize) {
+        self.vms[vm].is_paused = false;
+        let late = std::mem::take(&mut self.vms[vm].paused);
+        self.input(vm, Input::Paused);
+        for event in late {
+            self.handle(event);
+        }
+        self.spread_directory();
+    }
+
+    /// Tells all running VMs who lives, as membership would.
+    fn spread_directory(&mut self) {
+        for vm in 0..self.vms.len() {
+            if self.vms[vm].up && !self.vms[vm].is_paused {
+                let mut directory = self.directory(vm);
+                for state in self.vms.iter().filter(|v| v.is_paused) {
+                    directory.members.remove(&state.vm);
+                }
+                self.input(vm, Input::Directory(Arc::new(directory)));
+            }
+        }
+    }
+}
+
+/// What an upstream answers: the query, the snapshot and the shard, so that a check can tell.
+fn items(body: &[u8], snapshot: Snapshot, shard: u16) -> Bytes {
+    let mut bytes = Vec::with_capacity(18);
+    bytes.extend_from_slice(body);
+    bytes.extend_from_slice(&snapshot.version.to_le_bytes());
+    bytes.extend_from_slice(&snapshot.layout.0.to_le_bytes());
+    bytes.extend_from_slice(&shard.to_le_bytes());
+    bytes.into()
+}
--- a/crates/tgw-node/src/groups.rs
+++ b/crates/tgw-node/src/groups.rs
@@ -13,8 +13,8 @@
 /// In which right this VM dispatches to a group.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Right {
-    /// It owns it; `since` bounds the time of the half share.
-    Owner { since: Millis },
+    /// It owns it; `since` is when the time of the half share began, if it has not ended.
+    Owner { since: Option<Millis> },
     /// It stands in for the owner, as long as it is asked to.
     StandIn { asked: Millis },
     /// It has handed it over and finishes what runs.
@@ -81,7 +81,7 @@
             _ if mine => {
                 // Two views of membership may name two owners for a while, and both would fill all
                 // slots and connections. Each uses half until the views must have met.
-                let since = if sole { Millis::ZERO } else { now };
+                let since = (!sole).then_some(now);
                 self.rights.insert(group, Right::Owner { since });
                 let share = if sole { 1.0 } else { HALF };
                 vec![Step::Take, Step::Share(share)]
@@ -99,8 +99,8 @@
         let mut steps = Vec::new();
         for (group, right) in &mut self.rights {
             match right {
-                Right::Owner { since } if *since > Millis::ZERO && now - *since >= TAKE_OVER => {
-                    *since = Millis::ZERO;
+                Right::Owner { since } if since.is_some_and(|s| now - s >= TAKE_OVER) => {
+                    *since = None;
                     steps.push((*group, Step::Share(1.0)));
                 }
                 Right::StandIn { asked } if now - *asked >= STAND_IN => {
@@ -119,7 +119,7 @@
         let mut renewed = Vec::new();
         for (group, right) in &mut self.rights {
             if let Right::Owner { since } = right {
-                *since = now;
+                *since = Some(now);
                 renewed.push(*group);
             }
         }
