fix(dispatch): judge lateness by requests that become late, not by hedges placed; spread over groups

Change: the delay follows requests that become late; owners report their queue with each answer; the entry adds a draw to its estimates.

--- a/crates/tgw-dispatch/src/group.rs
+++ b/crates/tgw-dispatch/src/group.rs
@@ -12,6 +12,8 @@
 
 /// Waiting requests looked at for one free slot; those behind them wait for the next.
 const SCAN: usize = 64;
+/// An upstream is a suspect once a request on it has run this much longer than a late one.
+const OVERDUE: f64 = 1.5;
 const RETRY_BURST: f64 = 20.0;
 
 /// A request that waits or runs.
@@ -313,6 +315,7 @@
             held: self.held(),
             extra: task.sent.saturating_sub(1),
             waited: task.waited.unwrap_or_default(),
+            pressure: self.pressure(),
         });
     }
 
@@ -331,6 +334,13 @@
         Some(task)
     }
 
+    /// Requests that wait or run, as a part of the slots that may be used.
+    fn pressure(&self) -> f32 {
+        let staying = self.upstreams.iter().filter(|u| !u.leaving());
+        let slots: f64 = staying.map(|u| f64::from(u.slots) * self.share).sum();
+        (self.tasks.len() as f64 / slots.max(1.0)) as f32
+    }
+
     /// The snapshots held by any upstream that may be used; `None` while nothing is known.
     fn held(&self) -> Option<Held> {
         let mut all = Held::new();
@@ -352,7 +362,7 @@
             return;
         }
         self.expire(now, out);
-        self.mark_overdue(now, out);
+        self.mark_late(now, out);
         self.fill(now, next, out);
     }
 
@@ -364,14 +374,20 @@
         }
     }
 
-    fn mark_overdue(&mut self, now: Millis, out: &mut Vec<Action>) {
-        if !self.options.suspect {
-            return;
-        }
+    /// Counts requests that have become late, and stops trusting the upstreams that they run on.
+    fn mark_late(&mut self, now: Millis, out: &mut Vec<Action>) {
         let late = self.hedge.delay();
+        let overdue = late.scale(OVERDUE);
         for upstream in &mut self.upstreams {
+            for run in upstream.runs.iter_mut().filter(|r| !r.late && now - r.started >= late) {
+                run.late = true;
+                self.hedge.late();
+            }
+            if !self.options.suspect {
+                continue;
+            }
             let oldest = upstream.runs.iter().map(|r| now - r.started).max();
-            let Some(age) = oldest.filter(|age| *age >= late) else { continue };
+            let Some(age) = oldest.filter(|age| *age >= overdue) else { continue };
             if upstream.overdue(age) {
                 note(None, upstream.id, What::Suspect, SmallVec::new(), out);
             }
@@ -413,14 +429,10 @@
 
     /// Sends requests that run late a second time, the longest running first.
     fn hedge_late(&mut self, now: Millis, next: &mut Ticket, out: &mut Vec<Action>) {
-        let late = self.hedge.delay();
         let mut due: SmallVec<[(Millis, u64); 8]> = SmallVec::new();
         for run in self.upstreams.iter().flat_map(|u| &u.runs) {
             let open = |t: &Task| !t.hedged && t.sent < self.options.attempts;
-            if !run.aborted
-                && now - run.started >= late
-                && self.tasks.get(&run.task).is_some_and(open)
-            {
+            if run.late && !run.aborted && self.tasks.get(&run.task).is_some_and(open) {
                 due.push((run.started, run.task));
             }
         }
@@ -460,7 +472,7 @@
         task.waited.get_or_insert(now - task.arrived);
         task.runs.push((ticket, index));
         let upstream = &mut self.upstreams[index];
-        upstream.runs.push(Run { ticket, task: number, started: now, aborted: false });
+        upstream.runs.push(Run { ticket, task: number, started: now, late: false, aborted: false });
         if traced {
             note(Some(task.leaf.key), upstream.id, what, passed, out);
         }
--- a/crates/tgw-dispatch/src/owner.rs
+++ b/crates/tgw-dispatch/src/owner.rs
@@ -76,6 +76,8 @@
         extra: u8,
         /// Time in the queue before the first sending.
         waited: Millis,
+        /// Requests that wait or run in the group, as a part of its slots.
+        pressure: f32,
     },
     /// A decision for the log.
     Note(Note),
@@ -214,7 +216,14 @@
                 self.keys.remove(&key);
                 let outcome = Outcome::Moved(to);
                 let waited = Millis::ZERO;
-                out.push(Action::Answer { key, outcome, held: None, extra: 0, waited });
+                out.push(Action::Answer {
+                    key,
+                    outcome,
+                    held: None,
+                    extra: 0,
+                    waited,
+                    pressure: 0.0,
+                });
             }
         }
     }
@@ -326,6 +335,7 @@
                 held: None,
                 extra: 0,
                 waited: Millis::ZERO,
+                pressure: 0.0,
             }),
         }
     }
--- a/crates/tgw-dispatch/src/trust.rs
+++ b/crates/tgw-dispatch/src/trust.rs
@@ -32,6 +32,8 @@
     pub(crate) ticket: u64,
     pub(crate) task: u64,
     pub(crate) started: Millis,
+    /// It has been counted as late.
+    pub(crate) late: bool,
     /// Told to stop; the slot is taken until the upstream confirms.
     pub(crate) aborted: bool,
 }
--- a/crates/tgw-node/src/message.rs
+++ b/crates/tgw-node/src/message.rs
@@ -53,4 +53,13 @@
     pub extra: u8,
     /// Time in the queue.
     pub waited: Millis,
+    /// Requests that wait or run in the group, as a part of its slots.
+    pub pressure: f32,
+}
+
+impl Told {
+    /// An outcome that no queue was involved in.
+    pub fn bare(key: Key, outcome: Outcome) -> Self {
+        Self { key, outcome, held: None, extra: 0, waited: Millis::ZERO, pressure: 0.0 }
+    }
 }
--- a/crates/tgw-node/src/node.rs
+++ b/crates/tgw-node/src/node.rs
@@ -312,8 +312,8 @@
         match message {
             Message::Ask(ask) => self.asked(now, from, ask, out),
             Message::Cancel(key) => self.at_owner(now, owner::Event::Cancel(key), out),
-            Message::Outcome(Told { key, outcome, held, extra, waited }) => {
-                let event = Event::Outcome { from, key, outcome, held, extra, waited };
+            Message::Outcome(Told { key, outcome, held, extra, waited, pressure }) => {
+                let event = Event::Outcome { from, key, outcome, held, extra, waited, pressure };
                 self.at_entry(now, event, out);
             }
             Message::Alive => self.at_entry(now, Event::Heard(from), out),
@@ -332,8 +332,7 @@
         }
         if !self.groups.serves(group) {
             let outcome = Outcome::Moved(self.owner_of(group).filter(|vm| *vm != self.me));
-            let told = Told { key, outcome, held: None, extra: 0, waited: Millis::ZERO };
-            return self.tell(now, from, Message::Outcome(told), out);
+            return self.tell(now, from, Message::Outcome(Told::bare(key, outcome)), out);
         }
         let replicas = self.catalog.replicas(group.service, snapshot.layout, key.shard).into();
         let leaf = Leaf { key, snapshot, deadline: now + left, body, traced };
@@ -378,8 +377,8 @@
                 owner::Action::Abort { ticket, upstream } => {
                     out.push(Output::Abort { ticket, upstream });
                 }
-                owner::Action::Answer { key, outcome, held, extra, waited } => {
-                    let told = Told { key, outcome, held, extra, waited };
+                owner::Action::Answer { key, outcome, held, extra, waited, pressure } => {
+                    let told = Told { key, outcome, held, extra, waited, pressure };
                     self.tell(now, key.from, Message::Outcome(told), out);
                 }
                 owner::Action::Note(note) => {
@@ -521,9 +520,16 @@
                     let mut actions = Vec::new();
                     self.owner.hand_over(group, to, &mut actions);
                     for action in actions {
-                        if let owner::Action::Answer { key, outcome, held, extra, waited } = action
+                        if let owner::Action::Answer {
+                            key,
+                            outcome,
+                            held,
+                            extra,
+                            waited,
+                            pressure,
+                        } = action
                         {
-                            let told = Told { key, outcome, held, extra, waited };
+                            let told = Told { key, outcome, held, extra, waited, pressure };
                             self.tell(now, key.from, Message::Outcome(told), out);
                         }
                     }
--- a/crates/tgw-query/src/attempt.rs
+++ b/crates/tgw-query/src/attempt.rs
@@ -4,6 +4,7 @@
     running::{Attempt, Part, Running},
     step::{Action, What, Why},
 };
+use rand::Rng;
 use smallvec::SmallVec;
 use tgw_dispatch::leaf::{Key, Leaf};
 use tgw_tail::{Average, Budget, Hedge};
@@ -15,6 +16,9 @@
 /// Retries that may be saved up: a dead owner's requests are all asked again at once.
 const RETRY_BURST: f64 = 512.0;
 
+/// Mean of what is drawn on top of each estimate, in milliseconds.
+const DRAW_MS: f64 = 2.0;
+
 /// Where one leaf request goes.
 struct Route {
     group: Group,
@@ -76,7 +80,7 @@
     }
 
     /// The group and VM to ask for one shard; untried groups first, then by expected answer.
-    fn route(&self, cx: &Cx<'_>, running: &Running, index: usize, why: Why) -> Option<Route> {
+    fn route(&mut self, cx: &Cx<'_>, running: &Running, index: usize, why: Why) -> Option<Route> {
         let part = &running.parts[index];
         let replicas =
             cx.view.catalog.replicas(running.service, running.snapshot.layout, part.shard);
@@ -87,7 +91,10 @@
                 continue;
             }
             let tried = part.tried(group) && !matches!(why, Why::Moved | Why::Silent);
-            options.push((tried, self.paths.estimate(cx.now, group, cx.view), group));
+            // All VMs hear the same of a group's queue at about the same time. Without a draw they
+            // would all turn to the least crowded group together and crowd it.
+            let draw = -DRAW_MS * self.rng.random_range(f64::MIN_POSITIVE..1.0).ln();
+            options.push((tried, self.paths.estimate(cx.now, group, cx.view) + draw, group));
         }
         options.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         if why == Why::Hedge {
--- a/crates/tgw-query/src/entry.rs
+++ b/crates/tgw-query/src/entry.rs
@@ -2,12 +2,14 @@
     admit::{Gate, Verdict},
     answer::{Answer, Cause, Reason, Refusal},
     context::Cx,
+    outcome::Cost,
     path::Paths,
     running::Running,
     snapshot::{self, Offer},
     step::{Action, Event, Token, View, What, Why},
 };
 use bytes::Bytes;
+use rand::{SeedableRng, rngs::SmallRng};
 use smallvec::SmallVec;
 use std::collections::BTreeMap;
 use tgw_clock::Millis;
@@ -86,6 +88,8 @@
     pub(crate) running: BTreeMap<Query, Running>,
     pub(crate) tokens: BTreeMap<Token, Query>,
     pub(crate) tails: BTreeMap<Service, Tail>,
+    /// Draws between groups that promise nearly the same.
+    pub(crate) rng: SmallRng,
     pub(crate) next: u64,
     pub(crate) draining: bool,
     pub(crate) stats: Stats,
@@ -96,12 +100,13 @@
     pub fn new(options: Options) -> Self {
         Self {
             gate: Gate::new(options.places, options.adapt),
-            options,
             paths: Paths::default(),
             queued: BTreeMap::new(),
             running: BTreeMap::new(),
             tokens: BTreeMap::new(),
             tails: BTreeMap::new(),
+            rng: SmallRng::seed_from_u64(options.incarnation),
+            options,
             next: 1,
             draining: false,
             stats: Stats::default(),
@@ -141,9 +146,10 @@
                 self.submit(cx, token, service, within, body);
             }
             Event::Abandon(token) => self.abandon(cx, token),
-            Event::Outcome { from, key, outcome, held, extra, waited } => {
+            Event::Outcome { from, key, outcome, held, extra, waited, pressure } => {
                 self.paths.heard(now, from);
-                self.outcome(cx, from, key, outcome, held, (extra, waited));
+                let cost = Cost { extra, waited, pressure };
+                self.outcome(cx, from, key, outcome, held, cost);
             }
             Event::Heard(vm) => self.paths.heard(now, vm),
             Event::Lost(vm) => {
--- a/crates/tgw-query/src/late.rs
+++ b/crates/tgw-query/src/late.rs
@@ -38,13 +38,16 @@
     /// Asks a second group for shards whose first runs late, the oldest first.
     pub(crate) fn hedge_late(&mut self, cx: &mut Cx<'_>) {
         let mut due: Vec<(Millis, Query, usize)> = Vec::new();
-        for running in self.running.values() {
-            let Some(tail) = self.tails.get(&running.service) else { continue };
+        for running in self.running.values_mut() {
+            let Some(tail) = self.tails.get_mut(&running.service) else { continue };
             let late = tail.hedge.delay();
-            for (index, part) in running.parts.iter().enumerate() {
-                let sent = part.attempts.iter().find(|a| a.open).map(|a| a.sent);
-                let Some(sent) = sent.filter(|sent| cx.now - *sent >= late) else { continue };
-                if part.open() && !part.hedged && self.has_untried(cx, running, index) {
+            for (index, part) in running.parts.iter_mut().enumerate() {
+                let first = part.attempts.iter().find(|a| a.open).map(|a| a.sent);
+                let Some(sent) = first.filter(|sent| cx.now - *sent >= late) else { continue };
+                if !std::mem::replace(&mut part.late, true) {
+                    tail.hedge.late();
+                }
+                if part.open() && !part.hedged {
                     due.push((sent, running.query, index));
                 }
             }
@@ -52,7 +55,8 @@
         due.sort_unstable();
         for (_, query, index) in due {
             let Some(mut running) = self.running.remove(&query) else { continue };
-            if self.tail(cx, running.service).hedge.fire() {
+            let may = self.has_untried(cx, &running, index);
+            if may && self.tail(cx, running.service).hedge.fire() {
                 running.parts[index].hedged = true;
                 self.ask(cx, &mut running, index, Why::Hedge);
             }
--- a/crates/tgw-query/src/outcome.rs
+++ b/crates/tgw-query/src/outcome.rs
@@ -16,6 +16,14 @@
 const RESTART_SHARE: f64 = 0.3;
 const RESTARTS: usize = 2;
 
+/// What a leaf request cost at the owner.
+#[derive(Copy, Clone, Debug)]
+pub(crate) struct Cost {
+    pub(crate) extra: u8,
+    pub(crate) waited: Millis,
+    pub(crate) pressure: f32,
+}
+
 impl Entry {
     pub(crate) fn outcome(
         &mut self,
@@ -24,20 +32,20 @@
         key: Key,
         outcome: Outcome,
         held: Option<Held>,
-        (extra, waited): (u8, Millis),
+        cost: Cost,
     ) {
         let Some(mut running) = self.running.remove(&key.query) else {
             self.stats.late += 1;
             return;
         };
-        if let Some(index) = self.matching(cx, &mut running, from, key, &outcome) {
+        if let Some(index) = self.matching(cx, &mut running, from, key, &outcome, cost) {
             let group = running.parts[index].attempts.iter().find(|a| a.number == key.attempt);
             if let (Some(held), Some(attempt)) = (held, group) {
                 self.paths.set_held(cx.now, attempt.group, held);
             }
-            running.waited = running.waited.max(waited);
-            self.stats.extra_owner += u64::from(extra);
-            self.tail(cx, running.service).extra.add(f64::from(extra));
+            running.waited = running.waited.max(cost.waited);
+            self.stats.extra_owner += u64::from(cost.extra);
+            self.tail(cx, running.service).extra.add(f64::from(cost.extra));
             self.take(cx, &mut running, index, key, outcome);
         }
         self.settle(cx, running);
@@ -52,6 +60,7 @@
         from: Vm,
         key: Key,
         outcome: &Outcome,
+        cost: Cost,
     ) -> Option<usize> {
         let index = usize::from(key.shard.0);
         let part = running.parts.get_mut(index);
@@ -68,8 +77,11 @@
             return None;
         }
         let useful = matches!(outcome, Outcome::Items(_));
-        let took = useful.then_some(cx.now - attempt.sent);
-        self.paths.answered(cx.now, attempt.group, from, took);
+        let way = useful.then_some((cx.now - attempt.sent) - cost.waited);
+        self.paths.ended(cx.now, attempt.group, from);
+        if let Some(way) = way {
+            self.paths.learned(cx.now, attempt.group, way, cost.pressure);
+        }
         if !running.parts[index].open() {
             self.stats.late += 1;
             return None;
@@ -195,7 +207,7 @@
         let shard = part.shard;
         for attempt in part.attempts.iter_mut().filter(|a| a.open) {
             attempt.open = false;
-            self.paths.answered(cx.now, attempt.group, attempt.to, None);
+            self.paths.ended(cx.now, attempt.group, attempt.to);
             let key = Key { from, query, shard, attempt: attempt.number };
             cx.out.push(Action::Cancel { to: attempt.to, key });
         }
--- a/crates/tgw-query/src/path.rs
+++ b/crates/tgw-query/src/path.rs
@@ -11,13 +11,20 @@
 /// Time after which an estimate that no reply renewed has lost most of its weight, in ms. Without
 /// it, a group that was slow once would never be asked again and never be seen to recover.
 const FADE_MS: f64 = 2000.0;
+/// Time after which an owner's word on its queue has lost most of its weight, in milliseconds.
+const PRESSURE_FADE_MS: f64 = 100.0;
+/// How much longer an answer is expected, in service times, while all slots are just taken.
+const CROWD_SLOPE: f64 = 0.4;
 /// Silence of a VM that owes answers before it counts as stalled, besides the way there and back.
 const STALL: Millis = Millis::new(80);
 
 /// What is known of the way to one group.
 #[derive(Clone, Debug)]
 struct Path {
-    latency: Average,
+    /// Time from asking to the answer, less the time in the owner's queue.
+    way: Average,
+    /// Requests that waited or ran at the owner, as a part of its slots, when it last answered.
+    pressure: f64,
     seen: Millis,
     flying: u32,
     held: Option<Held>,
@@ -69,9 +76,17 @@
         let place = view.catalog.place(group.domain).unwrap_or(view.here);
         let base = 2.0 * view.distance.between(view.here, place) + SERVICE_START_MS;
         let Some(path) = self.groups.get(&group) else { return base };
-        let fade = (-((now - path.seen).as_f64()) / FADE_MS).exp();
-        let latency = base + (path.latency.get() - base) * fade;
-        latency + f64::from(path.flying)
+        let age = (now - path.seen).as_f64();
+        let way = base + (path.way.get() - base) * (-age / FADE_MS).exp();
+        let pressure = path.pressure * (-age / PRESSURE_FADE_MS).exp();
+        let slots = self.slots(group, view);
+        let own = f64::from(path.flying) / slots;
+        let crowd = pressure.max(own);
+        way + SERVICE_START_MS * (CROWD_SLOPE * crowd + (crowd - 1.0).max(0.0))
+    }
+
+    fn slots(&self, group: Group, view: &View<'_>) -> f64 {
+        view.catalog.slots(group).max(1).into()
     }
 
     pub(crate) fn ask(&mut self, now: Millis, group: Group, to: Vm) {
@@ -83,18 +98,23 @@
         link.flying += 1;
     }
 
-    pub(crate) fn answered(&mut self, now: Millis, group: Group, from: Vm, took: Option<Millis>) {
+    /// An attempt through `from` is no longer awaited.
+    pub(crate) fn ended(&mut self, now: Millis, group: Group, from: Vm) {
         let path = self.path(now, group);
         path.flying = path.flying.saturating_sub(1);
-        if let Some(took) = took {
-            path.latency.add(took.as_f64());
-            path.seen = now;
-        }
         if let Some(link) = self.links.get_mut(&from) {
             link.flying = link.flying.saturating_sub(1);
         }
     }
 
+    /// An answer took `way` besides its wait in the owner's queue.
+    pub(crate) fn learned(&mut self, now: Millis, group: Group, way: Millis, pressure: f32) {
+        let path = self.path(now, group);
+        path.way.add(way.as_f64());
+        path.pressure = f64::from(pressure);
+        path.seen = now;
+    }
+
     pub(crate) fn heard(&mut self, now: Millis, vm: Vm) {
         let link = self.links.entry(vm).or_default();
         link.heard = now;
@@ -126,7 +146,8 @@
 
     fn path(&mut self, now: Millis, group: Group) -> &mut Path {
         self.groups.entry(group).or_insert_with(|| Path {
-            latency: Average::new(SERVICE_START_MS, LATENCY_WEIGHT),
+            way: Average::new(SERVICE_START_MS, LATENCY_WEIGHT),
+            pressure: 0.0,
             seen: now,
             flying: 0,
             held: None,
--- a/crates/tgw-query/src/step.rs
+++ b/crates/tgw-query/src/step.rs
@@ -65,6 +65,8 @@
         extra: u8,
         /// Time in the owner's queue.
         waited: Millis,
+        /// Requests that wait or run in the group, as a part of its slots.
+        pressure: f32,
     },
     /// Any frame came from a VM.
     Heard(Vm),
--- a/crates/tgw-serve/src/serve.rs
+++ b/crates/tgw-serve/src/serve.rs
@@ -190,13 +190,9 @@
         // try elsewhere; outcomes and cancellations are lost, and the asker's timers deal with it.
         let Parcel::Messages(messages) = parcel else { return };
         let failed = messages.into_iter().filter_map(|message| match message {
-            Message::Ask(Ask { key, .. }) => Some(Message::Outcome(Told {
-                key,
-                outcome: Outcome::Failed(Failure::Closed),
-                held: None,
-                extra: 0,
-                waited: Millis::ZERO,
-            })),
+            Message::Ask(Ask { key, .. }) => {
+                Some(Message::Outcome(Told::bare(key, Outcome::Failed(Failure::Closed))))
+            }
             _ => None,
         });
         let _ = self.core.push(Work::Messages(vm, failed.collect()));
--- a/crates/tgw-tail/src/hedge.rs
+++ b/crates/tgw-tail/src/hedge.rs
@@ -7,14 +7,16 @@
 const AIM: f64 = 0.85;
 /// Hedges that may be saved up for a burst of stragglers.
 const BURST: f64 = 12.0;
+const LEAST_AIM: f64 = 0.005;
+const MOST_AIM: f64 = 0.1;
 const START_MS: f64 = 30.0;
 const LEAST_MS: f64 = 1.0;
 const MOST_MS: f64 = 2000.0;
 
 /// Finds the age at which a running request is hedged.
 ///
-/// The delay follows the quantile of the running requests' ages at which hedges make up a set part of
-/// the allowed share: each hedge raises it, each request lowers it, and the two balance there
+/// The delay follows the quantile of the requests' running times that leaves a set part of the allowed
+/// share above it: each late request raises it, each request lowers it, and the two balance there
 /// (stochastic approximation of a quantile). The budget behind it is a hard bound.
 #[derive(Clone, Debug)]
 pub struct Hedge {
@@ -38,7 +40,13 @@
     /// Counts one request that was not a hedge.
     pub fn request(&mut self) {
         self.budget.earn();
-        self.delay = (self.delay * (-GAIN * self.share * AIM).exp()).max(LEAST_MS);
+        self.delay = (self.delay * (-GAIN * self.aim()).exp()).max(LEAST_MS);
+    }
+
+    /// The part of the requests that should become late. Without a budget there still is one: being
+    /// late also tells stragglers apart.
+    fn aim(&self) -> f64 {
+        (self.share * AIM).clamp(LEAST_AIM, MOST_AIM)
     }
 
     /// The age at which a request is late.
@@ -46,12 +54,15 @@
         Millis::from_f64(self.delay)
     }
 
+    /// Counts one request that has just become late, whether or not it can be hedged.
+    pub fn late(&mut self) {
+        // Raised by hedges alone, the delay of a group where none can be placed would sink until
+        // every request counted as late and every upstream as a straggler.
+        self.delay = (self.delay * (GAIN * (1.0 - self.aim())).exp()).min(MOST_MS);
+    }
+
     /// Takes one hedge from the budget for a late request; false if there is none to take.
     pub fn fire(&mut self) -> bool {
-        if self.share <= 0.0 {
-            return false;
-        }
-        self.delay = (self.delay * (GAIN * (1.0 - self.share * AIM)).exp()).min(MOST_MS);
-        self.budget.spend()
+        self.share > 0.0 && self.budget.spend()
     }
 }
--- a/crates/tgw-topology/src/catalog.rs
+++ b/crates/tgw-topology/src/catalog.rs
@@ -144,6 +144,12 @@
         news
     }
 
+    /// Slots of all upstreams of a group.
+    pub fn slots(&self, group: Group) -> u32 {
+        let members = self.upstreams.values().filter(|u| u.group() == group);
+        members.map(|u| u32::from(u.slots)).sum()
+    }
+
     /// Where the members of a group lie.
     pub fn place(&self, domain: Domain) -> Option<Place> {
         self.upstreams.values().map(|u| u.place).find(|p| p.domain == domain)
