perf(dispatch): judge lateness over all groups of a service at their owner

Cause: in a group that had a straggler the hedge delay rose with it, so its requests were hedged late. Change: one delay and one budget a service and owner instead of one a group.

--- a/crates/tgw-dispatch/src/group.rs
+++ b/crates/tgw-dispatch/src/group.rs
@@ -16,6 +16,21 @@
 const OVERDUE: f64 = 1.5;
 const RETRY_BURST: f64 = 20.0;
 
+/// What the groups of one service share at their owner.
+pub(crate) struct Pool<'a> {
+    pub(crate) next: &'a mut Ticket,
+    /// Lateness is judged over all groups of the service: a straggler makes much of its own group
+    /// late, and a delay learned there alone would rise until it counted as ordinary.
+    pub(crate) hedge: &'a mut Hedge,
+}
+
+impl Pool<'_> {
+    fn ticket(&mut self) -> Ticket {
+        *self.next += 1;
+        *self.next
+    }
+}
+
 /// A request that waits or runs.
 struct Task {
     leaf: Leaf,
@@ -43,7 +58,6 @@
     /// Waiting requests by deadline, then arrival.
     queue: BTreeSet<(Millis, u64)>,
     next_task: u64,
-    hedge: Hedge,
     retry: Budget,
     share: f64,
     released: bool,
@@ -60,7 +74,6 @@
             keys: BTreeMap::new(),
             queue: BTreeSet::new(),
             next_task: 1,
-            hedge: Hedge::new(options.hedge),
             retry: Budget::new(options.retry, RETRY_BURST),
             share: 1.0,
             released: false,
@@ -69,7 +82,6 @@
 
     pub(crate) fn describe(&mut self, nodes: &[&Node], options: &Options) {
         self.released = false;
-        self.hedge.set_share(options.hedge);
         self.retry.set_share(options.retry);
         self.options = options.clone();
         for node in nodes.iter().filter(|n| n.group() == self.id) {
@@ -153,7 +165,7 @@
         now: Millis,
         replicas: &[Upstream],
         leaf: Leaf,
-        next: &mut Ticket,
+        pool: &mut Pool<'_>,
         out: &mut Vec<Action>,
     ) {
         let index = |id: &Upstream| self.upstreams.iter().position(|u| u.id == *id);
@@ -177,7 +189,7 @@
             last: None,
         };
         self.tasks.insert(number, task);
-        self.fill(now, next, out);
+        self.fill(now, pool, out);
         self.give_up_if_unservable(now, number, out);
     }
 
@@ -193,7 +205,7 @@
         ticket: Ticket,
         result: Result<Reply, Failure>,
         held: Option<Held>,
-        next: &mut Ticket,
+        pool: &mut Pool<'_>,
         out: &mut Vec<Action>,
     ) {
         let Some((index, run)) = self.take_run(ticket) else { return };
@@ -201,11 +213,11 @@
             self.upstreams[index].set_held(held);
         }
         let snapshot = self.tasks.get(&run.task).map(|t| (t.leaf.snapshot, t.leaf.key));
-        self.judge(now, index, &run, &result, snapshot, out);
+        self.judge(now, pool.hedge.delay(), (index, &run), &result, snapshot, out);
         if !run.aborted {
             self.settle(now, index, &run, result, out);
         }
-        self.fill(now, next, out);
+        self.fill(now, pool, out);
     }
 
     fn take_run(&mut self, ticket: Ticket) -> Option<(usize, Run)> {
@@ -219,13 +231,12 @@
     fn judge(
         &mut self,
         now: Millis,
-        index: usize,
-        run: &Run,
+        late: Millis,
+        (index, run): (usize, &Run),
         result: &Result<Reply, Failure>,
         asked: Option<(Snapshot, Key)>,
         out: &mut Vec<Action>,
     ) {
-        let late = self.hedge.delay();
         let upstream = &mut self.upstreams[index];
         let age = now - run.started;
         match result {
@@ -357,13 +368,13 @@
         Some(all)
     }
 
-    pub(crate) fn tick(&mut self, now: Millis, next: &mut Ticket, out: &mut Vec<Action>) {
+    pub(crate) fn tick(&mut self, now: Millis, pool: &mut Pool<'_>, out: &mut Vec<Action>) {
         if self.tasks.is_empty() {
             return;
         }
         self.expire(now, out);
-        self.mark_late(now, out);
-        self.fill(now, next, out);
+        self.mark_late(now, pool, out);
+        self.fill(now, pool, out);
     }
 
     fn expire(&mut self, now: Millis, out: &mut Vec<Action>) {
@@ -375,13 +386,13 @@
     }
 
     /// Counts requests that have become late, and stops trusting the upstreams that they run on.
-    fn mark_late(&mut self, now: Millis, out: &mut Vec<Action>) {
-        let late = self.hedge.delay();
+    fn mark_late(&mut self, now: Millis, pool: &mut Pool<'_>, out: &mut Vec<Action>) {
+        let late = pool.hedge.delay();
         let overdue = late.scale(OVERDUE);
         for upstream in &mut self.upstreams {
             for run in upstream.runs.iter_mut().filter(|r| !r.late && now - r.started >= late) {
                 run.late = true;
-                self.hedge.late();
+                pool.hedge.late();
             }
             if !self.options.suspect {
                 continue;
@@ -394,18 +405,18 @@
         }
     }
 
-    fn fill(&mut self, now: Millis, next: &mut Ticket, out: &mut Vec<Action>) {
+    fn fill(&mut self, now: Millis, pool: &mut Pool<'_>, out: &mut Vec<Action>) {
         if self.options.hedge_first {
-            self.hedge_late(now, next, out);
-            self.place(now, next, out);
+            self.hedge_late(now, pool, out);
+            self.place(now, pool, out);
         } else {
-            self.place(now, next, out);
-            self.hedge_late(now, next, out);
+            self.place(now, pool, out);
+            self.hedge_late(now, pool, out);
         }
     }
 
     /// Sends waiting requests to free upstreams.
-    fn place(&mut self, now: Millis, next: &mut Ticket, out: &mut Vec<Action>) {
+    fn place(&mut self, now: Millis, pool: &mut Pool<'_>, out: &mut Vec<Action>) {
         let mut from = (Millis::ZERO, 0);
         for _ in 0..SCAN {
             if !self.upstreams.iter().any(|u| u.free(now, self.share)) {
@@ -420,15 +431,15 @@
             let what = if task.sent == 0 { What::Send } else { What::Retry };
             self.queue.remove(&at);
             if what == What::Send {
-                self.hedge.request();
+                pool.hedge.request();
                 self.retry.earn();
             }
-            self.send(now, at.1, usable[chosen], what, next, out);
+            self.send(now, at.1, usable[chosen], what, pool, out);
         }
     }
 
     /// Sends requests that run late a second time, the longest running first.
-    fn hedge_late(&mut self, now: Millis, next: &mut Ticket, out: &mut Vec<Action>) {
+    fn hedge_late(&mut self, now: Millis, pool: &mut Pool<'_>, out: &mut Vec<Action>) {
         let mut due: SmallVec<[(Millis, u64); 8]> = SmallVec::new();
         for run in self.upstreams.iter().flat_map(|u| &u.runs) {
             let open = |t: &Task| !t.hedged && t.sent < self.options.attempts;
@@ -446,10 +457,10 @@
             });
             let candidates = self.candidates(now, &usable);
             let Some(chosen) = self.policy.choose(now, &candidates) else { continue };
-            if !self.hedge.fire() {
+            if !pool.hedge.fire() {
                 return;
             }
-            self.send(now, number, usable[chosen], What::Hedge, next, out);
+            self.send(now, number, usable[chosen], What::Hedge, pool, out);
         }
     }
 
@@ -459,14 +470,13 @@
         number: u64,
         index: usize,
         what: What,
-        next: &mut Ticket,
+        pool: &mut Pool<'_>,
         out: &mut Vec<Action>,
     ) {
         let traced = self.tasks.get(&number).is_some_and(|t| t.leaf.traced);
         let passed = if traced { self.passed(now, number, index) } else { SmallVec::new() };
         let Some(task) = self.tasks.get_mut(&number) else { return };
-        let ticket = *next;
-        *next += 1;
+        let ticket = pool.ticket();
         task.sent += 1;
         task.hedged |= what == What::Hedge;
         task.waited.get_or_insert(now - task.arrived);
--- a/crates/tgw-dispatch/src/owner.rs
+++ b/crates/tgw-dispatch/src/owner.rs
@@ -1,13 +1,14 @@
 //! All groups that a VM owns.
 
 use crate::{
-    group::Group,
+    group::{Group, Pool},
     leaf::{Failure, Held, Key, Leaf, Outcome, Reply},
     pick::Policy,
 };
 use std::collections::BTreeMap;
 use tgw_clock::Millis;
-use tgw_topology::{Group as GroupId, Snapshot, Upstream, catalog::Node};
+use tgw_tail::Hedge;
+use tgw_topology::{Group as GroupId, Service, Snapshot, Upstream, catalog::Node};
 
 /// One sending of a request to an upstream.
 pub type Ticket = u64;
@@ -177,6 +178,7 @@
     keys: BTreeMap<Key, GroupId>,
     upstreams: BTreeMap<Upstream, GroupId>,
     next: Ticket,
+    hedges: BTreeMap<Service, Hedge>,
     make: Box<dyn Fn(GroupId) -> Box<dyn Policy> + Send>,
 }
 
@@ -188,7 +190,8 @@
             tickets: BTreeMap::new(),
             keys: BTreeMap::new(),
             upstreams: BTreeMap::new(),
-            next: 1,
+            next: 0,
+            hedges: BTreeMap::new(),
             make,
         }
     }
@@ -198,6 +201,8 @@
         let make = &self.make;
         let group = self.groups.entry(id).or_insert_with(|| Group::new(id, options, make(id)));
         group.describe(nodes, options);
+        let fresh = || Hedge::new(options.hedge);
+        self.hedges.entry(id.service).or_insert_with(fresh).set_share(options.hedge);
         self.upstreams.extend(nodes.iter().map(|n| (n.id, id)));
     }
 
@@ -283,8 +288,8 @@
             }
             Event::Done { ticket, result, held } => {
                 let id = self.tickets.remove(&ticket);
-                if let Some(group) = id.and_then(|g| self.groups.get_mut(&g)) {
-                    group.done(now, ticket, result, held, &mut self.next, out);
+                if let Some((group, mut pool)) = id.and_then(|g| self.pooled(g)) {
+                    group.done(now, ticket, result, held, &mut pool, out);
                 }
             }
             Event::Leaving(upstream) => {
@@ -303,14 +308,24 @@
                 }
             }
             Event::Tick => {
-                for group in self.groups.values_mut() {
-                    group.tick(now, &mut self.next, out);
+                let (next, hedges) = (&mut self.next, &mut self.hedges);
+                for (id, group) in &mut self.groups {
+                    if let Some(hedge) = hedges.get_mut(&id.service) {
+                        group.tick(now, &mut Pool { next, hedge }, out);
+                    }
                 }
             }
         }
         self.index(&out[from..]);
     }
 
+    /// A group with what it shares with the others of its service.
+    fn pooled(&mut self, id: GroupId) -> Option<(&mut Group, Pool<'_>)> {
+        let group = self.groups.get_mut(&id)?;
+        let hedge = self.hedges.get_mut(&id.service)?;
+        Some((group, Pool { next: &mut self.next, hedge }))
+    }
+
     fn group_mut(&mut self, upstream: Upstream) -> Option<&mut Group> {
         self.groups.get_mut(self.upstreams.get(&upstream)?)
     }
@@ -324,12 +339,13 @@
         out: &mut Vec<Action>,
     ) {
         let key = leaf.key;
-        match self.groups.get_mut(&id) {
-            Some(group) if !group.released() => {
-                self.keys.insert(key, id);
-                group.ask(now, replicas, leaf, &mut self.next, out);
-            }
-            _ => out.push(Action::Answer {
+        let serves = self.groups.get(&id).is_some_and(|g| !g.released());
+        if serves {
+            self.keys.insert(key, id);
+        }
+        match self.pooled(id).filter(|_| serves) {
+            Some((group, mut pool)) => group.ask(now, replicas, leaf, &mut pool, out),
+            None => out.push(Action::Answer {
                 key,
                 outcome: Outcome::Moved(None),
                 held: None,
