perf(query): groups give back what waits too long; the oldest attempt counts in estimates

Change: each leaf request carries the patience after which another group promises an earlier answer; the owner then gives it back unsent, and the entry asks elsewhere. Estimates count the age of the oldest attempt under way.

--- a/crates/tgw-dispatch/src/group.rs
+++ b/crates/tgw-dispatch/src/group.rs
@@ -280,7 +280,7 @@
             // put foreign items into the answer; it counts as not holding what was asked.
             Ok(Reply::Items { snapshot, shard, items }) => {
                 if (snapshot, shard) == (task.leaf.snapshot, task.leaf.key.shard) {
-                    self.answer(run.task, Outcome::Items(items), out);
+                    self.answer(now, run.task, Outcome::Items(items), out);
                     return;
                 }
                 Outcome::Gone
@@ -308,17 +308,17 @@
             self.queue.insert((task.leaf.deadline, number));
             self.give_up_if_unservable(now, number, out);
         } else {
-            self.give_up(number, out);
+            self.give_up(now, number, out);
         }
     }
 
-    fn give_up(&mut self, number: u64, out: &mut Vec<Action>) {
+    fn give_up(&mut self, now: Millis, number: u64, out: &mut Vec<Action>) {
         let last = self.tasks.get_mut(&number).and_then(|t| t.last.take());
         let outcome = last.unwrap_or(Outcome::Failed(Failure::NoUpstream));
-        self.answer(number, outcome, out);
+        self.answer(now, number, outcome, out);
     }
 
-    fn answer(&mut self, number: u64, outcome: Outcome, out: &mut Vec<Action>) {
+    fn answer(&mut self, now: Millis, number: u64, outcome: Outcome, out: &mut Vec<Action>) {
         let Some(task) = self.remove(number, out) else { return };
         out.push(Action::Answer {
             key: task.leaf.key,
@@ -326,7 +326,7 @@
             held: self.held(),
             extra: task.sent.saturating_sub(1),
             waited: task.waited.unwrap_or_default(),
-            pressure: self.pressure(),
+            pressure: self.pressure(now),
         });
     }
 
@@ -346,9 +346,9 @@
     }
 
     /// Requests that wait or run, as a part of the slots that may be used.
-    fn pressure(&self) -> f32 {
-        let staying = self.upstreams.iter().filter(|u| !u.leaving());
-        let slots: f64 = staying.map(|u| f64::from(u.slots) * self.share).sum();
+    fn pressure(&self, now: Millis) -> f32 {
+        let usable = self.upstreams.iter().filter(|u| u.rank(now) == Rank::Trusted);
+        let slots: f64 = usable.map(|u| f64::from(u.slots) * self.share).sum();
         (self.tasks.len() as f64 / slots.max(1.0)) as f32
     }
 
@@ -381,7 +381,16 @@
         let expired: SmallVec<[u64; 8]> =
             self.tasks.iter().filter(|(_, t)| t.leaf.deadline <= now).map(|(n, _)| *n).collect();
         for number in expired {
-            self.answer(number, Outcome::Expired, out);
+            self.answer(now, number, Outcome::Expired, out);
+        }
+        // What waits behind a straggler that is a group of its own cannot be moved here. Its entry
+        // can: nothing was sent, so asking another group costs no extra load.
+        let due = |task: &&Task| task.leaf.give_back.is_some_and(|at| at <= now);
+        let waits = |(_, number): &(Millis, u64)| self.tasks.get(number).filter(due).is_some();
+        let given_back: SmallVec<[u64; 8]> =
+            self.queue.iter().filter(|q| waits(q)).map(|q| q.1).collect();
+        for number in given_back {
+            self.answer(now, number, Outcome::Crowded, out);
         }
     }
 
@@ -547,16 +556,16 @@
             return;
         }
         if task.leaf.deadline <= now {
-            self.answer(number, Outcome::Expired, out);
+            self.answer(now, number, Outcome::Expired, out);
             return;
         }
         let staying = |i: &&usize| !self.upstreams[**i].leaving();
         let staying: SmallVec<[usize; 4]> = task.eligible.iter().filter(staying).copied().collect();
         if staying.is_empty() {
-            self.give_up(number, out);
+            self.give_up(now, number, out);
         } else if !staying.iter().any(|i| self.upstreams[*i].holds(task.leaf.snapshot)) {
             task.last = Some(Outcome::Gone);
-            self.give_up(number, out);
+            self.give_up(now, number, out);
         }
     }
 }
--- a/crates/tgw-dispatch/src/leaf.rs
+++ b/crates/tgw-dispatch/src/leaf.rs
@@ -35,6 +35,8 @@
     pub snapshot: Snapshot,
     /// When its outcome stops being of use.
     pub deadline: Millis,
+    /// When it is given back if it still waits, because another group promises an earlier answer.
+    pub give_back: Option<Millis>,
     /// What is searched for, opaque to the tier.
     pub body: Bytes,
     /// Whether decisions about it are logged.
@@ -50,6 +52,8 @@
     Gone,
     /// Every upstream that could be asked shed the request.
     Shed,
+    /// It waited for so long that another group promises an earlier answer; it was not sent.
+    Crowded,
     /// The attempts failed.
     Failed(Failure),
     /// The deadline passed first.
--- a/crates/tgw-node/src/message.rs
+++ b/crates/tgw-node/src/message.rs
@@ -34,6 +34,8 @@
     pub snapshot: Snapshot,
     /// Time left; clocks of two VMs are not compared.
     pub left: Millis,
+    /// Time after which it is given back if it still waits.
+    pub patience: Option<Millis>,
     /// What is searched for.
     pub body: Bytes,
     /// Whether decisions about it are logged.
--- a/crates/tgw-node/src/node.rs
+++ b/crates/tgw-node/src/node.rs
@@ -325,7 +325,7 @@
         if from != self.me {
             self.working_for.insert(from);
         }
-        let Ask { group, stand_in, key, snapshot, left, body, traced } = ask;
+        let Ask { group, stand_in, key, snapshot, left, patience, body, traced } = ask;
         if stand_in {
             let steps = self.groups.stand_in(now, group);
             self.carry_out(now, group, steps, "stands in: the owner is silent", out);
@@ -335,7 +335,8 @@
             return self.tell(now, from, Message::Outcome(Told::bare(key, outcome)), out);
         }
         let replicas = self.catalog.replicas(group.service, snapshot.layout, key.shard).into();
-        let leaf = Leaf { key, snapshot, deadline: now + left, body, traced };
+        let give_back = patience.map(|p| now + p);
+        let leaf = Leaf { key, snapshot, deadline: now + left, give_back, body, traced };
         self.at_owner(now, owner::Event::Ask { group, replicas, leaf }, out);
     }
 
@@ -353,9 +354,10 @@
         for action in actions {
             match action {
                 Action::Ask { to, group, stand_in, leaf } => {
-                    let Leaf { key, snapshot, deadline, body, traced } = leaf;
+                    let Leaf { key, snapshot, deadline, give_back, body, traced } = leaf;
                     let left = deadline - now;
-                    let ask = Ask { group, stand_in, key, snapshot, left, body, traced };
+                    let patience = give_back.map(|at| at - now);
+                    let ask = Ask { group, stand_in, key, snapshot, left, patience, body, traced };
                     self.tell(now, to, Message::Ask(ask), out);
                 }
                 Action::Cancel { to, key } => self.tell(now, to, Message::Cancel(key), out),
--- a/crates/tgw-query/src/attempt.rs
+++ b/crates/tgw-query/src/attempt.rs
@@ -6,6 +6,7 @@
 };
 use rand::Rng;
 use smallvec::SmallVec;
+use tgw_clock::Millis;
 use tgw_dispatch::leaf::{Key, Leaf};
 use tgw_tail::{Average, Budget, Hedge};
 use tgw_topology::{Group, Service, Vm};
@@ -19,12 +20,17 @@
 /// Mean of what is drawn on top of each estimate, in milliseconds.
 const DRAW_MS: f64 = 2.0;
 
+/// The part of what another group would take, the way back included, that a request waits in a queue.
+const PATIENCE: f64 = 0.6;
+
 /// Where one leaf request goes.
 struct Route {
     group: Group,
     to: Vm,
     stand_in: bool,
     estimate: f64,
+    /// How long the request may wait at the owner before another group is the better way.
+    patience: Option<Millis>,
     passed: SmallVec<[(Group, f64); 3]>,
 }
 
@@ -54,17 +60,17 @@
         why: Why,
     ) -> bool {
         let Some(route) = self.route(cx, running, index, why) else { return false };
-        let Route { group, to, stand_in, estimate, passed } = route;
+        let Route { group, to, stand_in, estimate, patience, passed } = route;
         let traced = running.traced;
         let part = &mut running.parts[index];
         let number = part.next;
         part.next = part.next.saturating_add(1);
-        part.attempts.push(Attempt { number, group, to, sent: cx.now, open: true });
+        part.attempts.push(Attempt { number, group, to, sent: cx.now, open: true, unsent: false });
         let key =
             Key { from: self.options.vm, query: running.query, shard: part.shard, attempt: number };
         let shard = part.shard;
         self.paths.ask(cx.now, group, to);
-        if why != Why::First && why != Why::Moved {
+        if !matches!(why, Why::First | Why::Moved | Why::Crowded) {
             self.stats.extra += 1;
         }
         cx.note(running, What::Ask { shard, attempt: number, group, to, why, estimate, passed });
@@ -72,6 +78,7 @@
             key,
             snapshot: running.snapshot,
             deadline: running.deadline,
+            give_back: patience.map(|p| cx.now + p),
             body: running.body.clone(),
             traced,
         };
@@ -110,7 +117,12 @@
         } else {
             SmallVec::new()
         };
-        Some(Route { group, to, stand_in, estimate, passed })
+        let other = options.iter().filter(|o| o.2 != group && !o.0).map(|o| o.1).next();
+        let back =
+            cx.view.catalog.place(group.domain).map(|p| cx.view.distance.between(cx.view.here, p));
+        let patience =
+            other.map(|other| Millis::from_f64(PATIENCE * (other + back.unwrap_or_default())));
+        Some(Route { group, to, stand_in, estimate, patience, passed })
     }
 
     /// The VM to ask for a group: its owner, or a stand-in while the owner is silent.
--- a/crates/tgw-query/src/outcome.rs
+++ b/crates/tgw-query/src/outcome.rs
@@ -78,10 +78,8 @@
         }
         let useful = matches!(outcome, Outcome::Items(_));
         let way = useful.then_some((cx.now - attempt.sent) - cost.waited);
-        self.paths.ended(cx.now, attempt.group, from);
-        if let Some(way) = way {
-            self.paths.learned(cx.now, attempt.group, way, cost.pressure);
-        }
+        self.paths.ended(cx.now, attempt.group, from, attempt.sent);
+        self.paths.learned(cx.now, attempt.group, way, cost.pressure);
         if !running.parts[index].open() {
             self.stats.late += 1;
             return None;
@@ -117,6 +115,12 @@
                 }
                 self.after_failure(cx, running, index, Reason::SnapshotGone);
             }
+            Outcome::Crowded => {
+                running.parts[index].unsent(key.attempt);
+                if !self.ask(cx, running, index, Why::Crowded) {
+                    self.miss(cx, running, index, Reason::Unreachable);
+                }
+            }
             Outcome::Shed => self.after_failure(cx, running, index, Reason::Shed),
             Outcome::Failed(_) | Outcome::Moved(_) => {
                 self.after_failure(cx, running, index, Reason::Failed);
@@ -140,7 +144,7 @@
             return;
         }
         let attempts = cx.row(running.service).map_or(1, |r| usize::from(r.attempts));
-        let may = running.parts[index].attempts.len() < attempts && cx.now < running.deadline;
+        let may = running.parts[index].sent() < attempts && cx.now < running.deadline;
         let may = may && self.has_untried(cx, running, index);
         let may = may && self.may_retry(cx, running.service, reason);
         if may && self.ask(cx, running, index, Why::Retry) {
@@ -207,7 +211,7 @@
         let shard = part.shard;
         for attempt in part.attempts.iter_mut().filter(|a| a.open) {
             attempt.open = false;
-            self.paths.ended(cx.now, attempt.group, attempt.to);
+            self.paths.ended(cx.now, attempt.group, attempt.to, attempt.sent);
             let key = Key { from, query, shard, attempt: attempt.number };
             cx.out.push(Action::Cancel { to: attempt.to, key });
         }
--- a/crates/tgw-query/src/path.rs
+++ b/crates/tgw-query/src/path.rs
@@ -15,6 +15,8 @@
 const PRESSURE_FADE_MS: f64 = 100.0;
 /// How much longer an answer is expected, in service times, while all slots are just taken.
 const CROWD_SLOPE: f64 = 0.4;
+/// How many times the usual way an attempt may take before it makes its group look slow.
+const LATE: f64 = 2.0;
 /// Silence of a VM that owes answers before it counts as stalled, besides the way there and back.
 const STALL: Millis = Millis::new(80);
 
@@ -26,7 +28,8 @@
     /// Requests that waited or ran at the owner, as a part of its slots, when it last answered.
     pressure: f64,
     seen: Millis,
-    flying: u32,
+    /// Attempts under way, by when they were sent.
+    flying: BTreeMap<Millis, u32>,
     held: Option<Held>,
     /// Snapshots that the group has said it does not hold since it last listed those it does.
     lost: Held,
@@ -80,9 +83,12 @@
         let way = base + (path.way.get() - base) * (-age / FADE_MS).exp();
         let pressure = path.pressure * (-age / PRESSURE_FADE_MS).exp();
         let slots = self.slots(group, view);
-        let own = f64::from(path.flying) / slots;
+        let own = f64::from(path.flying.values().sum::<u32>()) / slots;
         let crowd = pressure.max(own);
-        way + SERVICE_START_MS * (CROWD_SLOPE * crowd + (crowd - 1.0).max(0.0))
+        // The oldest attempt under way tells of a straggler before any answer does.
+        let oldest = path.flying.keys().next().map_or(0.0, |sent| (now - *sent).as_f64());
+        let overdue = (oldest - LATE * way).max(0.0);
+        way + overdue + SERVICE_START_MS * (CROWD_SLOPE * crowd + (crowd - 1.0).max(0.0))
     }
 
     fn slots(&self, group: Group, view: &View<'_>) -> f64 {
@@ -90,7 +96,7 @@
     }
 
     pub(crate) fn ask(&mut self, now: Millis, group: Group, to: Vm) {
-        self.path(now, group).flying += 1;
+        *self.path(now, group).flying.entry(now).or_default() += 1;
         let link = self.links.entry(to).or_default();
         if link.flying == 0 {
             link.owing = now;
@@ -99,18 +105,31 @@
     }
 
     /// An attempt through `from` is no longer awaited.
-    pub(crate) fn ended(&mut self, now: Millis, group: Group, from: Vm) {
+    pub(crate) fn ended(&mut self, now: Millis, group: Group, from: Vm, sent: Millis) {
         let path = self.path(now, group);
-        path.flying = path.flying.saturating_sub(1);
+        if let Some(count) = path.flying.get_mut(&sent) {
+            *count -= 1;
+            if *count == 0 {
+                path.flying.remove(&sent);
+            }
+        }
         if let Some(link) = self.links.get_mut(&from) {
             link.flying = link.flying.saturating_sub(1);
         }
     }
 
-    /// An answer took `way` besides its wait in the owner's queue.
-    pub(crate) fn learned(&mut self, now: Millis, group: Group, way: Millis, pressure: f32) {
+    /// An owner has answered; items took `way` besides their wait in its queue.
+    pub(crate) fn learned(
+        &mut self,
+        now: Millis,
+        group: Group,
+        way: Option<Millis>,
+        pressure: f32,
+    ) {
         let path = self.path(now, group);
-        path.way.add(way.as_f64());
+        if let Some(way) = way {
+            path.way.add(way.as_f64());
+        }
         path.pressure = f64::from(pressure);
         path.seen = now;
     }
@@ -149,7 +168,7 @@
             way: Average::new(SERVICE_START_MS, LATENCY_WEIGHT),
             pressure: 0.0,
             seen: now,
-            flying: 0,
+            flying: BTreeMap::new(),
             held: None,
             lost: Held::new(),
         })
--- a/crates/tgw-query/src/running.rs
+++ b/crates/tgw-query/src/running.rs
@@ -16,6 +16,8 @@
     pub(crate) to: Vm,
     pub(crate) sent: Millis,
     pub(crate) open: bool,
+    /// It ended without being sent to an upstream, and counts as none.
+    pub(crate) unsent: bool,
 }
 
 /// What is known of one shard.
@@ -48,6 +50,18 @@
         self.attempts.iter().any(|a| a.open)
     }
 
+    /// Notes that an attempt was given back unsent.
+    pub(crate) fn unsent(&mut self, number: u8) {
+        if let Some(attempt) = self.attempts.iter_mut().find(|a| a.number == number) {
+            attempt.unsent = true;
+        }
+    }
+
+    /// Attempts that may have cost an upstream work.
+    pub(crate) fn sent(&self) -> usize {
+        self.attempts.iter().filter(|a| !a.unsent).count()
+    }
+
     /// Groups whose answer is still awaited or was of no use.
     pub(crate) fn tried(&self, group: Group) -> bool {
         self.attempts.iter().any(|a| a.group == group)
--- a/crates/tgw-query/src/step.rs
+++ b/crates/tgw-query/src/step.rs
@@ -204,6 +204,9 @@
     /// The VM asked before is silent or gone.
     #[display("owner silent")]
     Silent,
+    /// The group asked before is crowded and has given the request back.
+    #[display("crowded")]
+    Crowded,
     /// The VM asked before named another owner.
     #[display("moved")]
     Moved,
