perf(dispatch): space the probes of suspect upstreams

Cause: each time the trusted upstreams of a group were busy its straggler got another request, which was then late: at load 0.5 most late queries were such probes. Change: a suspect's next request is put off by 20 ms, doubling to 80 ms, unless more waits than the trusted upstreams have slots.

--- a/crates/tgw-dispatch/src/group.rs
+++ b/crates/tgw-dispatch/src/group.rs
@@ -14,6 +14,8 @@
 const SCAN: usize = 64;
 /// An upstream is a suspect once a request on it has run this much longer than a late one.
 const OVERDUE: f64 = 1.5;
+/// Waiting requests for each trusted slot above which suspects are used without a pause.
+const PRESSED: usize = 1;
 const RETRY_BURST: f64 = 20.0;
 
 /// What the groups of one service share at their owner.
@@ -345,6 +347,13 @@
         Some(task)
     }
 
+    /// Whether more waits than the trusted upstreams can soon serve.
+    fn pressed(&self) -> bool {
+        let trusted = self.upstreams.iter().filter(|u| u.trusted());
+        let slots: usize = trusted.map(|u| usize::from(u.slots)).sum();
+        self.queue.len() > slots * PRESSED
+    }
+
     /// Requests that wait or run, as a part of the slots that may be used.
     fn pressure(&self, now: Millis) -> f32 {
         let usable = self.upstreams.iter().filter(|u| u.rank(now) == Rank::Trusted);
@@ -399,16 +408,21 @@
         let late = pool.hedge.delay();
         let overdue = late.scale(OVERDUE);
         for upstream in &mut self.upstreams {
+            let mut news = false;
             for run in upstream.runs.iter_mut().filter(|r| !r.late && now - r.started >= late) {
                 run.late = true;
+                news = true;
                 pool.hedge.late();
             }
+            if news {
+                upstream.late(now);
+            }
             if !self.options.suspect {
                 continue;
             }
             let oldest = upstream.runs.iter().map(|r| now - r.started).max();
             let Some(age) = oldest.filter(|age| *age >= overdue) else { continue };
-            if upstream.overdue(age) {
+            if upstream.overdue(now, age) {
                 note(None, upstream.id, What::Suspect, SmallVec::new(), out);
             }
         }
@@ -426,9 +440,10 @@
 
     /// Sends waiting requests to free upstreams.
     fn place(&mut self, now: Millis, pool: &mut Pool<'_>, out: &mut Vec<Action>) {
+        let pressed = self.pressed();
         let mut from = (Millis::ZERO, 0);
         for _ in 0..SCAN {
-            if !self.upstreams.iter().any(|u| u.free(now, self.share)) {
+            if !self.upstreams.iter().any(|u| u.free(now, self.share, pressed)) {
                 return;
             }
             let Some(at) = self.queue.range(from..).next().copied() else { return };
@@ -449,6 +464,7 @@
 
     /// Sends requests that run late a second time, the longest running first.
     fn hedge_late(&mut self, now: Millis, pool: &mut Pool<'_>, out: &mut Vec<Action>) {
+        let pressed = self.pressed();
         let mut due: SmallVec<[(Millis, u64); 8]> = SmallVec::new();
         for run in self.upstreams.iter().flat_map(|u| &u.runs) {
             let open = |t: &Task| !t.hedged && t.sent < self.options.attempts;
@@ -461,7 +477,7 @@
             let Some(task) = self.tasks.get(&number) else { continue };
             let mut usable = self.usable(task);
             usable.retain(|i| {
-                self.upstreams[*i].free(now, self.share)
+                self.upstreams[*i].free(now, self.share, pressed)
                     && self.upstreams[*i].rank(now) == Rank::Trusted
             });
             let candidates = self.candidates(now, &usable);
@@ -510,11 +526,12 @@
     }
 
     fn candidates(&self, now: Millis, indices: &[usize]) -> SmallVec<[Candidate; 4]> {
+        let pressed = self.pressed();
         let view = |i: &usize| {
             let upstream = &self.upstreams[*i];
             Candidate {
                 upstream: upstream.id,
-                free: upstream.free(now, self.share),
+                free: upstream.free(now, self.share, pressed),
                 load: upstream.runs.len(),
                 latency: upstream.latency.get(),
                 rank: upstream.rank(now),
@@ -524,6 +541,7 @@
     }
 
     fn passed(&self, now: Millis, number: u64, chosen: usize) -> SmallVec<[(Upstream, Passed); 4]> {
+        let pressed = self.pressed();
         let Some(task) = self.tasks.get(&number) else { return SmallVec::new() };
         let reason = |index: usize, upstream: &Trust| match upstream.rank(now) {
             Rank::Leaving => Passed::Leaving,
@@ -531,7 +549,7 @@
             _ if !task.eligible.contains(&index) => Passed::Tried,
             Rank::Ejected => Passed::Ejected,
             Rank::Suspect => Passed::Suspect,
-            Rank::Trusted if upstream.free(now, self.share) => Passed::Lower,
+            Rank::Trusted if upstream.free(now, self.share, pressed) => Passed::Lower,
             Rank::Trusted => Passed::Busy,
         };
         self.upstreams
--- a/crates/tgw-dispatch/src/trust.rs
+++ b/crates/tgw-dispatch/src/trust.rs
@@ -8,6 +8,9 @@
 const FAILURES: u32 = 3;
 const FIRST_BACKOFF: Millis = Millis::new(250);
 const LONGEST_BACKOFF: Millis = Millis::new(4000);
+/// How long the next request for a suspect is put off, at first and at most.
+const FIRST_PROBE: Millis = Millis::new(20);
+const LONGEST_PROBE: Millis = Millis::new(80);
 /// Growth of the limit for each good reply: two good replies win one more slot.
 const RAMP: f64 = 0.5;
 const LATENCY_WEIGHT: f64 = 0.2;
@@ -51,6 +54,9 @@
     backoff: Millis,
     ejected_until: Option<Millis>,
     suspect: bool,
+    /// A suspect gets its next request not before this, and how long that is put off next time.
+    probe_at: Millis,
+    probe_gap: Millis,
     leaving: bool,
 }
 
@@ -67,6 +73,8 @@
             backoff: FIRST_BACKOFF,
             ejected_until: None,
             suspect: false,
+            probe_at: Millis::ZERO,
+            probe_gap: FIRST_PROBE,
             leaving: node.leaving,
         }
     }
@@ -81,17 +89,26 @@
         }
     }
 
-    /// Whether a request may start now; `share` is the part of the slots that this owner may use.
-    pub(crate) fn free(&self, now: Millis, share: f64) -> bool {
+    /// Whether a request may start now; `share` is the part of the slots that this owner may use, and
+    /// `pressed` says that more waits than the others can soon serve.
+    pub(crate) fn free(&self, now: Millis, share: f64, pressed: bool) -> bool {
         let limit = match self.rank(now) {
             Rank::Leaving => return false,
-            // A straggler given its full slots again would hold a request in each of them.
+            // A straggler given its full slots again would hold a request in each of them. Each probe
+            // of it is a request that will be late, so probes are spaced, unless the rest of the
+            // group is too little for what waits.
+            Rank::Suspect if now < self.probe_at && !pressed => return false,
             Rank::Suspect | Rank::Ejected => 1,
             Rank::Trusted => ((self.limit * share) as usize).max(1),
         };
         self.runs.len() < limit
     }
 
+    /// Whether it is neither suspect, set aside nor leaving.
+    pub(crate) fn trusted(&self) -> bool {
+        !self.suspect && !self.leaving && self.ejected_until.is_none()
+    }
+
     pub(crate) fn holds(&self, snapshot: Snapshot) -> bool {
         self.held.as_ref().is_none_or(|held| held.contains(&snapshot))
     }
@@ -135,12 +152,31 @@
         self.ejected_until = None;
         self.limit = (self.limit + RAMP).min(f64::from(self.slots));
         self.suspect = latency >= late;
+        if !self.suspect {
+            self.probe_gap = FIRST_PROBE;
+        }
     }
 
-    /// A request has run longer than `age`; true if the upstream was trusted until now.
-    pub(crate) fn overdue(&mut self, age: Millis) -> bool {
+    /// A request has run for `age`, which is overdue; true if the upstream was trusted until now.
+    pub(crate) fn overdue(&mut self, now: Millis, age: Millis) -> bool {
         self.latency.add(self.latency.get().max(age.as_f64()));
-        !std::mem::replace(&mut self.suspect, true)
+        let news = !std::mem::replace(&mut self.suspect, true);
+        if news {
+            self.put_off(now);
+        }
+        news
+    }
+
+    /// A request on a suspect has become late: the next one is put off for longer.
+    pub(crate) fn late(&mut self, now: Millis) {
+        if self.suspect {
+            self.put_off(now);
+        }
+    }
+
+    fn put_off(&mut self, now: Millis) {
+        self.probe_at = now + self.probe_gap;
+        self.probe_gap = (self.probe_gap + self.probe_gap).min(LONGEST_PROBE);
     }
 
     pub(crate) fn shed(&mut self) {
