--- a/crates/tgw-bench/src/model.rs
+++ b/crates/tgw-bench/src/model.rs
@@ -80,14 +80,16 @@
 
     fn start(&mut self, job: Job, rng: &mut SmallRng) -> (u64, Millis) {
         self.next += 1;
-        self.running.push((self.next, job));
         let mut factor = self.factor;
         if self.cold > 0 {
             self.cold -= 1;
             factor *= COLD_FACTOR;
         }
+        // Layout 2 has twice the shards of layout 1, each with half of the data.
+        factor /= f64::from(job.leaf.snapshot.layout.0);
         let normal = LogNormal::new(MEDIAN_MS.ln(), SIGMA);
         let ms = normal.map_or(MEDIAN_MS, |n| n.sample(rng));
+        self.running.push((self.next, job));
         (self.next, Millis::from_f64(ms * factor))
     }
 
--- a/crates/tgw-dispatch/src/group.rs
+++ b/crates/tgw-dispatch/src/group.rs
@@ -1,5 +1,5 @@
 use crate::{
-    leaf::{Failure, Held, Key, Leaf, Outcome, Reply},
+    leaf::{Failure, Held, Key, Leaf, Outcome, Reply, Stock},
     owner::{Action, Note, Options, Passed, Ticket, What},
     pick::{Candidate, Policy},
     trust::{Rank, Run, Trust},
@@ -16,6 +16,8 @@
 const OVERDUE: f64 = 1.1;
 /// Waiting requests for each trusted slot above which suspects are used without a pause.
 const PRESSED: usize = 1;
+/// The pressure of a group without a trusted upstream.
+const UNFIT: f32 = 4.0;
 const RETRY_BURST: f64 = 20.0;
 
 /// What the groups of one service share at their owner.
@@ -191,6 +193,9 @@
             last: None,
         };
         self.tasks.insert(number, task);
+        if self.unfit(now, number) {
+            return self.answer(now, number, Outcome::Crowded, out);
+        }
         self.fill(now, pool, out);
         self.give_up_if_unservable(now, number, out);
     }
@@ -325,7 +330,7 @@
         out.push(Action::Answer {
             key: task.leaf.key,
             outcome,
-            held: self.held(),
+            stock: self.stock(),
             extra: task.sent.saturating_sub(1),
             waited: task.waited.unwrap_or_default(),
             pressure: self.pressure(now),
@@ -347,6 +352,15 @@
         Some(task)
     }
 
+    /// Whether another group should be asked at once: every upstream that could serve the request is
+    /// set aside after failures. A group that fails at once looks fast and empty, and would draw
+    /// ever more requests.
+    fn unfit(&self, now: Millis, number: u64) -> bool {
+        let Some(task) = self.tasks.get(&number) else { return false };
+        let set_aside = |i: &usize| self.upstreams[*i].rank(now) >= Rank::Ejected;
+        task.leaf.give_back.is_some() && task.eligible.iter().all(set_aside)
+    }
+
     /// Whether more waits than the trusted upstreams can soon serve.
     fn pressed(&self) -> bool {
         let trusted = self.upstreams.iter().filter(|u| u.trusted());
@@ -358,23 +372,25 @@
     fn pressure(&self, now: Millis) -> f32 {
         let usable = self.upstreams.iter().filter(|u| u.rank(now) == Rank::Trusted);
         let slots: f64 = usable.map(|u| f64::from(u.slots) * self.share).sum();
-        (self.tasks.len() as f64 / slots.max(1.0)) as f32
-    }
-
-    /// The snapshots held by any upstream that may be used; `None` while nothing is known.
-    fn held(&self) -> Option<Held> {
-        let mut all = Held::new();
-        let known: SmallVec<[&Held; 4]> =
-            self.upstreams.iter().filter(|u| !u.leaving()).filter_map(Trust::held).collect();
-        if known.is_empty() {
-            return None;
+        if slots == 0.0 {
+            return UNFIT + self.tasks.len() as f32;
         }
-        for snapshot in known.into_iter().flatten() {
-            if !all.contains(snapshot) {
-                all.push(*snapshot);
+        (self.tasks.len() as f64 / slots) as f32
+    }
+
+    /// The snapshots held by upstreams that may be used; `None` while nothing is known. An upstream
+    /// that has not told what it holds counts for each snapshot that another does.
+    fn stock(&self) -> Option<Stock> {
+        let usable = || self.upstreams.iter().filter(|u| !u.leaving());
+        let mut stock = Stock::new();
+        for snapshot in usable().filter_map(Trust::held).flatten() {
+            if !stock.iter().any(|(s, _)| s == snapshot) {
+                let count = usable().filter(|u| u.holds(*snapshot)).count();
+                stock.push((*snapshot, count as u8));
             }
         }
-        Some(all)
+        let known = usable().any(|u| u.held().is_some());
+        known.then_some(stock)
     }
 
     pub(crate) fn tick(&mut self, now: Millis, pool: &mut Pool<'_>, out: &mut Vec<Action>) {
--- a/crates/tgw-dispatch/src/leaf.rs
+++ b/crates/tgw-dispatch/src/leaf.rs
@@ -7,9 +7,12 @@
 use tgw_clock::Millis;
 use tgw_topology::{Query, Shard, Snapshot, Vm};
 
-/// The snapshots that an upstream or a group holds.
+/// The snapshots that an upstream holds.
 pub type Held = SmallVec<[Snapshot; 4]>;
 
+/// The snapshots that a group holds, and at how many of its upstreams that may be used.
+pub type Stock = SmallVec<[(Snapshot, u8); 4]>;
+
 /// Tells an attempt at one shard of one query from every other, over all VMs and restarts.
 #[derive(
     Copy, Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
--- a/crates/tgw-dispatch/src/owner.rs
+++ b/crates/tgw-dispatch/src/owner.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     group::{Group, Pool},
-    leaf::{Failure, Held, Key, Leaf, Outcome, Reply},
+    leaf::{Failure, Held, Key, Leaf, Outcome, Reply, Stock},
     pick::Policy,
 };
 use std::collections::BTreeMap;
@@ -72,7 +72,7 @@
         /// What came of it.
         outcome: Outcome,
         /// The snapshots that the group's upstreams hold, if known.
-        held: Option<Held>,
+        stock: Option<Stock>,
         /// Sendings beyond the first.
         extra: u8,
         /// Time in the queue before the first sending.
@@ -224,7 +224,7 @@
                 out.push(Action::Answer {
                     key,
                     outcome,
-                    held: None,
+                    stock: None,
                     extra: 0,
                     waited,
                     pressure: 0.0,
@@ -348,7 +348,7 @@
             None => out.push(Action::Answer {
                 key,
                 outcome: Outcome::Moved(None),
-                held: None,
+                stock: None,
                 extra: 0,
                 waited: Millis::ZERO,
                 pressure: 0.0,
--- a/crates/tgw-dispatch/src/pick.rs
+++ b/crates/tgw-dispatch/src/pick.rs
@@ -100,7 +100,11 @@
 }
 
 fn best_free(candidates: &[Candidate]) -> Option<usize> {
-    let free = candidates.iter().enumerate().filter(|(_, c)| c.free);
+    // While the others are busy, an upstream that is set aside is free; it would take what waits and
+    // fail it, and each failure costs a retry. It is used only where there is no other.
+    let floor = candidates.iter().all(|c| c.rank >= Rank::Ejected);
+    let usable = |c: &Candidate| c.free && (floor || c.rank < Rank::Ejected);
+    let free = candidates.iter().enumerate().filter(|(_, c)| usable(c));
     let best = free.min_by(|(_, a), (_, b)| {
         (a.rank, a.load).cmp(&(b.rank, b.load)).then(a.latency.total_cmp(&b.latency))
     });
--- a/crates/tgw-node/src/groups.rs
+++ b/crates/tgw-node/src/groups.rs
@@ -2,9 +2,10 @@
 use tgw_clock::Millis;
 use tgw_topology::{Group, Vm};
 
-/// How long a new owner uses half of the slots: the old one may not know yet. Longer than a change
-/// of membership needs to reach every VM of a domain.
-const TAKE_OVER: Millis = Millis::new(1500);
+/// How long a new owner, or a stand-in, uses half of the slots: the old one may still use the rest.
+/// After that the upstream's own queue and shedding bound the harm; at half of the slots for longer,
+/// a load of one half would fill the owner's queue.
+const TAKE_OVER: Millis = Millis::new(400);
 /// How long a stand-in keeps a group after it was last asked.
 const STAND_IN: Millis = Millis::new(3000);
 /// The part of the slots used while another VM may use the rest.
@@ -16,7 +17,7 @@
     /// It owns it; `since` is when the time of the half share began, if it has not ended.
     Owner { since: Option<Millis> },
     /// It stands in for the owner, as long as it is asked to.
-    StandIn { asked: Millis },
+    StandIn { since: Option<Millis>, asked: Millis },
     /// It has handed it over and finishes what runs.
     Released,
 }
@@ -55,12 +56,12 @@
     pub(crate) fn stand_in(&mut self, now: Millis, group: Group) -> Vec<Step> {
         match self.rights.get_mut(&group) {
             Some(Right::Owner { .. }) => Vec::new(),
-            Some(Right::StandIn { asked }) => {
+            Some(Right::StandIn { asked, .. }) => {
                 *asked = now;
                 Vec::new()
             }
             Some(Right::Released) | None => {
-                self.rights.insert(group, Right::StandIn { asked: now });
+                self.rights.insert(group, Right::StandIn { since: Some(now), asked: now });
                 vec![Step::Take, Step::Share(HALF)]
             }
         }
@@ -78,6 +79,11 @@
         let mine = owner == Some(me);
         match self.rights.get(&group).copied() {
             Some(Right::Owner { .. }) if mine => Vec::new(),
+            // The stand-in becomes the owner: it has had its time of the half share.
+            Some(Right::StandIn { since, .. }) if mine => {
+                self.rights.insert(group, Right::Owner { since });
+                Vec::new()
+            }
             _ if mine => {
                 // Two views of membership may name two owners for a while, and both would fill all
                 // slots and connections. Each uses half until the views must have met.
@@ -103,10 +109,14 @@
                     *since = None;
                     steps.push((*group, Step::Share(1.0)));
                 }
-                Right::StandIn { asked } if now - *asked >= STAND_IN => {
+                Right::StandIn { asked, .. } if now - *asked >= STAND_IN => {
                     *right = Right::Released;
                     steps.push((*group, Step::HandOver(None)));
                 }
+                Right::StandIn { since, .. } if since.is_some_and(|s| now - s >= TAKE_OVER) => {
+                    *since = None;
+                    steps.push((*group, Step::Share(1.0)));
+                }
                 Right::Released => steps.push((*group, Step::Forget)),
                 Right::Owner { .. } | Right::StandIn { .. } => {}
             }
--- a/crates/tgw-node/src/message.rs
+++ b/crates/tgw-node/src/message.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use tgw_clock::Millis;
-use tgw_dispatch::leaf::{Held, Key, Outcome};
+use tgw_dispatch::leaf::{Key, Outcome, Stock};
 use tgw_topology::{Group, Snapshot, Upstream};
 
 /// One message.
@@ -17,6 +17,8 @@
     Outcome(Told),
     /// The VM lives and works on what it was asked.
     Alive,
+    /// Asks a VM that has been silent whether it lives.
+    Probe,
     /// An upstream leaves: no new work for it from anyone.
     Leaving(Upstream),
 }
@@ -50,7 +52,7 @@
     /// What came of it.
     pub outcome: Outcome,
     /// The snapshots held in its group, if known.
-    pub held: Option<Held>,
+    pub stock: Option<Stock>,
     /// Sendings beyond the first.
     pub extra: u8,
     /// Time in the queue.
@@ -62,6 +64,6 @@
 impl Told {
     /// An outcome that no queue was involved in.
     pub fn bare(key: Key, outcome: Outcome) -> Self {
-        Self { key, outcome, held: None, extra: 0, waited: Millis::ZERO, pressure: 0.0 }
+        Self { key, outcome, stock: None, extra: 0, waited: Millis::ZERO, pressure: 0.0 }
     }
 }
--- a/crates/tgw-node/src/node.rs
+++ b/crates/tgw-node/src/node.rs
@@ -21,12 +21,18 @@
     step::{Note as EntryNote, Token},
 };
 use tgw_table::Document;
-use tgw_topology::{Catalog, Group, Place, Service, Upstream, Vm, place::Distance};
+use tgw_topology::{
+    Catalog, Group, Place, Service, Upstream, Vm,
+    catalog::{Index, Node as Described},
+    place::Distance,
+};
 
 /// How often rights to groups are looked over.
 const GROUPS: Millis = Millis::new(100);
 /// How often a VM that works for others says that it lives.
 const ALIVE: Millis = Millis::new(20);
+/// How often VMs that were silent are asked whether they live.
+const PROBE: Millis = Millis::new(100);
 /// How long a VM that starts waits to meet the others before it takes what nobody else owns.
 const JOIN: Millis = Millis::new(1000);
 /// How long an upstream that was told to be leaving stays so without being told again.
@@ -155,12 +161,12 @@
 /// Owners as the entry asks for them.
 struct Seen<'a> {
     map: &'a Map,
-    catalog: &'a Catalog,
+    index: &'a Index,
 }
 
 impl Owners for Seen<'_> {
     fn owners(&self, group: Group) -> SmallVec<[Vm; 2]> {
-        let place = self.catalog.place(group.domain);
+        let place = self.index.get(group).map(|m| m.place);
         place.map(|place| self.map.owners(group, place)).unwrap_or_default()
     }
 
@@ -180,6 +186,7 @@
     groups: Groups,
     map: Map,
     catalog: Arc<Catalog>,
+    index: Index,
     table: Option<Arc<Document>>,
     /// Upstreams known to leave, and since when, whatever else says that they are well.
     leaving: BTreeMap<Upstream, Millis>,
@@ -187,6 +194,7 @@
     working_for: BTreeSet<Vm>,
     looked_over: Millis,
     said_alive: Millis,
+    probed: Millis,
     draining: bool,
     /// Whether the VM has met another one, or has waited long enough to count itself alone.
     joined: bool,
@@ -205,11 +213,13 @@
             groups: Groups::default(),
             map: Map::new(Arc::default()),
             catalog: Arc::default(),
+            index: Index::default(),
             table: None,
             leaving: BTreeMap::new(),
             working_for: BTreeSet::new(),
             looked_over: Millis::ZERO,
             said_alive: Millis::ZERO,
+            probed: Millis::ZERO,
             draining: false,
             joined: false,
         }
@@ -242,7 +252,7 @@
 
     /// The owner of a group as this VM sees it.
     pub fn owner_of(&self, group: Group) -> Option<Vm> {
-        Seen { map: &self.map, catalog: &self.catalog }.owners(group).first().copied()
+        Seen { map: &self.map, index: &self.index }.owners(group).first().copied()
     }
 
     /// The groups that this VM owns.
@@ -312,10 +322,11 @@
         match message {
             Message::Ask(ask) => self.asked(now, from, ask, out),
             Message::Cancel(key) => self.at_owner(now, owner::Event::Cancel(key), out),
-            Message::Outcome(Told { key, outcome, held, extra, waited, pressure }) => {
-                let event = Event::Outcome { from, key, outcome, held, extra, waited, pressure };
+            Message::Outcome(Told { key, outcome, stock, extra, waited, pressure }) => {
+                let event = Event::Outcome { from, key, outcome, stock, extra, waited, pressure };
                 self.at_entry(now, event, out);
             }
+            Message::Probe => out.push(Output::Tell(from, Message::Alive)),
             Message::Alive => self.at_entry(now, Event::Heard(from), out),
             Message::Leaving(upstream) => self.upstream_leaves(now, upstream, false, out),
         }
@@ -341,9 +352,10 @@
     }
 
     fn at_entry(&mut self, now: Millis, event: Event, out: &mut Vec<Output>) {
-        let seen = Seen { map: &self.map, catalog: &self.catalog };
+        let seen = Seen { map: &self.map, index: &self.index };
         let view = View {
             catalog: &self.catalog,
+            index: &self.index,
             table: self.table.as_deref(),
             owners: &seen,
             here: self.place,
@@ -379,8 +391,8 @@
                 owner::Action::Abort { ticket, upstream } => {
                     out.push(Output::Abort { ticket, upstream });
                 }
-                owner::Action::Answer { key, outcome, held, extra, waited, pressure } => {
-                    let told = Told { key, outcome, held, extra, waited, pressure };
+                owner::Action::Answer { key, outcome, stock, extra, waited, pressure } => {
+                    let told = Told { key, outcome, stock, extra, waited, pressure };
                     self.tell(now, key.from, Message::Outcome(told), out);
                 }
                 owner::Action::Note(note) => {
@@ -437,6 +449,7 @@
     }
 
     fn set_catalog(&mut self, now: Millis, catalog: Arc<Catalog>, out: &mut Vec<Output>) {
+        self.index = Index::new(&catalog);
         self.catalog = catalog;
         self.map.set(self.map.directory().clone());
         let leaving: Vec<Upstream> =
@@ -491,10 +504,7 @@
         if !self.joined {
             return;
         }
-        let places: Vec<(Group, Place)> = {
-            let groups = self.catalog.groups();
-            groups.iter().filter_map(|(g, nodes)| Some((*g, nodes.first()?.place))).collect()
-        };
+        let places: Vec<(Group, Place)> = self.index.iter().map(|(g, m)| (g, m.place)).collect();
         let sole = self.map.directory().owners().count() <= 1;
         for (group, place) in places {
             let owner = self.map.owners(group, place).first().copied();
@@ -525,13 +535,13 @@
                         if let owner::Action::Answer {
                             key,
                             outcome,
-                            held,
+                            stock,
                             extra,
                             waited,
                             pressure,
                         } = action
                         {
-                            let told = Told { key, outcome, held, extra, waited, pressure };
+                            let told = Told { key, outcome, stock, extra, waited, pressure };
                             self.tell(now, key.from, Message::Outcome(told), out);
                         }
                     }
@@ -549,11 +559,13 @@
 
     fn take(&mut self, now: Millis, group: Group, out: &mut Vec<Output>) {
         let options = self.options(group);
-        let groups = self.catalog.groups();
-        let nodes = groups.get(&group).cloned().unwrap_or_default();
+        let upstreams = self.upstreams(group);
+        let catalog = self.catalog.clone();
+        let nodes: Vec<&Described> =
+            upstreams.iter().filter_map(|u| catalog.upstreams.get(u)).collect();
         self.owner.take(group, &nodes, &options);
         let known: Vec<Upstream> =
-            nodes.iter().map(|n| n.id).filter(|u| self.leaving.contains_key(u)).collect();
+            upstreams.iter().copied().filter(|u| self.leaving.contains_key(u)).collect();
         for upstream in known {
             self.at_owner(now, owner::Event::Leaving(upstream), out);
         }
@@ -562,12 +574,15 @@
 
     /// Takes the table's and the catalog's newer description into the groups served here.
     fn describe(&mut self) {
-        let groups = self.catalog.groups();
-        for (group, nodes) in &groups {
-            if self.groups.serves(*group) {
-                let options = self.options(*group);
-                self.owner.take(*group, nodes, &options);
-            }
+        let served: Vec<Group> =
+            self.index.iter().map(|(group, _)| group).filter(|g| self.groups.serves(*g)).collect();
+        for group in served {
+            let options = self.options(group);
+            let upstreams = self.upstreams(group);
+            let catalog = self.catalog.clone();
+            let nodes: Vec<&Described> =
+                upstreams.iter().filter_map(|u| catalog.upstreams.get(u)).collect();
+            self.owner.take(group, &nodes, &options);
         }
     }
 
@@ -584,7 +599,7 @@
     }
 
     fn upstreams(&self, group: Group) -> SmallVec<[Upstream; 4]> {
-        self.catalog.upstreams.values().filter(|u| u.group() == group).map(|u| u.id).collect()
+        self.index.get(group).map(|m| m.upstreams.clone()).unwrap_or_default()
     }
 
     fn placement(&self, group: Group, what: &'static str, out: &mut Vec<Output>) {
@@ -616,5 +631,11 @@
                 out.push(Output::Tell(*vm, Message::Alive));
             }
         }
+        if now - self.probed >= PROBE {
+            self.probed = now;
+            for vm in self.entry.silent() {
+                out.push(Output::Tell(vm, Message::Probe));
+            }
+        }
     }
 }
--- a/crates/tgw-query/src/attempt.rs
+++ b/crates/tgw-query/src/attempt.rs
@@ -119,7 +119,7 @@
         };
         let other = options.iter().filter(|o| o.2 != group && !o.0).map(|o| o.1).next();
         let back =
-            cx.view.catalog.place(group.domain).map(|p| cx.view.distance.between(cx.view.here, p));
+            cx.view.index.get(group).map(|m| cx.view.distance.between(cx.view.here, m.place));
         let patience =
             other.map(|other| Millis::from_f64(PATIENCE * (other + back.unwrap_or_default())));
         Some(Route { group, to, stand_in, estimate, patience, passed })
@@ -130,7 +130,7 @@
         let owners = cx.view.owners.owners(group);
         let asked = |vm: &Vm| part.attempts.iter().any(|a| a.to == *vm && a.group == group);
         let free = |vm: &&Vm| !self.paths.stalled(**vm) && (why != Why::Silent || !asked(vm));
-        let usable = owners.iter().find(free).or(owners.first().filter(|_| why == Why::First))?;
+        let usable = owners.iter().find(free)?;
         Some((*usable, Some(usable) != owners.first()))
     }
 }
--- a/crates/tgw-query/src/entry.rs
+++ b/crates/tgw-query/src/entry.rs
@@ -13,10 +13,9 @@
 use smallvec::SmallVec;
 use std::collections::BTreeMap;
 use tgw_clock::Millis;
-use tgw_dispatch::leaf::Held;
 use tgw_table::Row;
 use tgw_tail::{Average, Budget, Hedge};
-use tgw_topology::{Group, Query, Service, Vm};
+use tgw_topology::{Query, Service, Vm};
 
 /// Time kept for merging and for the way back to the caller.
 const MARGIN: Millis = Millis::new(1);
@@ -133,9 +132,9 @@
         self.draining = true;
     }
 
-    /// Takes in which snapshots a group holds, as gossip tells.
-    pub fn set_held(&mut self, now: Millis, group: Group, held: Held) {
-        self.paths.set_held(now, group, held);
+    /// The VMs that were asked and have been silent since.
+    pub fn silent(&self) -> Vec<Vm> {
+        self.paths.silent()
     }
 
     /// Handles one event at `now` and appends what must be done.
@@ -146,10 +145,10 @@
                 self.submit(cx, token, service, within, body);
             }
             Event::Abandon(token) => self.abandon(cx, token),
-            Event::Outcome { from, key, outcome, held, extra, waited, pressure } => {
+            Event::Outcome { from, key, outcome, stock, extra, waited, pressure } => {
                 self.paths.heard(now, from);
                 let cost = Cost { extra, waited, pressure };
-                self.outcome(cx, from, key, outcome, held, cost);
+                self.outcome(cx, from, key, outcome, stock, cost);
             }
             Event::Heard(vm) => self.paths.heard(now, vm),
             Event::Lost(vm) => {
@@ -210,7 +209,13 @@
     pub(crate) fn start(&mut self, cx: &mut Cx<'_>, token: Token, queued: Queued) {
         let Queued { service, body, began, deadline } = queued;
         let offer = cx.row(service).and_then(|row| {
-            snapshot::choose(cx.view.catalog, &self.paths, service, row.snapshot, &[])
+            snapshot::choose(
+                (cx.view.catalog, cx.view.index),
+                &mut self.paths,
+                service,
+                row.snapshot,
+                &[],
+            )
         });
         let Some(offer) = offer else {
             self.gate.finished(cx.now, service, None, cx.now - began, Millis::ZERO);
@@ -234,7 +239,7 @@
             traced: sample > 0 && query.number.is_multiple_of(sample),
         };
         running.lay_out(offer.snapshot, offer.shards);
-        let Offer { snapshot, shards, servable } = offer;
+        let Offer { snapshot, shards, servable, .. } = offer;
         cx.note(&running, What::Start { snapshot, shards, servable });
         self.tokens.insert(token, query);
         self.ask_all(cx, &mut running);
--- a/crates/tgw-query/src/outcome.rs
+++ b/crates/tgw-query/src/outcome.rs
@@ -7,7 +7,7 @@
     step::{Action, What, Why},
 };
 use tgw_clock::Millis;
-use tgw_dispatch::leaf::{Held, Key, Outcome};
+use tgw_dispatch::leaf::{Key, Outcome, Stock};
 use tgw_topology::{Group, Service, Vm};
 
 /// Times that one shard's request may be sent on to another owner.
@@ -31,7 +31,7 @@
         from: Vm,
         key: Key,
         outcome: Outcome,
-        held: Option<Held>,
+        stock: Option<Stock>,
         cost: Cost,
     ) {
         let Some(mut running) = self.running.remove(&key.query) else {
@@ -40,8 +40,8 @@
         };
         if let Some(index) = self.matching(cx, &mut running, from, key, &outcome, cost) {
             let group = running.parts[index].attempts.iter().find(|a| a.number == key.attempt);
-            if let (Some(held), Some(attempt)) = (held, group) {
-                self.paths.set_held(cx.now, attempt.group, held);
+            if let (Some(stock), Some(attempt)) = (stock, group) {
+                self.paths.set_stock(cx.now, attempt.group, stock);
             }
             running.waited = running.waited.max(cost.waited);
             self.stats.extra_owner += u64::from(cost.extra);
@@ -140,6 +140,10 @@
         reason: Reason,
     ) {
         running.parts[index].last = Some(reason);
+        let useless = matches!(reason, Reason::Failed | Reason::Shed);
+        if let Some(attempt) = running.parts[index].attempts.last().filter(|_| useless) {
+            self.paths.failed(cx.now, attempt.group);
+        }
         if running.parts[index].waiting() {
             return;
         }
@@ -184,7 +188,13 @@
         except.push(from);
         let choice = cx.row(running.service).map(|r| r.snapshot);
         let offer = choice.and_then(|choice| {
-            snapshot::choose(cx.view.catalog, &self.paths, running.service, choice, &except)
+            snapshot::choose(
+                (cx.view.catalog, cx.view.index),
+                &mut self.paths,
+                running.service,
+                choice,
+                &except,
+            )
         });
         let covered =
             running.parts.iter().filter(|p| !matches!(p.state, State::Missing(_))).count();
--- a/crates/tgw-query/src/path.rs
+++ b/crates/tgw-query/src/path.rs
@@ -1,9 +1,9 @@
-use crate::step::View;
+use crate::{snapshot::Chosen, step::View};
 use std::collections::BTreeMap;
 use tgw_clock::Millis;
-use tgw_dispatch::leaf::Held;
+use tgw_dispatch::leaf::{Held, Stock};
 use tgw_tail::Average;
-use tgw_topology::{Group, Snapshot, Vm};
+use tgw_topology::{Group, Service, Snapshot, Vm};
 
 const LATENCY_WEIGHT: f64 = 0.1;
 /// Service time assumed before the first reply, in milliseconds.
@@ -15,6 +15,11 @@
 const PRESSURE_FADE_MS: f64 = 100.0;
 /// How much longer an answer is expected, in service times, while all slots are just taken.
 const CROWD_SLOPE: f64 = 0.4;
+/// How long a group is avoided after a failure, at first and at most.
+const FIRST_AVOID: Millis = Millis::new(50);
+const LONGEST_AVOID: Millis = Millis::new(1000);
+/// What being avoided adds to an estimate, in milliseconds.
+const AVOID_MS: f64 = 500.0;
 /// How many times the usual way an attempt may take before it makes its group look slow.
 const LATE: f64 = 2.0;
 /// Silence of a VM that owes answers before it counts as stalled, besides the way there and back.
@@ -30,9 +35,12 @@
     seen: Millis,
     /// Attempts under way, by when they were sent.
     flying: BTreeMap<Millis, u32>,
-    held: Option<Held>,
+    stock: Option<Stock>,
     /// Snapshots that the group has said it does not hold since it last listed those it does.
     lost: Held,
+    /// Until when it is avoided after failures, and for how long after the next.
+    avoid: Millis,
+    backoff: Millis,
 }
 
 /// What is known of another VM.
@@ -50,33 +58,67 @@
 pub struct Paths {
     groups: BTreeMap<Group, Path>,
     links: BTreeMap<Vm, Link>,
+    epoch: u64,
+    /// The choice of a snapshot by service, for as long as nothing it depends on changes.
+    pub(crate) chosen: BTreeMap<Service, Chosen>,
 }
 
 impl Paths {
     /// Whether a group is believed to hold a snapshot; what is not known is assumed.
     pub fn holds(&self, group: Group, snapshot: Snapshot) -> bool {
-        let Some(path) = self.groups.get(&group) else { return true };
-        let held = path.held.as_ref().is_none_or(|held| held.contains(&snapshot));
-        held && !path.lost.contains(&snapshot)
+        self.holders(group, snapshot).is_none_or(|count| count > 0)
+    }
+
+    /// The upstreams of a group that are believed to hold a snapshot; `None` if nothing is known.
+    pub fn holders(&self, group: Group, snapshot: Snapshot) -> Option<u8> {
+        let path = self.groups.get(&group)?;
+        if path.lost.contains(&snapshot) {
+            return Some(0);
+        }
+        let stock = path.stock.as_ref()?;
+        Some(stock.iter().find(|(s, _)| *s == snapshot).map_or(0, |(_, count)| *count))
     }
 
     /// A group has said that it does not hold a snapshot.
     pub(crate) fn set_lost(&mut self, now: Millis, group: Group, snapshot: Snapshot) {
         if self.holds(group, snapshot) {
             self.path(now, group).lost.push(snapshot);
+            self.epoch += 1;
         }
     }
 
     /// Takes in which snapshots a group holds.
-    pub fn set_held(&mut self, now: Millis, group: Group, held: Held) {
+    pub(crate) fn set_stock(&mut self, now: Millis, group: Group, stock: Stock) {
+        let path = self.path(now, group);
+        if path.stock.as_ref() != Some(&stock) || !path.lost.is_empty() {
+            path.stock = Some(stock);
+            path.lost.clear();
+            self.epoch += 1;
+        }
+    }
+
+    /// Changes whenever the snapshots that any group is believed to hold do.
+    pub(crate) fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// A group's answer was of no use: it is avoided for a while, longer each time.
+    pub(crate) fn failed(&mut self, now: Millis, group: Group) {
         let path = self.path(now, group);
-        path.held = Some(held);
-        path.lost.clear();
+        if now >= path.avoid {
+            path.avoid = now + path.backoff;
+            path.backoff = (path.backoff + path.backoff).min(LONGEST_AVOID);
+        }
+    }
+
+    /// The VMs that were asked and have been silent since.
+    pub(crate) fn silent(&self) -> Vec<Vm> {
+        self.links.iter().filter(|(_, l)| l.stalled).map(|(vm, _)| *vm).collect()
     }
 
     /// When an answer from a group is expected, in milliseconds from now.
     pub(crate) fn estimate(&self, now: Millis, group: Group, view: &View<'_>) -> f64 {
-        let place = view.catalog.place(group.domain).unwrap_or(view.here);
+        let place = view.index.get(group).map_or(view.here, |m| m.place);
         let base = 2.0 * view.distance.between(view.here, place) + SERVICE_START_MS;
         let Some(path) = self.groups.get(&group) else { return base };
         let age = (now - path.seen).as_f64();
@@ -88,11 +130,12 @@
         // The oldest attempt under way tells of a straggler before any answer does.
         let oldest = path.flying.keys().next().map_or(0.0, |sent| (now - *sent).as_f64());
         let overdue = (oldest - LATE * way).max(0.0);
-        way + overdue + SERVICE_START_MS * (CROWD_SLOPE * crowd + (crowd - 1.0).max(0.0))
+        let avoided = if now < path.avoid { AVOID_MS } else { 0.0 };
+        way + avoided + overdue + SERVICE_START_MS * (CROWD_SLOPE * crowd + (crowd - 1.0).max(0.0))
     }
 
     fn slots(&self, group: Group, view: &View<'_>) -> f64 {
-        view.catalog.slots(group).max(1).into()
+        view.index.get(group).map_or(1, |m| m.slots).max(1).into()
     }
 
     pub(crate) fn ask(&mut self, now: Millis, group: Group, to: Vm) {
@@ -128,6 +171,7 @@
     ) {
         let path = self.path(now, group);
         if let Some(way) = way {
+            path.backoff = FIRST_AVOID;
             path.way.add(way.as_f64());
         }
         path.pressure = f64::from(pressure);
@@ -169,8 +213,10 @@
             pressure: 0.0,
             seen: now,
             flying: BTreeMap::new(),
-            held: None,
+            stock: None,
             lost: Held::new(),
+            avoid: Millis::ZERO,
+            backoff: FIRST_AVOID,
         })
     }
 }
--- a/crates/tgw-query/src/step.rs
+++ b/crates/tgw-query/src/step.rs
@@ -5,9 +5,11 @@
 use derive_more::Display;
 use smallvec::SmallVec;
 use tgw_clock::Millis;
-use tgw_dispatch::leaf::{Held, Key, Leaf, Outcome};
+use tgw_dispatch::leaf::{Key, Leaf, Outcome, Stock};
 use tgw_table::Document;
-use tgw_topology::{Catalog, Group, Place, Query, Service, Shard, Snapshot, Vm, place::Distance};
+use tgw_topology::{
+    Catalog, Group, Place, Query, Service, Shard, Snapshot, Vm, catalog::Index, place::Distance,
+};
 
 /// Names a caller's request between the callers' duty and the core.
 pub type Token = u64;
@@ -25,6 +27,8 @@
 pub struct View<'a> {
     /// Services, layouts, upstreams.
     pub catalog: &'a Catalog,
+    /// The replica groups of the catalog.
+    pub index: &'a Index,
     /// The table in force; `None` before the first.
     pub table: Option<&'a Document>,
     /// Who dispatches to each group.
@@ -60,7 +64,7 @@
         /// What came of it.
         outcome: Outcome,
         /// The snapshots held in its group, if known.
-        held: Option<Held>,
+        stock: Option<Stock>,
         /// Sendings beyond the first.
         extra: u8,
         /// Time in the owner's queue.
--- a/crates/tgw-topology/src/catalog.rs
+++ b/crates/tgw-topology/src/catalog.rs
@@ -1,4 +1,4 @@
-use crate::{Group, Layout, Place, Service, Shard, Snapshot, Upstream, place::Domain};
+use crate::{Group, Layout, Place, Service, Shard, Snapshot, Upstream};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use std::{collections::BTreeMap, net::SocketAddr};
@@ -103,15 +103,6 @@
             .map_or(&[], |r| r.as_slice())
     }
 
-    /// The replica groups and their members.
-    pub fn groups(&self) -> BTreeMap<Group, Vec<&Node>> {
-        let mut groups: BTreeMap<Group, Vec<&Node>> = BTreeMap::new();
-        for node in self.upstreams.values() {
-            groups.entry(node.group()).or_default().push(node);
-        }
-        groups
-    }
-
     /// The services that changed after `since`, each with its upstreams.
     pub fn since(&self, since: Version) -> Vec<Part> {
         let changed = |id: &Service| self.changed.get(id).copied().unwrap_or(0);
@@ -143,15 +134,49 @@
         self.version = self.version.max(version);
         news
     }
+}
+
+/// One replica group, as the catalog describes it.
+#[derive(Clone, Debug)]
+pub struct Members {
+    /// Its upstreams.
+    pub upstreams: SmallVec<[Upstream; 4]>,
+    /// Those that the platform does not call leaving.
+    pub staying: u16,
+    /// Slots of all of them.
+    pub slots: u32,
+    /// Where they lie.
+    pub place: Place,
+}
+
+/// The replica groups of a catalog, for look-ups on the way of each query.
+#[derive(Clone, Debug, Default)]
+pub struct Index {
+    groups: BTreeMap<Group, Members>,
+}
+
+impl Index {
+    /// The groups of `catalog`.
+    pub fn new(catalog: &Catalog) -> Self {
+        let mut groups: BTreeMap<Group, Members> = BTreeMap::new();
+        for node in catalog.upstreams.values() {
+            let empty =
+                || Members { upstreams: SmallVec::new(), staying: 0, slots: 0, place: node.place };
+            let members = groups.entry(node.group()).or_insert_with(empty);
+            members.upstreams.push(node.id);
+            members.slots += u32::from(node.slots);
+            members.staying += u16::from(!node.leaving);
+        }
+        Self { groups }
+    }
 
-    /// Slots of all upstreams of a group.
-    pub fn slots(&self, group: Group) -> u32 {
-        let members = self.upstreams.values().filter(|u| u.group() == group);
-        members.map(|u| u32::from(u.slots)).sum()
+    /// One group.
+    pub fn get(&self, group: Group) -> Option<&Members> {
+        self.groups.get(&group)
     }
 
-    /// Where the members of a group lie.
-    pub fn place(&self, domain: Domain) -> Option<Place> {
-        self.upstreams.values().map(|u| u.place).find(|p| p.domain == domain)
+    /// All groups.
+    pub fn iter(&self) -> impl Iterator<Item = (Group, &Members)> {
+        self.groups.iter().map(|(group, members)| (*group, members))
     }
 }
