feat(node): orders from callers through a clerk and an owner to one upstream

Cause: the clerk stood alone. Change: POST /v1/{service}/order; the entry passes an order to the clerk that rendezvous hashing names for its bucket, the clerk claims it through the configuration duty, and the owner of a group sends it, once, within its slots; link loss and silence end as unknown.

--- a/crates/tgw-bench/src/sim.rs
+++ b/crates/tgw-bench/src/sim.rs
@@ -452,7 +452,11 @@
                     self.collector.refused_after = self.collector.refused_after.max(after);
                 }
             }
-            Output::Connect(_) | Output::Disconnect(_) | Output::Note(_) => {}
+            Output::Ordered(..)
+            | Output::Store(_)
+            | Output::Connect(_)
+            | Output::Disconnect(_)
+            | Output::Note(_) => {}
         }
     }
 
--- a/crates/tgw-dispatch/src/group.rs
+++ b/crates/tgw-dispatch/src/group.rs
@@ -250,7 +250,7 @@
             // A cancelled straggler says nothing of its speed; it stays as it was judged.
             Ok(Reply::Cancelled) => {}
             Ok(Reply::Items { .. }) if !run.aborted => upstream.good(age, late),
-            Ok(Reply::Items { .. } | Reply::Expired) => {}
+            Ok(Reply::Items { .. } | Reply::Ran(_) | Reply::Expired) => {}
             Ok(Reply::Gone) => {
                 if let Some((snapshot, _)) = asked {
                     upstream.lost(snapshot);
@@ -292,6 +292,16 @@
                 }
                 Outcome::Gone
             }
+            Ok(Reply::Ran(result)) => {
+                self.answer(now, run.task, Outcome::Items(result), out);
+                return;
+            }
+            // An order that was sent may have been run, whatever broke after that. Only a connection
+            // that was never made, or the upstream's own word, allows another sending.
+            Err(failure) if task.leaf.once() && failure != Failure::Connect => {
+                self.answer(now, run.task, Outcome::Failed(failure), out);
+                return;
+            }
             Ok(Reply::Gone) => Outcome::Gone,
             Ok(Reply::Shed | Reply::Draining) => Outcome::Shed,
             Ok(Reply::Expired) => Outcome::Expired,
@@ -346,7 +356,9 @@
             let upstream = &mut self.upstreams[*index];
             if let Some(run) = upstream.runs.iter_mut().find(|r| r.ticket == *ticket) {
                 run.aborted = true;
-                out.push(Action::Abort { ticket: *ticket, upstream: upstream.id });
+                if !task.leaf.once() {
+                    out.push(Action::Abort { ticket: *ticket, upstream: upstream.id });
+                }
             }
         }
         Some(task)
@@ -406,7 +418,10 @@
         let expired: SmallVec<[u64; 8]> =
             self.tasks.iter().filter(|(_, t)| t.leaf.deadline <= now).map(|(n, _)| *n).collect();
         for number in expired {
-            self.answer(now, number, Outcome::Expired, out);
+            let runs = |t: &Task| t.leaf.once() && !t.runs.is_empty();
+            let may_run = self.tasks.get(&number).is_some_and(runs);
+            let outcome = if may_run { Outcome::Failed(Failure::Closed) } else { Outcome::Expired };
+            self.answer(now, number, outcome, out);
         }
         // What waits behind a straggler that is a group of its own cannot be moved here. Its entry
         // can: nothing was sent, so asking another group costs no extra load.
@@ -483,7 +498,7 @@
         let pressed = self.pressed();
         let mut due: SmallVec<[(Millis, u64); 8]> = SmallVec::new();
         for run in self.upstreams.iter().flat_map(|u| &u.runs) {
-            let open = |t: &Task| !t.hedged && t.sent < self.options.attempts;
+            let open = |t: &Task| !t.hedged && t.sent < self.options.attempts && !t.leaf.once();
             if run.late && !run.aborted && self.tasks.get(&run.task).is_some_and(open) {
                 due.push((run.started, run.task));
             }
@@ -535,7 +550,7 @@
         let fits = |i: &&usize| {
             let upstream = &self.upstreams[**i];
             !upstream.leaving()
-                && upstream.holds(task.leaf.snapshot)
+                && (task.leaf.once() || upstream.holds(task.leaf.snapshot))
                 && !task.runs.iter().any(|(_, running)| running == *i)
         };
         task.eligible.iter().filter(fits).copied().collect()
@@ -597,7 +612,9 @@
         let staying: SmallVec<[usize; 4]> = task.eligible.iter().filter(staying).copied().collect();
         if staying.is_empty() {
             self.give_up(now, number, out);
-        } else if !staying.iter().any(|i| self.upstreams[*i].holds(task.leaf.snapshot)) {
+        } else if !task.leaf.once()
+            && !staying.iter().any(|i| self.upstreams[*i].holds(task.leaf.snapshot))
+        {
             task.last = Some(Outcome::Gone);
             self.give_up(now, number, out);
         }
--- a/crates/tgw-dispatch/src/leaf.rs
+++ b/crates/tgw-dispatch/src/leaf.rs
@@ -44,6 +44,24 @@
     pub body: Bytes,
     /// Whether decisions about it are logged.
     pub traced: bool,
+    /// What the upstream does for it.
+    pub work: Work,
+}
+
+/// What an upstream does for a request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Work {
+    /// Searches a shard.
+    Search,
+    /// Runs the order of this name, which must not be sent twice.
+    Order(String),
+}
+
+impl Leaf {
+    /// Whether it must not be sent a second time once it may have been run.
+    pub fn once(&self) -> bool {
+        matches!(self.work, Work::Order(_))
+    }
 }
 
 /// What came of a leaf request, as the entry VM is told.
@@ -77,6 +95,8 @@
         /// The items as a JSON array.
         items: Bytes,
     },
+    /// It ran the order and answered this.
+    Ran(Bytes),
     /// It does not hold the snapshot.
     Gone,
     /// It refuses work for now.
--- a/crates/tgw-node/src/lib.rs
+++ b/crates/tgw-node/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod message;
 /// The core.
 mod node;
+/// Orders: taken in, claimed by a clerk, run by an owner.
+mod orders;
 
 pub use message::Message;
-pub use node::{Input, Node, Note, Options, Output, Placement};
+pub use node::{Input, Intake, Node, Note, Options, Output, Placement};
--- a/crates/tgw-node/src/message.rs
+++ b/crates/tgw-node/src/message.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use tgw_clock::Millis;
-use tgw_dispatch::leaf::{Key, Outcome, Stock};
+use tgw_dispatch::leaf::{Key, Outcome, Stock, Work};
 use tgw_topology::{Group, Snapshot, Upstream};
 
 /// One message.
@@ -19,6 +19,10 @@
     Alive,
     /// Asks a VM that has been silent whether it lives.
     Probe,
+    /// An order for the clerk of its key.
+    Order(Order),
+    /// What came of an order.
+    Ordered(u64, tgw_order::Outcome),
     /// An upstream leaves: no new work for it from anyone.
     Leaving(Upstream),
 }
@@ -42,6 +46,23 @@
     pub body: Bytes,
     /// Whether decisions about it are logged.
     pub traced: bool,
+    /// What the upstream does for it.
+    pub work: Work,
+}
+
+/// An order for the clerk of its key.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Order {
+    /// Names the request at the VM that took it in.
+    pub number: u64,
+    /// The caller's key.
+    pub key: tgw_order::Key,
+    /// Seconds since the key was made, as far as the clocks go; `None` if it is from the future.
+    pub age_s: Option<u64>,
+    /// Time left.
+    pub left: Millis,
+    /// What is ordered.
+    pub body: Bytes,
 }
 
 /// What came of a leaf request.
--- a/crates/tgw-node/src/node.rs
+++ b/crates/tgw-node/src/node.rs
@@ -1,6 +1,7 @@
 use crate::{
     groups::{Groups, HALF, Step},
     message::{Ask, Message, Told},
+    orders::{self, ORDERS, Orders},
 };
 use smallvec::SmallVec;
 use std::{
@@ -10,14 +11,14 @@
 use tgw_clock::Millis;
 use tgw_dispatch::{
     Leaf, Owner, Rank,
-    leaf::{Failure, Held, Outcome, Reply},
+    leaf::{Failure, Held, Outcome, Reply, Work},
     owner::{self, Ticket},
     pick::Policy,
 };
 use tgw_owner::{Directory, Map, State};
 use tgw_query::{
     Action, Answer, Entry, Event, Owners, Stats, View,
-    answer::Refusal,
+    answer::{Cause, Refusal},
     step::{Note as EntryNote, Token},
 };
 use tgw_table::Document;
@@ -27,6 +28,8 @@
     place::Distance,
 };
 
+/// What a caller whose order was refused is told to wait.
+const RETRY_AFTER: Millis = Millis::new(500);
 /// How often rights to groups are looked over.
 const GROUPS: Millis = Millis::new(100);
 /// How often a VM that works for others says that it lives.
@@ -52,6 +55,21 @@
     pub dispatch: owner::Options,
 }
 
+/// A caller's order.
+#[derive(Debug)]
+pub struct Intake {
+    /// Names the caller's request.
+    pub token: Token,
+    /// The caller's key.
+    pub key: tgw_order::Key,
+    /// Seconds since the key was made; `None` if it is from the future.
+    pub age_s: Option<u64>,
+    /// Time that the caller gives, if less than the row's.
+    pub within: Option<Millis>,
+    /// What is ordered.
+    pub body: bytes::Bytes,
+}
+
 /// What the core is told.
 #[derive(Debug)]
 pub enum Input {
@@ -87,6 +105,10 @@
     Restarted(Upstream),
     /// An upstream's own word on the snapshots it holds.
     Held(Upstream, Held),
+    /// A caller's order.
+    Order(Intake),
+    /// The store's answer to a call of the clerk.
+    Store(tgw_order::Event),
     /// Services and upstreams as the platform describes them now.
     Catalog(Arc<Catalog>),
     /// A newer edition of the table.
@@ -126,6 +148,10 @@
     Answer(Token, Answer),
     /// Tell a caller that the query was not run.
     Refuse(Token, Refusal),
+    /// Tell a caller what came of an order.
+    Ordered(Token, tgw_order::Outcome),
+    /// A call of the platform's store for the clerk, answered by [`Input::Store`].
+    Store(tgw_order::Action),
     /// Dispatching to these upstreams begins: connect to them.
     Connect(SmallVec<[Upstream; 4]>),
     /// Dispatching to these upstreams has ended: close their connections.
@@ -182,6 +208,7 @@
     distance: Distance,
     dispatch: owner::Options,
     entry: Entry,
+    orders: Orders,
     owner: Owner,
     groups: Groups,
     map: Map,
@@ -208,6 +235,7 @@
             place: options.place,
             distance: options.distance,
             dispatch: options.dispatch,
+            orders: Orders::new(options.entry.vm, options.entry.incarnation),
             entry: Entry::new(options.entry),
             owner: Owner::new(options.policy),
             groups: Groups::default(),
@@ -275,9 +303,14 @@
         self.leaving.contains_key(&upstream)
     }
 
+    /// Counts of the clerk.
+    pub fn clerk_stats(&self) -> &tgw_order::Stats {
+        self.orders.stats()
+    }
+
     /// Whether nothing is left to finish.
     pub fn idle(&self) -> bool {
-        self.entry.pending() == 0 && self.owner.pending() == 0
+        self.entry.pending() == 0 && self.owner.pending() == 0 && self.orders.pending() == 0
     }
 
     /// Handles one input at `now` and appends what must be done.
@@ -288,10 +321,7 @@
             }
             Input::Abandon(token) => self.at_entry(now, Event::Abandon(token), out),
             Input::Peer(from, message) => self.peer(now, from, message, out),
-            Input::Lost(vm) => {
-                self.working_for.remove(&vm);
-                self.at_entry(now, Event::Lost(vm), out);
-            }
+            Input::Lost(vm) => self.lost(now, vm, out),
             Input::Done { ticket, result, held } => {
                 self.at_owner(now, owner::Event::Done { ticket, result, held }, out);
             }
@@ -303,6 +333,11 @@
             Input::Held(upstream, held) => {
                 self.at_owner(now, owner::Event::Held(upstream, held), out);
             }
+            Input::Order(intake) => self.order(now, intake, out),
+            Input::Store(event) => {
+                let steps = self.orders.clerk(now, event);
+                self.order_steps(now, steps, out);
+            }
             Input::Catalog(catalog) => self.set_catalog(now, catalog, out),
             Input::Table(table) => {
                 self.table = Some(table);
@@ -322,6 +357,19 @@
         match message {
             Message::Ask(ask) => self.asked(now, from, ask, out),
             Message::Cancel(key) => self.at_owner(now, owner::Event::Cancel(key), out),
+            Message::Outcome(told) if told.key.query.number >= ORDERS => {
+                let steps = self.orders.outcome(now, &told);
+                self.order_steps(now, steps, out);
+            }
+            Message::Order(order) => {
+                let steps = self.orders.asked(now, from, order);
+                self.order_steps(now, steps, out);
+            }
+            Message::Ordered(number, outcome) => {
+                if let Some(token) = self.orders.told(number) {
+                    out.push(Output::Ordered(token, outcome));
+                }
+            }
             Message::Outcome(Told { key, outcome, stock, extra, waited, pressure }) => {
                 let event = Event::Outcome { from, key, outcome, stock, extra, waited, pressure };
                 self.at_entry(now, event, out);
@@ -336,7 +384,7 @@
         if from != self.me {
             self.working_for.insert(from);
         }
-        let Ask { group, stand_in, key, snapshot, left, patience, body, traced } = ask;
+        let Ask { group, stand_in, key, snapshot, left, patience, body, traced, work } = ask;
         if stand_in {
             let steps = self.groups.stand_in(now, group);
             self.carry_out(now, group, steps, "stands in: the owner is silent", out);
@@ -345,12 +393,69 @@
             let outcome = Outcome::Moved(self.owner_of(group).filter(|vm| *vm != self.me));
             return self.tell(now, from, Message::Outcome(Told::bare(key, outcome)), out);
         }
-        let replicas = self.catalog.replicas(group.service, snapshot.layout, key.shard).into();
+        let replicas = match &work {
+            Work::Search => self.catalog.replicas(group.service, snapshot.layout, key.shard).into(),
+            Work::Order(_) => self.upstreams(group),
+        };
         let give_back = patience.map(|p| now + p);
-        let leaf = Leaf { key, snapshot, deadline: now + left, give_back, body, traced };
+        let leaf = Leaf { key, snapshot, deadline: now + left, give_back, body, traced, work };
         self.at_owner(now, owner::Event::Ask { group, replicas, leaf }, out);
     }
 
+    fn order(&mut self, now: Millis, intake: Intake, out: &mut Vec<Output>) {
+        let Intake { token, key, age_s, within, body } = intake;
+        let name = self.catalog.services.get(&key.service).map(|s| &s.name);
+        let row = name.and_then(|n| self.table.as_ref()?.rows.get(n));
+        let refusal = match row {
+            _ if self.draining => Some(Cause::Draining),
+            None if self.table.is_none() => Some(Cause::NotReady),
+            None => Some(Cause::UnknownService),
+            Some(row) if !row.orders => Some(Cause::NoOrders),
+            Some(_) => None,
+        };
+        if let Some(reason) = refusal {
+            let retry_after = RETRY_AFTER;
+            return out.push(Output::Refuse(token, Refusal { reason, retry_after }));
+        }
+        let deadline = row.map_or(Millis::ZERO, tgw_table::Row::deadline);
+        let deadline = now + within.map_or(deadline, |w| w.min(deadline));
+        let order = orders::Taken { token, key, age_s, deadline, body };
+        let steps = self.orders.take(now, order, &self.map);
+        self.order_steps(now, steps, out);
+    }
+
+    fn order_steps(&mut self, now: Millis, steps: Vec<orders::Step>, out: &mut Vec<Output>) {
+        for step in steps {
+            match step {
+                orders::Step::Tell(to, message) => self.tell(now, to, message, out),
+                orders::Step::Answer(token, outcome) => out.push(Output::Ordered(token, outcome)),
+                orders::Step::Store(action) => out.push(Output::Store(action)),
+                orders::Step::Run(run) => {
+                    let steps = self.run_order(now, run);
+                    self.order_steps(now, steps, out);
+                }
+            }
+        }
+    }
+
+    /// Sends a claimed order to the owner of the group that promises it the earliest slot, leaving
+    /// out groups that were tried.
+    fn run_order(&mut self, now: Millis, run: orders::Run) -> Vec<orders::Step> {
+        let seen = Seen { map: &self.map, index: &self.index };
+        let view = View {
+            catalog: &self.catalog,
+            index: &self.index,
+            table: self.table.as_deref(),
+            owners: &seen,
+            here: self.place,
+            distance: self.distance,
+        };
+        let groups = self.index.iter().map(|(group, _)| group);
+        let own: Vec<Group> = groups.filter(|g| g.service == run.key.service).collect();
+        let best = self.entry.best_group(now, &own, &run.tried, &view);
+        self.orders.send(now, run, best)
+    }
+
     fn at_entry(&mut self, now: Millis, event: Event, out: &mut Vec<Output>) {
         let seen = Seen { map: &self.map, index: &self.index };
         let view = View {
@@ -366,10 +471,11 @@
         for action in actions {
             match action {
                 Action::Ask { to, group, stand_in, leaf } => {
-                    let Leaf { key, snapshot, deadline, give_back, body, traced } = leaf;
+                    let Leaf { key, snapshot, deadline, give_back, body, traced, work } = leaf;
                     let left = deadline - now;
                     let patience = give_back.map(|at| at - now);
-                    let ask = Ask { group, stand_in, key, snapshot, left, patience, body, traced };
+                    let ask =
+                        Ask { group, stand_in, key, snapshot, left, patience, body, traced, work };
                     self.tell(now, to, Message::Ask(ask), out);
                 }
                 Action::Cancel { to, key } => self.tell(now, to, Message::Cancel(key), out),
@@ -469,16 +575,23 @@
         };
         self.joined |= directory.owners().any(|(vm, _)| vm != self.me);
         self.map.set(directory);
+        self.orders.settle(now, &self.map);
         self.settle_all(now, "membership changed", out);
         for vm in gone {
             // A leaving VM finishes what it was asked; a dead or unreachable one does not.
             if vm != self.me && !self.finishes(vm) {
-                self.working_for.remove(&vm);
-                self.at_entry(now, Event::Lost(vm), out);
+                self.lost(now, vm, out);
             }
         }
     }
 
+    fn lost(&mut self, now: Millis, vm: Vm, out: &mut Vec<Output>) {
+        self.working_for.remove(&vm);
+        self.at_entry(now, Event::Lost(vm), out);
+        let steps = self.orders.lost(now, vm);
+        self.order_steps(now, steps, out);
+    }
+
     /// Whether a VM has said that it leaves and can still be reached.
     fn finishes(&self, vm: Vm) -> bool {
         let directory = self.map.directory();
@@ -491,6 +604,7 @@
     /// After a pause the groups owned before may have new owners, who use all slots by now. What is
     /// owned still is taken again with half of the slots, as by any new owner.
     fn resume(&mut self, now: Millis, out: &mut Vec<Output>) {
+        self.orders.resume(now);
         for group in self.groups.renew(now) {
             self.owner.share(group, HALF);
             self.placement(group, "resumed after a pause with half of the slots", out);
@@ -611,6 +725,8 @@
     fn tick(&mut self, now: Millis, out: &mut Vec<Output>) {
         self.at_entry(now, Event::Tick, out);
         self.at_owner(now, owner::Event::Tick, out);
+        let steps = self.orders.tick(now, &self.map);
+        self.order_steps(now, steps, out);
         if now - self.looked_over >= GROUPS {
             self.looked_over = now;
             if !self.joined && now >= JOIN {
--- a/crates/tgw-owner/src/map.rs
+++ b/crates/tgw-owner/src/map.rs
@@ -46,6 +46,13 @@
         owners
     }
 
+    /// The VM that claims the orders of a bucket; nearness does not count, as any two VMs must name
+    /// the same one.
+    pub fn clerk(&self, bucket: u64) -> Option<Vm> {
+        let rank = |vm: Vm| xxh3_64_with_seed(&bucket.to_le_bytes(), vm.0);
+        self.directory.owners().map(|(vm, _)| vm).min_by_key(|vm| rank(*vm))
+    }
+
     fn rank(&self, group: Group, place: Place) -> SmallVec<[Vm; 2]> {
         let owning = best(self.directory.owners(), group, place);
         if owning.is_empty() {
--- a/crates/tgw-query/src/answer.rs
+++ b/crates/tgw-query/src/answer.rs
@@ -90,6 +90,9 @@
     /// The VM is leaving.
     #[display("draining")]
     Draining,
+    /// The service takes no orders.
+    #[display("no_orders")]
+    NoOrders,
     /// No snapshot of the service can be served at all.
     #[display("no_snapshot")]
     NoSnapshot,
--- a/crates/tgw-query/src/attempt.rs
+++ b/crates/tgw-query/src/attempt.rs
@@ -2,12 +2,12 @@
     context::Cx,
     entry::{Entry, Tail},
     running::{Attempt, Part, Running},
-    step::{Action, What, Why},
+    step::{Action, View, What, Why},
 };
 use rand::Rng;
 use smallvec::SmallVec;
 use tgw_clock::Millis;
-use tgw_dispatch::leaf::{Key, Leaf};
+use tgw_dispatch::leaf::{Key, Leaf, Work};
 use tgw_tail::{Average, Budget, Hedge};
 use tgw_topology::{Group, Service, Vm};
 
@@ -81,11 +81,32 @@
             give_back: patience.map(|p| cx.now + p),
             body: running.body.clone(),
             traced,
+            work: Work::Search,
         };
         cx.out.push(Action::Ask { to, group, stand_in, leaf });
         true
     }
 
+    /// The group, among some, that promises the earliest answer, and the VM to ask for it.
+    pub fn best_group(
+        &self,
+        now: Millis,
+        groups: &[Group],
+        except: &[Group],
+        view: &View<'_>,
+    ) -> Option<(Group, Vm)> {
+        let usable = |group: &Group| {
+            let owners = view.owners.owners(*group);
+            owners.iter().find(|vm| !self.paths.stalled(**vm)).copied()
+        };
+        groups
+            .iter()
+            .filter(|g| !except.contains(g))
+            .filter_map(|g| Some((self.paths.estimate(now, *g, view), *g, usable(g)?)))
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(_, group, vm)| (group, vm))
+    }
+
     /// The group and VM to ask for one shard; untried groups first, then by expected answer.
     fn route(&mut self, cx: &Cx<'_>, running: &Running, index: usize, why: Why) -> Option<Route> {
         let part = &running.parts[index];
--- a/crates/tgw-serve/src/callers.rs
+++ b/crates/tgw-serve/src/callers.rs
@@ -1,6 +1,6 @@
 use crate::{
     metrics::{Gauges, Metrics},
-    work::{Said, Search, Work},
+    work::{Order, Said, Search, Work},
 };
 use axum::{
     Json, Router,
@@ -13,8 +13,12 @@
 use bytes::Bytes;
 use opentelemetry::KeyValue;
 use serde_json::json;
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
 use tgw_clock::Millis;
+use tgw_order::Outcome;
 use tgw_query::{
     Answer,
     answer::{Cause, Refusal},
@@ -24,6 +28,10 @@
 
 /// Longest label that a caller may give its query.
 const LABEL_LIMIT: usize = 64;
+/// The header that carries an order's key.
+const KEY: &str = "idempotency-key";
+/// What the caller of an order that was not run is told to wait.
+const ORDER_RETRY: Millis = Millis::new(1000);
 const RING_FULL_RETRY: Millis = Millis::new(100);
 
 /// What the handlers share.
@@ -39,6 +47,7 @@
 pub(crate) fn router(callers: Arc<Callers>) -> Router {
     Router::new()
         .route("/v1/{service}/search", post(search))
+        .route("/v1/{service}/order", post(order))
         .route("/healthz", get(|| async { "ok" }))
         .route("/readyz", get(ready))
         .with_state(callers)
@@ -73,10 +82,65 @@
     match said.await {
         Ok(Said::Answer(answer)) => answered(&callers, &service, &answer, label.as_deref()),
         Ok(Said::Refusal(refusal)) => refuse(&callers, &service, &refusal),
-        Err(_) => mistake(StatusCode::INTERNAL_SERVER_ERROR, "process", "the process is stopping"),
+        Ok(Said::Ordered(_) | Said::BadKey(_)) | Err(_) => {
+            mistake(StatusCode::INTERNAL_SERVER_ERROR, "process", "the process is stopping")
+        }
     }
 }
 
+async fn order(
+    State(callers): State<Arc<Callers>>,
+    Path(service): Path<String>,
+    request: Request,
+) -> Response {
+    let (head, body) = request.into_parts();
+    let key = head.headers.get(KEY).and_then(|v| v.to_str().ok()).map(str::to_owned);
+    let Some(key) = key else {
+        let text = tgw_order::key::Error::Malformed.to_string();
+        return mistake(StatusCode::BAD_REQUEST, KEY, &text);
+    };
+    let Input { within, body, .. } = match Input::read(&callers, &head.headers, body).await {
+        Ok(input) => input,
+        Err(mistake) => return mistake.into_response(),
+    };
+    let (reply, said) = oneshot::channel();
+    let now_s = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs();
+    let order = Order { service: service.clone(), key, now_s, within, body, reply };
+    if callers.core.push(Work::Order(order)).is_err() {
+        let refusal = Refusal { reason: Cause::Busy, retry_after: RING_FULL_RETRY };
+        return refuse(&callers, &service, &refusal);
+    }
+    match said.await {
+        Ok(Said::Ordered(outcome)) => ordered(&outcome),
+        Ok(Said::Refusal(refusal)) => refuse(&callers, &service, &refusal),
+        Ok(Said::BadKey(error)) => {
+            let status = match error {
+                tgw_order::key::Error::Expired => StatusCode::GONE,
+                _ => StatusCode::BAD_REQUEST,
+            };
+            mistake(status, KEY, &error.to_string())
+        }
+        // The process stops before the outcome is known.
+        Ok(Said::Answer(_)) | Err(_) => ordered(&Outcome::Unknown),
+    }
+}
+
+fn ordered(outcome: &Outcome) -> Response {
+    let status = match outcome {
+        Outcome::Ran { .. } => StatusCode::OK,
+        Outcome::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
+        Outcome::Unknown => StatusCode::GATEWAY_TIMEOUT,
+    };
+    let mut body = json!(outcome);
+    if let Outcome::Ran { result } = outcome {
+        body["result"] = serde_json::from_str(result).unwrap_or_else(|_| json!(result));
+    }
+    if matches!(outcome, Outcome::NotRun { .. }) {
+        body["retry_after_ms"] = json!(ORDER_RETRY.whole());
+    }
+    (status, Json(body)).into_response()
+}
+
 /// A search as a caller states it.
 struct Input {
     within: Option<Millis>,
@@ -150,7 +214,7 @@
 fn refuse(callers: &Callers, service: &str, refusal: &Refusal) -> Response {
     callers.metrics.refuse(service, &refusal.reason.to_string());
     let status = match refusal.reason {
-        Cause::UnknownService => StatusCode::NOT_FOUND,
+        Cause::UnknownService | Cause::NoOrders => StatusCode::NOT_FOUND,
         Cause::Busy => StatusCode::TOO_MANY_REQUESTS,
         Cause::NotReady | Cause::Deadline | Cause::Draining | Cause::NoSnapshot => {
             StatusCode::SERVICE_UNAVAILABLE
--- a/crates/tgw-serve/src/config.rs
+++ b/crates/tgw-serve/src/config.rs
@@ -11,8 +11,9 @@
     sync::{Arc, atomic::Ordering},
 };
 use tgw_clock::{Clock, Millis};
+use tgw_order::{Action, Event, Ledger, Stored};
 use tgw_peer::{Outgoing, Parcel};
-use tgw_platform::{Error, Object, Store, Version, object::List};
+use tgw_platform::{Error, Expect, Object, Store, Version, object::List};
 use tgw_ring::{Receiver, Sender};
 use tgw_table::{Document, adopt};
 use tgw_topology::{Catalog, Vm, catalog::Part};
@@ -26,6 +27,8 @@
 pub(crate) const TABLE: &str = "table";
 /// The kind of the objects that describe services.
 pub(crate) const SERVICE: &str = "service";
+/// The kind of the objects that hold claims for orders.
+const CLAIM: &str = "claim";
 /// The kind of the platform's objects that list VMs.
 const VM: &str = "vm";
 /// How long a watch waits for a change.
@@ -83,7 +86,12 @@
         loop {
             tokio::select! {
                 _ = stop.changed() => return,
-                notice = notices.recv() => duty.notice(notice),
+                notice = notices.recv() => match notice {
+                    Notice::Store(action) => {
+                        spawn_local(duty.clone().claim(action));
+                    }
+                    notice => duty.notice(notice),
+                },
             }
         }
     });
@@ -194,6 +202,7 @@
     fn notice(&self, notice: Notice) {
         match notice {
             Notice::Relay(relay) => self.relay.set(relay),
+            Notice::Store(_) => {}
             Notice::Newer(vm) => self.ask(vm),
             Notice::Asked { from, edit, world } => self.answer(from, edit, world),
             Notice::Table(delta) => {
@@ -208,6 +217,41 @@
         }
     }
 
+    /// Carries out a call of the store for the clerk.
+    async fn claim(self: Rc<Self>, action: Action) {
+        let event = match action {
+            Action::Put(object, version, ledger) => {
+                let expect = if version == 0 { Expect::Absent } else { Expect::At(version) };
+                let Ok(value) = serde_json::to_value(&ledger) else { return };
+                let put = self.store.put(CLAIM, &object, expect, &value).await;
+                let stored = match self.call(put) {
+                    Ok(version) => Stored::Done(version),
+                    Err(Error::Conflict { .. }) => Stored::Conflict,
+                    Err(Error::Unavailable { .. }) => Stored::Unavailable,
+                    Err(Error::Gone | Error::Unknown { .. }) => Stored::Unknown,
+                };
+                Event::Stored(object, stored)
+            }
+            Action::Get(object) => {
+                let read = self.call(self.store.get(CLAIM, &object).await);
+                Event::Read(object, read.map_err(|_| ()).and_then(ledger))
+            }
+            Action::Expire(object) => {
+                if let Ok(Some(found)) = self.call(self.store.get(CLAIM, &object).await) {
+                    let _ = self.call(self.store.delete(CLAIM, &object, found.version).await);
+                }
+                return;
+            }
+            Action::Run(..) | Action::Tell(..) => return,
+        };
+        // The clerk waits for this answer; the number of its calls under way is bounded.
+        let mut work = Work::Store(event);
+        while let Err(back) = self.core.push(work) {
+            work = back;
+            sleep(Millis::new(1).into()).await;
+        }
+    }
+
     fn ask(&self, vm: Vm) {
         let now = self.clock.now();
         if self.asked.get().is_some_and(|since| now - since < ASK_AGAIN) {
@@ -242,3 +286,10 @@
     part.changed = object.version;
     Some(part)
 }
+
+/// The claims that an object holds; an unreadable one counts as unread.
+fn ledger(object: Option<Object>) -> Result<Option<(Version, Ledger)>, ()> {
+    let Some(object) = object else { return Ok(None) };
+    let ledger = serde_json::from_value(object.value).map_err(|_| ())?;
+    Ok(Some((object.version, ledger)))
+}
--- a/crates/tgw-serve/src/queries.rs
+++ b/crates/tgw-serve/src/queries.rs
@@ -2,7 +2,7 @@
     log::Log,
     metrics::Gauges,
     status::{Counters, DomainLine, Status, UpstreamLine, VmLine},
-    work::{Errand, Said, Search, Work},
+    work::{Errand, Notice, Order, Said, Search, Work},
 };
 use std::{
     collections::BTreeMap,
@@ -10,7 +10,8 @@
 };
 use tgw_clock::{Clock, Millis};
 use tgw_member::Force;
-use tgw_node::{Input, Message, Node, Output};
+use tgw_node::{Input, Intake, Message, Node, Output};
+use tgw_order::Key;
 use tgw_peer::{Outgoing, Parcel};
 use tgw_query::answer::{Cause, Refusal};
 use tgw_ring::{Receiver, Sender};
@@ -37,6 +38,7 @@
     pub(crate) depth: Sender<Work>,
     pub(crate) errands: Sender<Errand>,
     pub(crate) peers: Sender<Outgoing>,
+    pub(crate) notices: Sender<Notice>,
     pub(crate) log: Log,
     pub(crate) idle: watch::Sender<bool>,
     replies: BTreeMap<u64, (oneshot::Sender<Said>, Option<String>)>,
@@ -51,6 +53,7 @@
     pub(crate) depth: Sender<Work>,
     pub(crate) errands: Sender<Errand>,
     pub(crate) peers: Sender<Outgoing>,
+    pub(crate) notices: Sender<Notice>,
     pub(crate) idle: watch::Sender<bool>,
 }
 
@@ -73,6 +76,7 @@
             depth: ends.depth,
             errands: ends.errands,
             peers: ends.peers,
+            notices: ends.notices,
             log: Log::new(name),
             idle: ends.idle,
             replies: BTreeMap::new(),
@@ -117,6 +121,8 @@
         let now = self.clock.now();
         let input = match work {
             Work::Search(search) => return self.search(now, search, out),
+            Work::Order(order) => return self.order(now, order, out),
+            Work::Store(event) => Input::Store(event),
             Work::Messages(from, messages) => {
                 for message in messages {
                     self.node.on(now, Input::Peer(from, message), out);
@@ -169,6 +175,28 @@
         self.node.on(now, Input::Submit { token, service: id, within, body }, out);
     }
 
+    fn order(&mut self, now: Millis, order: Order, out: &mut Vec<Output>) {
+        let Order { service, key, now_s, within, body, reply } = order;
+        let Some(id) = self.node.catalog().service(&service).map(|s| s.id) else {
+            let known = !self.node.catalog().services.is_empty();
+            let reason = if known { Cause::UnknownService } else { Cause::NotReady };
+            let _ = reply.send(Said::Refusal(Refusal { reason, retry_after: RETRY }));
+            return;
+        };
+        let key = match Key::read(id, &key, now_s) {
+            Ok(key) => key,
+            Err(error) => {
+                let _ = reply.send(Said::BadKey(error));
+                return;
+            }
+        };
+        let token = self.next;
+        self.next += 1;
+        self.replies.insert(token, (reply, None));
+        let age_s = now_s.checked_sub(key.made_s);
+        self.node.on(now, Input::Order(Intake { token, key, age_s, within, body }), out);
+    }
+
     /// Callers that went away: their work is stopped.
     fn abandoned(&mut self, out: &mut Vec<Output>) {
         let gone: Vec<u64> =
@@ -213,6 +241,12 @@
                         let _ = reply.send(Said::Refusal(refusal));
                     }
                 }
+                Output::Ordered(token, outcome) => {
+                    if let Some((reply, _)) = self.replies.remove(&token) {
+                        let _ = reply.send(Said::Ordered(outcome));
+                    }
+                }
+                Output::Store(action) => self.store(action),
                 Output::Note(note) => self.log.note(self.clock.now(), &note),
             }
         }
@@ -228,6 +262,21 @@
         }
     }
 
+    /// Hands a call of the store over; a full ring counts as a call that was never made.
+    fn store(&mut self, action: tgw_order::Action) {
+        let Err(Notice::Store(action)) = self.notices.push(Notice::Store(action)) else { return };
+        let event = match action {
+            tgw_order::Action::Put(object, ..) => {
+                tgw_order::Event::Stored(object, tgw_order::Stored::Unavailable)
+            }
+            tgw_order::Action::Get(object) => tgw_order::Event::Read(object, Err(())),
+            _ => return,
+        };
+        let mut out = Vec::new();
+        self.node.on(self.clock.now(), Input::Store(event), &mut out);
+        self.carry_out(out);
+    }
+
     fn errand(&mut self, errand: Errand) {
         if let Err(Errand::Send { ticket, .. }) = self.errands.push(errand) {
             let mut out = Vec::new();
--- a/crates/tgw-serve/src/serve.rs
+++ b/crates/tgw-serve/src/serve.rs
@@ -224,12 +224,12 @@
     let (close, closed) = watch::channel(false);
     let (idle, idle_seen) = watch::channel(false);
 
-    let sink = Box::new(Sink { core: core.clone(), notices });
+    let sink = Box::new(Sink { core: core.clone(), notices: notices.clone() });
     let peer = peer_options(&settings, vm, incarnation, place, network, clock.clone());
     let peers = tgw_peer::bind(peer, outgoing_out, sink, stopped.clone())?;
 
     let node = Node::new(node_options(&settings, vm, incarnation, place));
-    let ends = Ends { work, depth: core.clone(), errands, peers: outgoing.clone(), idle };
+    let ends = Ends { work, depth: core.clone(), errands, peers: outgoing.clone(), notices, idle };
     let (name, place) = (&settings.vm.name, place.to_string());
     let queries = Queries::new(name, &place, node, clock.clone(), gauges.clone(), ends);
     let mut threads = Vec::new();
--- a/crates/tgw-serve/src/upstreams.rs
+++ b/crates/tgw-serve/src/upstreams.rs
@@ -10,10 +10,13 @@
     sync::{Arc, atomic::Ordering},
 };
 use tgw_clock::{Clock, Millis};
-use tgw_dispatch::{Leaf, leaf::Failure};
+use tgw_dispatch::{
+    Leaf,
+    leaf::{Failure, Reply, Work as Kind},
+};
 use tgw_ring::{Receiver, Sender};
 use tgw_topology::Upstream;
-use tgw_upstream::{Client, Search};
+use tgw_upstream::{Client, Ordered, Search};
 use tokio::{
     sync::watch,
     task::{LocalSet, spawn_local},
@@ -155,6 +158,7 @@
     async fn send(self: Rc<Self>, ticket: u64, upstream: Upstream, leaf: Leaf) {
         let client = self.served.borrow().get(&upstream).map(|s| s.client.clone());
         let done = match client {
+            Some(client) if leaf.once() => self.order(client, ticket, leaf).await,
             Some(client) => {
                 let search = Search {
                     request: self.request(ticket),
@@ -172,6 +176,27 @@
         self.tell(done).await;
     }
 
+    async fn order(&self, client: Client, ticket: u64, leaf: Leaf) -> Work {
+        let Kind::Order(name) = &leaf.work else {
+            return Work::Done { ticket, result: Err(Failure::Connect), held: None };
+        };
+        // A paused VM can come to this line long after the deadline, when the caller has been told
+        // what is not known: the clock is read last, and nothing is sent past it.
+        let left = leaf.deadline - self.clock.now();
+        let ordered = if left == Millis::ZERO {
+            Ordered::NotSent
+        } else {
+            client.order(name, leaf.body.clone(), left).await
+        };
+        let result = match ordered {
+            Ordered::Ran(body) => Ok(Reply::Ran(body)),
+            Ordered::NotRun => Ok(Reply::Shed),
+            Ordered::NotSent => Err(Failure::Connect),
+            Ordered::Unknown => Err(Failure::Closed),
+        };
+        Work::Done { ticket, result, held: None }
+    }
+
     /// Hands a result over. It is not repeated by anyone, so it waits for room in the ring; the
     /// number of waiting results is bounded by the upstreams' slots.
     async fn tell(&self, mut work: Work) {
--- a/crates/tgw-serve/src/work.rs
+++ b/crates/tgw-serve/src/work.rs
@@ -19,6 +19,9 @@
 pub(crate) enum Said {
     Answer(Answer),
     Refusal(Refusal),
+    Ordered(tgw_order::Outcome),
+    /// The caller's key is refused.
+    BadKey(tgw_order::key::Error),
 }
 
 /// A caller's search on its way to the core.
@@ -31,10 +34,24 @@
     pub(crate) reply: oneshot::Sender<Said>,
 }
 
+/// A caller's order on its way to the core.
+#[derive(Debug)]
+pub(crate) struct Order {
+    pub(crate) service: String,
+    pub(crate) key: String,
+    /// Unix seconds by this machine's clock.
+    pub(crate) now_s: u64,
+    pub(crate) within: Option<Millis>,
+    pub(crate) body: Bytes,
+    pub(crate) reply: oneshot::Sender<Said>,
+}
+
 /// What the core's thread is told.
 #[derive(Debug)]
 pub(crate) enum Work {
     Search(Search),
+    Order(Order),
+    Store(tgw_order::Event),
     Messages(Vm, Vec<Message>),
     Lost(Vm),
     Done { ticket: u64, result: Result<Reply, Failure>, held: Option<Held> },
@@ -71,6 +88,8 @@
     Table(tgw_table::document::Delta),
     /// What changed in the catalog, from a VM.
     World { version: u64, parts: Vec<tgw_topology::catalog::Part> },
+    /// A call of the store for the clerk.
+    Store(tgw_order::Action),
     /// Whether this VM watches the platform for its domain.
     Relay(bool),
 }
