feat(cli): table, status, explain and completions

Cause: operators had no way to edit the table or to see the fleet. Before/after: nothing to measure.

--- a/crates/tanagergw/src/main.rs
+++ b/crates/tanagergw/src/main.rs
@@ -1,5 +1,6 @@
 //! The command line of tanagergw: a thin layer over the crates that do the work.
 
+mod access;
 mod bench;
 mod demo;
 mod logs;
@@ -7,6 +8,8 @@
 mod settings;
 mod signal;
 mod standin;
+mod status;
+mod table;
 
 use clap::{Parser, Subcommand};
 use std::process::ExitCode;
@@ -25,6 +28,17 @@
     Serve(serve::Args),
     /// Check a settings file.
     Settings(settings::Args),
+    /// Show, check, compare and change the operators' table.
+    Table(table::Args),
+    /// Show the fleet.
+    Status(status::Status),
+    /// Explain what the tier decided for one query.
+    Explain(status::Explain),
+    /// Print completions for a shell.
+    Completions {
+        /// The shell.
+        shell: clap_complete::Shell,
+    },
     /// Run stand-ins and several VMs in this process, with queries and faults.
     Demo(demo::Args),
     /// Run experiments under a virtual clock.
@@ -37,6 +51,14 @@
     let done = match Cli::parse().command {
         Command::Serve(args) => serve::run(&args),
         Command::Settings(args) => settings::run(&args),
+        Command::Table(args) => table::run(&args),
+        Command::Status(args) => status::run(&args),
+        Command::Explain(args) => status::explain(&args),
+        Command::Completions { shell } => {
+            let mut command = <Cli as clap::CommandFactory>::command();
+            clap_complete::generate(shell, &mut command, "tanagergw", &mut std::io::stdout());
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Demo(args) => demo::run(&args),
         Command::Bench(args) => bench::run(&args),
         Command::Standin(args) => standin::run(&args),
--- /dev/null
+++ b/crates/tanagergw/src/status.rs
@@ -0,0 +1,64 @@
+//! `tanagergw status` and `tanagergw explain`.
+
+use crate::access::{self, Platform, Vms, have};
+use std::process::ExitCode;
+use tgw_operate::{explain, status};
+
+/// The VMs, the table in force in each failure domain, and the upstreams with owner and state.
+#[derive(clap::Args)]
+pub(crate) struct Status {
+    #[command(flatten)]
+    platform: Platform,
+    #[command(flatten)]
+    vms: Vms,
+    /// Print JSON.
+    #[arg(long)]
+    json: bool,
+}
+
+/// What the tier decided for one query, step by step.
+#[derive(clap::Args)]
+pub(crate) struct Explain {
+    /// The query's identity, or the caller's own name for it.
+    query: String,
+    #[command(flatten)]
+    platform: Platform,
+    #[command(flatten)]
+    vms: Vms,
+    /// Print JSON.
+    #[arg(long)]
+    json: bool,
+}
+
+pub(crate) fn run(args: &Status) -> anyhow::Result<ExitCode> {
+    let access = have!(access::vms(&args.platform, &args.vms));
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let fleet = runtime.block_on(status::fetch(&access));
+    if args.json {
+        println!("{}", serde_json::to_string(&fleet)?);
+    } else {
+        print!("{}", status::text(&fleet));
+    }
+    let reached = !fleet.views.is_empty();
+    Ok(if reached { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+pub(crate) fn explain(args: &Explain) -> anyhow::Result<ExitCode> {
+    let access = have!(access::vms(&args.platform, &args.vms));
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let lines = runtime.block_on(explain::fetch(&access, &args.query));
+    if args.json {
+        println!("{}", serde_json::to_string(&lines)?);
+    } else {
+        print!("{}", explain::text(&lines));
+    }
+    if lines.is_empty() {
+        eprintln!(
+            "no decisions are kept for {}: it is too old, was not sampled (settings log.sample), or \
+             went through a VM that was not asked (--operators)",
+            args.query
+        );
+        return Ok(ExitCode::FAILURE);
+    }
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/crates/tgw-operate/src/call.rs
@@ -0,0 +1,48 @@
+use anyhow::Context;
+use http_body_util::{BodyExt, Empty};
+use hyper::{Request, StatusCode, body::Bytes, header};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use serde::de::DeserializeOwned;
+use std::{net::SocketAddr, time::Duration};
+
+const LIMIT: Duration = Duration::from_secs(5);
+
+/// How VMs' operators' interfaces are reached.
+#[derive(Clone, Debug)]
+pub struct Access {
+    /// The VMs' addresses for operators.
+    pub addrs: Vec<SocketAddr>,
+    /// The operators' token.
+    pub token: String,
+}
+
+impl Access {
+    /// Reads JSON from one VM.
+    pub(crate) async fn get<T: DeserializeOwned>(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+    ) -> anyhow::Result<T> {
+        let client: Client<HttpConnector, Empty<Bytes>> =
+            Client::builder(TokioExecutor::new()).build_http();
+        let request = Request::get(format!("http://{addr}{path}"))
+            .header(header::AUTHORIZATION, format!("Bearer {}", self.token))
+            .body(Empty::new())?;
+        let exchange = async {
+            let response = client.request(request).await?;
+            let status = response.status();
+            let body = response.into_body().collect().await?.to_bytes();
+            anyhow::Ok((status, body))
+        };
+        let (status, body) = tokio::time::timeout(LIMIT, exchange)
+            .await
+            .with_context(|| format!("{addr}: no answer within {LIMIT:?}"))?
+            .with_context(|| format!("{addr}: cannot be reached"))?;
+        anyhow::ensure!(status != StatusCode::UNAUTHORIZED, "{addr}: the token is refused");
+        anyhow::ensure!(status.is_success(), "{addr}: status {status}");
+        serde_json::from_slice(&body).with_context(|| format!("{addr}: unreadable answer"))
+    }
+}
--- /dev/null
+++ b/crates/tgw-operate/src/lib.rs
@@ -0,0 +1,12 @@
+//! What operators do: edit the table, see the fleet, ask why a query went as it did.
+
+/// Calls of the VMs' operators' interface.
+mod call;
+/// What one query's decisions were.
+pub mod explain;
+/// The fleet as its VMs see it.
+pub mod status;
+/// Edits of the table.
+pub mod table;
+
+pub use call::Access;
--- a/crates/tgw-serve/src/log.rs
+++ b/crates/tgw-serve/src/log.rs
@@ -15,6 +15,8 @@
     pub at_ms: f64,
     /// The VM that decided.
     pub vm: String,
+    /// The query's identity.
+    pub query: String,
     /// The part of the core that decided.
     pub part: String,
     /// What was decided.
@@ -104,7 +106,7 @@
         let lines = self.kept.entry(query.into()).or_default();
         if lines.len() < LINES {
             let (vm, part) = (self.vm.clone(), part.into());
-            lines.push(Line { at_ms: now.as_f64(), vm, part, text });
+            lines.push(Line { at_ms: now.as_f64(), vm, query: query.into(), part, text });
         }
     }
 }
