--- a/crates/tgw-bench/src/lib.rs
+++ b/crates/tgw-bench/src/lib.rs
@@ -6,6 +6,8 @@
 
 /// What one run yields.
 pub mod figures;
+/// Membership of many VMs under a virtual clock.
+pub mod members;
 /// The upstreams' model.
 mod model;
 /// SVG plots.
--- a/crates/tgw-member/src/member.rs
+++ b/crates/tgw-member/src/member.rs
@@ -263,6 +263,11 @@
         live.filter(|r| r.member.state.owns()).map(|r| r.vm).take(RELAYS).collect()
     }
 
+    /// Whether this VM sums up what its domain has in force.
+    fn sums_up(&self) -> bool {
+        self.relays(self.here()).first() == Some(&self.options.vm)
+    }
+
     /// Other VMs of this domain that may answer.
     fn neighbours(&self) -> Vec<Vm> {
         let here = self.here();
@@ -296,6 +301,7 @@
 
     fn packet(&mut self, now: Millis, addr: SocketAddr, packet: Packet, out: &mut Out) {
         let Packet { from, edit, world, body, news } = packet;
+        let stranger = !self.records.contains_key(&from);
         self.heard(now, from, out);
         for item in news {
             self.news(now, item, out);
@@ -304,7 +310,8 @@
             out.push(Action::Newer { vm: from, addr, edit, world });
         }
         match body {
-            Body::Ping { seq } => self.answer_ping(from, addr, seq, out),
+            Body::Ping { seq } => self.answer_ping(from, stranger, addr, seq, out),
+            Body::Join { seq } => self.answer_ping(from, true, addr, seq, out),
             Body::Ack { seq } => self.acknowledged(seq, out),
             Body::Indirect { seq, target } => {
                 let own = self.probes.next();
@@ -328,7 +335,7 @@
         }
     }
 
-    fn answer_ping(&mut self, from: Vm, addr: SocketAddr, seq: u64, out: &mut Out) {
+    fn answer_ping(&mut self, from: Vm, stranger: bool, addr: SocketAddr, seq: u64, out: &mut Out) {
         // A VM that counts as dead or suspect here must hear of it to refute it; one that is not
         // known must learn who this is.
         let known = self.records.get(&from).cloned();
@@ -340,7 +347,8 @@
             None => self.gossip.add(News::Record(self.own_record()), 1),
         }
         self.send(addr, Body::Ack { seq }, out);
-        if !self.records.contains_key(&from) {
+        // A VM that joins needs every record; the news it is told meanwhile is only what is new.
+        if stranger {
             out.push(Action::Sync(addr, self.records()));
         }
     }
@@ -365,7 +373,7 @@
             }
             News::Force { domain, edit, behind, example, stamp } => {
                 let force = Force { edit, behind, example, stamp };
-                let own = domain == self.here() && self.is_relay();
+                let own = domain == self.here() && self.sums_up();
                 if !own && self.relay.told_force(domain, force) {
                     let times = self.times();
                     self.gossip.add(News::Force { domain, edit, behind, example, stamp }, times);
@@ -413,6 +421,12 @@
     fn refute(&mut self, record: &Record, out: &mut Out) {
         let own = self.own_record();
         if !record.supersedes(&own) {
+            // The word was refuted before, and the refutation was lost on its way to whoever still
+            // spreads it. Unless told again, that VM removes this one when its patience ends.
+            if !matches!(record.member.state, State::Alive | State::Leaving) {
+                let times = self.times();
+                self.gossip.add(News::Record(own), times);
+            }
             return;
         }
         self.incarnation = record.member.incarnation + 1;
@@ -569,7 +583,7 @@
             let near = self.records.values().filter(|r| r.member.place.domain == self.here());
             near.filter(|r| r.member.state.owns()).map(|r| r.vm).collect()
         };
-        if live.first() != Some(&self.options.vm) {
+        if !self.sums_up() {
             return;
         }
         if let Some(news) = self.relay.sum_up(self.here(), &live) {
@@ -677,7 +691,9 @@
         for addr in targets.into_iter().take(2) {
             self.gossip.add(News::Record(self.own_record()), 1);
             let seq = self.probes.next();
-            self.send(addr, Body::Ping { seq }, out);
+            // One that knows nobody may be known from its earlier life; it still needs all records.
+            let body = if known.len() <= 1 { Body::Join { seq } } else { Body::Ping { seq } };
+            self.send(addr, body, out);
         }
     }
 
--- a/crates/tgw-member/src/packet.rs
+++ b/crates/tgw-member/src/packet.rs
@@ -32,6 +32,11 @@
         /// Repeated in the acknowledgement.
         seq: u64,
     },
+    /// A ping of a VM that knows no other and asks for all records.
+    Join {
+        /// Repeated in the acknowledgement.
+        seq: u64,
+    },
     /// Answers a ping.
     Ack {
         /// The ping's number.
--- a/crates/tgw-query/src/entry.rs
+++ b/crates/tgw-query/src/entry.rs
@@ -236,7 +236,7 @@
             parts: Vec::new(),
             open: 0,
             waited: Millis::ZERO,
-            traced: sample > 0 && query.number.is_multiple_of(sample),
+            traced: sample > 0 && (query.number - 1).is_multiple_of(sample),
         };
         running.lay_out(offer.snapshot, offer.shards);
         let Offer { snapshot, shards, servable, .. } = offer;
