--- a/crates/tanagergw/src/bench.rs
+++ b/crates/tanagergw/src/bench.rs
@@ -7,6 +7,7 @@
     scenario::{self, Options},
     slopes,
 };
+use tgw_clock::Millis;
 use tgw_standin::size::{Spread, User};
 
 #[derive(clap::Args)]
@@ -34,6 +35,12 @@
     /// Lay each instance's upstreams apart, in three regions.
     #[arg(long)]
     apart: bool,
+    /// Write what the first VM's core was told and did as a trace; use a light `--load`.
+    #[arg(long)]
+    record: Option<PathBuf>,
+    /// Seconds measured; by default eight.
+    #[arg(long)]
+    seconds: Option<f64>,
     /// Print JSON instead of tables.
     #[arg(long)]
     json: bool,
@@ -99,6 +106,8 @@
     options.hops = !args.no_distances;
     options.spread = if args.apart { Spread::Apart } else { Spread::Together };
     options.load = args.load;
+    options.record = args.record.clone();
+    options.measured = args.seconds.map(|s| Millis::from_f64(s * 1000.0));
     match args.policy.as_deref() {
         None => {}
         Some("all") => options.policies = Policy::ALL.to_vec(),
--- a/crates/tanagergw/src/demo.rs
+++ b/crates/tanagergw/src/demo.rs
@@ -2,7 +2,7 @@
 
 use crate::{logs, signal};
 use anyhow::Context;
-use std::process::ExitCode;
+use std::{path::PathBuf, process::ExitCode};
 use tgw_demo::{Options, Size, fault::Fault};
 use tgw_standin::size::{Spread, User};
 
@@ -41,6 +41,9 @@
     /// One in this many queries has its decisions logged.
     #[arg(long, default_value_t = 100)]
     sample: u64,
+    /// Write what the first VM's core was told and did as a trace, for `replay`.
+    #[arg(long)]
+    record: Option<PathBuf>,
     /// Log filter.
     #[arg(long, default_value = "warn")]
     log: String,
@@ -101,6 +104,7 @@
             distances: !args.no_distances,
             seed: args.seed,
             sample: args.sample,
+            record: args.record.clone(),
         },
         queries: args.queries,
         per_second: rate,
--- a/crates/tanagergw/src/main.rs
+++ b/crates/tanagergw/src/main.rs
@@ -4,6 +4,7 @@
 mod bench;
 mod demo;
 mod logs;
+mod replay;
 mod serve;
 mod settings;
 mod signal;
@@ -41,6 +42,8 @@
     },
     /// Run stand-ins and several VMs in this process, with queries and faults.
     Demo(demo::Args),
+    /// Replay a recorded trace on the decision core.
+    Replay(replay::Args),
     /// Run experiments under a virtual clock.
     Bench(bench::Args),
     /// Run one stand-in, so that `serve` can be tried as separate processes.
@@ -60,6 +63,7 @@
             Ok(ExitCode::SUCCESS)
         }
         Command::Demo(args) => demo::run(&args),
+        Command::Replay(args) => replay::run(&args),
         Command::Bench(args) => bench::run(&args),
         Command::Standin(args) => standin::run(&args),
     };
--- a/crates/tgw-bench/src/scenario.rs
+++ b/crates/tgw-bench/src/scenario.rs
@@ -3,6 +3,7 @@
 use crate::{Fault, Figures, Policy, Setup, run};
 use derive_more::Display;
 use serde::Serialize;
+use std::path::PathBuf;
 use tgw_clock::Millis;
 use tgw_standin::size::{Spread, User};
 
@@ -50,11 +51,14 @@
     /// Two replicas of three fail every request for two seconds.
     #[display("retry-storm")]
     RetryStorm,
+    /// Replies come late, doubled and crossed.
+    #[display("mangled")]
+    Mangled,
 }
 
 impl Scenario {
     /// All experiments.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 13] = [
         Self::Steady,
         Self::Stragglers,
         Self::StragglersInTurn,
@@ -67,6 +71,7 @@
         Self::OwnerPaused,
         Self::Partition,
         Self::RetryStorm,
+        Self::Mangled,
     ];
 
     /// The experiment of that name.
@@ -88,6 +93,7 @@
             Self::OwnerKilled => "a VM that owns groups is killed",
             Self::OwnerPaused => "a VM that owns groups is paused for 3 s",
             Self::Partition => "a failure domain is cut off from the others for 4 s",
+            Self::Mangled => "replies come late, doubled and of other shards",
             Self::RetryStorm => "two replicas of three fail every request for 2 s",
         }
     }
@@ -96,7 +102,7 @@
     pub fn load(self) -> f64 {
         match self {
             Self::Overload => 2.0,
-            Self::ReplicaLost | Self::ColdStart | Self::RetryStorm => 0.3,
+            Self::ReplicaLost | Self::ColdStart | Self::RetryStorm | Self::Mangled => 0.3,
             _ => 0.5,
         }
     }
@@ -114,6 +120,7 @@
             Self::OwnerKilled => vec![(FAULT_AT, Fault::Kill)],
             Self::OwnerPaused => vec![(FAULT_AT, Fault::Pause(Millis::new(3000)))],
             Self::Partition => vec![(FAULT_AT, Fault::Partition(Millis::new(4000)))],
+            Self::Mangled => vec![(start, Fault::Mangled)],
             Self::RetryStorm => vec![(FAULT_AT, Fault::HalfLost(Millis::new(2000)))],
         }
     }
@@ -138,6 +145,8 @@
     pub measured: Option<Millis>,
     /// The policies compared.
     pub policies: Vec<Policy>,
+    /// Where the first VM's core is recorded: a short, light run of the first policy.
+    pub record: Option<PathBuf>,
 }
 
 impl Options {
@@ -154,6 +163,7 @@
             load: None,
             measured: None,
             policies,
+            record: None,
         }
     }
 }
@@ -194,6 +204,7 @@
         places: PLACES,
         table: options.user.table(),
         faults: scenario.faults(),
+        record: options.record.clone(),
     };
     Report {
         scenario: scenario.to_string(),
--- a/crates/tgw-bench/src/sim.rs
+++ b/crates/tgw-bench/src/sim.rs
@@ -9,7 +9,10 @@
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet, BinaryHeap},
+    fs::File,
+    io::BufWriter,
     net::{Ipv4Addr, SocketAddr},
+    path::PathBuf,
     sync::Arc,
 };
 use tgw_clock::Millis;
@@ -17,16 +20,19 @@
     Leaf,
     leaf::{Failure, Held, Reply},
 };
-use tgw_node::{Input, Message, Node, Options, Output};
+use tgw_node::{Identity, Input, Message, Node, Options, Output};
 use tgw_owner::{Directory, Member, State};
 use tgw_query::Answer;
+use tgw_replay::Recorder;
 use tgw_standin::size::{self, Spread, User};
 use tgw_table::Document;
 use tgw_topology::{
-    Catalog, Place, Query, Service, Snapshot, Vm,
+    Catalog, Place, Query, Service, Shard, Snapshot, Vm,
     place::{Distance, Domain},
 };
 
+/// How late a mangled reply is.
+const LATE_MS: f64 = 30.0;
 const TICK: Millis = Millis::new(1);
 /// Requests that wait at an upstream before more are shed, as a multiple of its slots.
 const BACKLOG: usize = 2;
@@ -66,6 +72,8 @@
     Pause(Millis),
     /// VM 0's failure domain is cut off from the others for this time.
     Partition(Millis),
+    /// One reply in ten comes twice, one in ten 30 ms late, one in ten belongs to another shard.
+    Mangled,
     /// Half the replicas break their connections for this time.
     HalfLost(Millis),
 }
@@ -95,6 +103,8 @@
     pub table: Document,
     /// What goes wrong, and when after the start.
     pub faults: Vec<(Millis, Fault)>,
+    /// Where the first VM's core is recorded.
+    pub record: Option<PathBuf>,
 }
 
 #[derive(Debug)]
@@ -152,6 +162,7 @@
     sent_measured: BTreeSet<Query>,
     collector: Collector,
     cut: BTreeSet<(Domain, Domain)>,
+    mangled: bool,
 }
 
 /// Runs one policy through one setup.
@@ -199,6 +210,7 @@
             sent_measured: BTreeSet::new(),
             collector: Collector::new(),
             cut: BTreeSet::new(),
+            mangled: false,
             setup,
         };
         for index in 0..sim.setup.vms {
@@ -211,22 +223,40 @@
     fn make_vm(&self, index: usize, life: u32) -> VmState {
         let vm = Vm::named(&format!("vm-{index}"));
         let place = size::place(index);
+        let identity = Identity {
+            vm,
+            incarnation: (index as u64 + 1) << 20 | u64::from(life),
+            place,
+            distance: self.distance,
+            places: self.setup.places,
+            sample: u64::from(self.setup.record.is_some()),
+        };
+        let mut node = Node::new(self.options(&identity));
+        let record = self.setup.record.as_ref().filter(|_| index == 0);
+        let file = record.and_then(|path| File::create(path).ok());
+        if let Some(recorder) = file.and_then(|f| Recorder::open(BufWriter::new(f), &identity).ok())
+        {
+            node.tap(Box::new(recorder));
+        }
+        VmState { node, vm, place, life, up: true, paused: Vec::new(), is_paused: false }
+    }
+
+    fn options(&self, identity: &Identity) -> Options {
         let (policy, seed, truth) = (self.policy, self.setup.seed, self.truth.clone());
-        let node = Node::new(Options {
+        if policy == Policy::Tier {
+            return Options::shipped(identity);
+        }
+        Options {
             entry: tgw_query::Options {
-                vm,
-                incarnation: (index as u64 + 1) << 20 | u64::from(life),
-                places: self.setup.places,
-                adapt: matches!(policy, Policy::Tier),
-                sample: 0,
+                adapt: false,
                 hedge: policy.hedges() && !policy.direct(),
+                ..Options::shipped(identity).entry
             },
-            place,
-            distance: self.distance,
+            place: identity.place,
+            distance: identity.distance,
             policy: Box::new(move |group| policy.pick(seed, &truth, group)),
             dispatch: policy.options(),
-        });
-        VmState { node, vm, place, life, up: true, paused: Vec::new(), is_paused: false }
+        }
     }
 
     fn at(&mut self, time: Millis, event: Event) {
@@ -514,7 +544,17 @@
         let way = self.way_to_upstream(job.vm, index);
         let held = self.upstreams[index].held.iter().copied().collect();
         let Job { vm, life, ticket, .. } = *job;
-        self.after(way, Event::Done { vm, life, ticket, result, held });
+        let event = |result| Event::Done { vm, life, ticket, result, held };
+        match if self.mangled { self.rng.random_range(0..10) } else { 10 } {
+            0 => {
+                self.after(way, event(result.clone()));
+                let held = self.upstreams[index].held.iter().copied().collect();
+                self.after(way + 1.0, Event::Done { vm, life, ticket, result, held });
+            }
+            1 => self.after(way + LATE_MS, event(result)),
+            2 => self.after(way, event(result.map(crossed))),
+            _ => self.after(way, event(result)),
+        }
     }
 
     fn finish(&mut self, index: usize, run: u64) {
@@ -605,6 +645,7 @@
                     }
                 }
             }
+            Fault::Mangled => self.mangled = true,
             Fault::Kill => self.kill(1),
             Fault::Pause(time) => {
                 self.vms[1].is_paused = true;
@@ -730,6 +771,16 @@
     }
 }
 
+/// The same reply as it would be for the next shard.
+fn crossed(reply: Reply) -> Reply {
+    match reply {
+        Reply::Items { snapshot, shard, items } => {
+            Reply::Items { snapshot, shard: Shard(shard.0 + 1), items }
+        }
+        other => other,
+    }
+}
+
 /// What an upstream answers: the query, the snapshot and the shard, so that a check can tell.
 fn items(body: &[u8], snapshot: Snapshot, shard: u16) -> Bytes {
     let mut bytes = Vec::with_capacity(18);
--- a/crates/tgw-bench/src/slopes.rs
+++ b/crates/tgw-bench/src/slopes.rs
@@ -86,6 +86,7 @@
             places: 100_000,
             table: user.table(),
             faults: Vec::new(),
+            record: None,
         };
         let start = Instant::now();
         let figures = run(&setup, Policy::Tier);
--- a/crates/tgw-demo/src/fleet.rs
+++ b/crates/tgw-demo/src/fleet.rs
@@ -2,12 +2,16 @@
 use anyhow::Context;
 use serde_json::json;
 use std::{
+    fs::File,
+    io::BufWriter,
     net::{Ipv4Addr, SocketAddr},
+    path::PathBuf,
     sync::{Arc, mpsc},
     thread::JoinHandle,
     time::Duration,
 };
 use tgw_clock::{Freeze, Millis};
+use tgw_replay::Recorder;
 use tgw_serve::{Handle, Options};
 use tgw_settings::Settings;
 use tgw_standin::{
@@ -38,6 +42,8 @@
     pub seed: u64,
     /// One in this many queries has its decisions logged.
     pub sample: u64,
+    /// Where the first VM's core is recorded.
+    pub record: Option<PathBuf>,
 }
 
 /// One VM of a demo.
@@ -137,6 +143,13 @@
         if self.size.distances {
             options.network = Arc::new(network);
         }
+        if let Some(path) = self.size.record.clone().filter(|_| index == 0) {
+            options.tap = Some(Box::new(move |core| {
+                let file = File::create(&path)
+                    .with_context(|| format!("cannot write {}", path.display()))?;
+                Ok(Box::new(Recorder::open(BufWriter::new(file), core)?))
+            }));
+        }
         let freeze = options.freeze.clone();
         let handle = tgw_serve::spawn(options)?;
         self.ways.add(handle.peers(), place);
--- a/crates/tgw-dispatch/src/leaf.rs
+++ b/crates/tgw-dispatch/src/leaf.rs
@@ -68,7 +68,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Outcome {
     /// The items of the shard in the snapshot that was asked for.
-    Items(Bytes),
+    Items(#[serde(with = "tgw_topology::text")] Bytes),
     /// No upstream of the group that could be asked holds the snapshot.
     Gone,
     /// Every upstream that could be asked shed the request.
@@ -84,7 +84,7 @@
 }
 
 /// What an upstream replied to one request.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Reply {
     /// Items, with what the upstream says it served.
     Items {
@@ -93,10 +93,11 @@
         /// The shard that was searched.
         shard: Shard,
         /// The items as a JSON array.
+        #[serde(with = "tgw_topology::text")]
         items: Bytes,
     },
     /// It ran the order and answered this.
-    Ran(Bytes),
+    Ran(#[serde(with = "tgw_topology::text")] Bytes),
     /// It does not hold the snapshot.
     Gone,
     /// It refuses work for now.
--- a/crates/tgw-node/src/lib.rs
+++ b/crates/tgw-node/src/lib.rs
@@ -13,4 +13,5 @@
 mod orders;
 
 pub use message::Message;
-pub use node::{Input, Intake, Node, Note, Options, Output, Placement};
+pub use node::{Identity, Input, Intake, Node, Note, Options, Output, Placement, Tap};
+pub use tgw_dispatch::leaf::Outcome as LeafOutcome;
--- a/crates/tgw-node/src/message.rs
+++ b/crates/tgw-node/src/message.rs
@@ -43,6 +43,7 @@
     /// Time after which it is given back if it still waits.
     pub patience: Option<Millis>,
     /// What is searched for.
+    #[serde(with = "tgw_topology::text")]
     pub body: Bytes,
     /// Whether decisions about it are logged.
     pub traced: bool,
@@ -62,6 +63,7 @@
     /// Time left.
     pub left: Millis,
     /// What is ordered.
+    #[serde(with = "tgw_topology::text")]
     pub body: Bytes,
 }
 
--- a/crates/tgw-node/src/node.rs
+++ b/crates/tgw-node/src/node.rs
@@ -3,6 +3,7 @@
     message::{Ask, Message, Told},
     orders::{self, ORDERS, Orders},
 };
+use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -13,7 +14,7 @@
     Leaf, Owner, Rank,
     leaf::{Failure, Held, Outcome, Reply, Work},
     owner::{self, Ticket},
-    pick::Policy,
+    pick::{Late, Policy},
 };
 use tgw_owner::{Directory, Map, State};
 use tgw_query::{
@@ -55,8 +56,39 @@
     pub dispatch: owner::Options,
 }
 
+/// Who a core is and how it is set up: with its inputs, all that its decisions depend on.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Identity {
+    /// The VM.
+    pub vm: Vm,
+    /// This life of the VM.
+    pub incarnation: u64,
+    /// Where it lies.
+    pub place: Place,
+    /// Network delays that estimates start from.
+    pub distance: Distance,
+    /// Queries that run at once over all services.
+    pub places: u32,
+    /// One in this many queries has its decisions logged.
+    pub sample: u64,
+}
+
+impl Options {
+    /// The core as it ships.
+    pub fn shipped(identity: &Identity) -> Self {
+        let Identity { vm, incarnation, place, distance, places, sample } = identity.clone();
+        Self {
+            entry: tgw_query::Options { vm, incarnation, places, adapt: true, sample, hedge: true },
+            place,
+            distance,
+            policy: Box::new(|_| Box::new(Late)),
+            dispatch: owner::Options { hedge: 1.0, ramp: true, ..owner::Options::default() },
+        }
+    }
+}
+
 /// A caller's order.
-#[derive(Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Intake {
     /// Names the caller's request.
     pub token: Token,
@@ -67,11 +99,20 @@
     /// Time that the caller gives, if less than the row's.
     pub within: Option<Millis>,
     /// What is ordered.
+    #[serde(with = "tgw_topology::text")]
     pub body: bytes::Bytes,
 }
 
+/// Listens to all that a core is told and does, as for a trace.
+pub trait Tap: Send {
+    /// The core is told something.
+    fn input(&mut self, now: Millis, input: &Input);
+    /// What it does about that.
+    fn outputs(&mut self, outputs: &[Output]);
+}
+
 /// What the core is told.
-#[derive(Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Input {
     /// A caller's search.
     Submit {
@@ -82,6 +123,7 @@
         /// Time that the caller gives, if less than the row's.
         within: Option<Millis>,
         /// What is searched for.
+        #[serde(with = "tgw_topology::text")]
         body: bytes::Bytes,
     },
     /// The caller went away.
@@ -225,6 +267,7 @@
     draining: bool,
     /// Whether the VM has met another one, or has waited long enough to count itself alone.
     joined: bool,
+    tap: Option<Box<dyn Tap>>,
 }
 
 impl Node {
@@ -250,6 +293,7 @@
             probed: Millis::ZERO,
             draining: false,
             joined: false,
+            tap: None,
         }
     }
 
@@ -313,8 +357,24 @@
         self.entry.pending() == 0 && self.owner.pending() == 0 && self.orders.pending() == 0
     }
 
+    /// Listens to all that goes in and comes out from now on.
+    pub fn tap(&mut self, tap: Box<dyn Tap>) {
+        self.tap = Some(tap);
+    }
+
     /// Handles one input at `now` and appends what must be done.
     pub fn on(&mut self, now: Millis, input: Input, out: &mut Vec<Output>) {
+        let from = out.len();
+        if let Some(tap) = &mut self.tap {
+            tap.input(now, &input);
+        }
+        self.handle(now, input, out);
+        if let Some(tap) = &mut self.tap {
+            tap.outputs(&out[from..]);
+        }
+    }
+
+    fn handle(&mut self, now: Millis, input: Input, out: &mut Vec<Output>) {
         match input {
             Input::Submit { token, service, within, body } => {
                 self.at_entry(now, Event::Submit { token, service, within, body }, out);
--- a/crates/tgw-order/src/clerk.rs
+++ b/crates/tgw-order/src/clerk.rs
@@ -2,6 +2,7 @@
     Key,
     ledger::{self, Claim, Ledger, Outcome, Reason},
 };
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use tgw_clock::Millis;
 
@@ -24,7 +25,7 @@
 pub type Waiter = u64;
 
 /// How the store answered a write.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Stored {
     /// It took effect; the object's new version.
     Done(Version),
@@ -37,7 +38,7 @@
 }
 
 /// How an attempt to run an order ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Ran {
     /// An upstream ran it and answered this.
     Done(String),
@@ -48,7 +49,7 @@
 }
 
 /// What the clerk is told.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Event {
     /// An order is asked for.
     Ask {
--- a/crates/tgw-owner/src/directory.rs
+++ b/crates/tgw-owner/src/directory.rs
@@ -52,7 +52,7 @@
 }
 
 /// All VMs that are known.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Directory {
     /// VMs by identity.
     pub members: BTreeMap<Vm, Member>,
--- /dev/null
+++ b/crates/tgw-replay/tests/replay.rs
@@ -0,0 +1,109 @@
+//! Replays the committed traces at both users' sizes, and checks that a replay can fail.
+
+#![allow(clippy::expect_used, clippy::unwrap_used, clippy::panic)] // A test fails by panic.
+
+use std::{
+    fs::{self, File},
+    io::{BufReader, Cursor},
+    path::{Path, PathBuf},
+};
+use test_case::test_case;
+use tgw_replay::{Outcome, replay};
+
+fn traces() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../traces")
+}
+
+fn read(name: &str) -> String {
+    fs::read_to_string(traces().join(name)).expect("a committed trace")
+}
+
+fn replayed(text: &str) -> Outcome {
+    replay(Cursor::new(text)).expect("a readable trace")
+}
+
+#[test]
+fn committed_traces_replay_to_the_same_decisions() {
+    let mut count = 0;
+    for entry in fs::read_dir(traces()).expect("the folder of traces") {
+        let path = entry.expect("an entry").path();
+        if path.extension().is_none_or(|e| e != "jsonl") {
+            continue;
+        }
+        let file = BufReader::new(File::open(&path).expect("a trace"));
+        let outcome = replay(file).expect("a readable trace");
+        assert_eq!(outcome.differences, [], "{}", path.display());
+        assert!(outcome.answers > 0, "{}: no caller was answered", path.display());
+        count += 1;
+    }
+    assert!(count >= 13, "only {count} traces");
+}
+
+// A trace passes although the core decides otherwise than it states: the comparison compares nothing.
+#[test_case("\"answer ", "\"answer 9"; "another caller answered")]
+#[test_case("10/10", "9/10"; "another coverage")]
+#[test_case("\"send t", "\"send x"; "another sending")]
+fn changed_statement_is_a_difference(from: &str, to: &str) {
+    let text = read("coimbra-steady.jsonl");
+    let changed = text.replacen(from, to, 1);
+    assert_ne!(text, changed, "the trace has no {from}");
+    assert_eq!(replayed(&changed).differences.len(), 1);
+}
+
+#[test]
+fn left_out_input_is_a_difference() {
+    let text = read("coimbra-steady.jsonl");
+    let reply = text.lines().position(|l| l.contains("\"in\":{\"Done\"")).expect("a reply");
+    let without: Vec<&str> =
+        text.lines().enumerate().filter(|(i, _)| *i != reply).map(|(_, l)| l).collect();
+    assert!(!replayed(&without.join("\n")).differences.is_empty());
+}
+
+#[test_case("", "the trace is empty"; "empty")]
+#[test_case("{}", "line 1"; "not a trace")]
+#[test_case("nonsense", "line 1"; "not JSON")]
+fn unreadable_trace_is_refused_with_its_line(text: &str, expected: &str) {
+    let error = replay(Cursor::new(text)).expect_err("unreadable");
+    assert!(error.to_string().contains(expected), "{error}");
+}
+
+#[test]
+fn unreadable_line_is_refused_with_its_number() {
+    let text = read("coimbra-steady.jsonl");
+    let mut lines: Vec<&str> = text.lines().collect();
+    lines[6] = "{\"t\":1,\"in\":{\"Nonsense\":1}}";
+    let error = replay(Cursor::new(lines.join("\n"))).expect_err("unreadable");
+    assert!(error.to_string().contains("line 7"), "{error}");
+}
+
+/// What a session's decisions and answers were, line by line.
+fn session(name: &str) -> String {
+    let shown = ["note ", "answer ", "refuse "];
+    let mut out = String::new();
+    for line in read(name).lines().skip(1).filter(|l| l.contains("\"out\"")) {
+        let step: serde_json::Value = serde_json::from_str(line).expect("a step");
+        let ms = step["t"].as_u64().expect("a time") as f64 / 1000.0;
+        for text in step["out"].as_array().expect("outputs").iter().filter_map(|o| o.as_str()) {
+            if shown.iter().any(|s| text.starts_with(s)) {
+                out += &format!("{ms:>9.3} {text}\n");
+            }
+        }
+    }
+    out
+}
+
+// A change of policy alters decisions that nobody meant to alter. The golden session shows each
+// decision and answer in the order in which an operator would read them; it is made anew by running
+// this test with UPDATE_GOLDEN=1.
+#[test_case("coimbra-steady"; "coimbra steady")]
+#[test_case("aspen-mangled"; "aspen mangled")]
+fn session_reads_as_committed(name: &str) {
+    let golden = Path::new(env!("CARGO_MANIFEST_DIR")).join(format!("tests/golden/{name}.txt"));
+    let now = session(&format!("{name}.jsonl"));
+    if std::env::var_os("UPDATE_GOLDEN").is_some() {
+        fs::write(&golden, &now).expect("the golden file is written");
+    }
+    let committed = fs::read_to_string(&golden).expect("a golden file");
+    assert!(now == committed, "{name} differs from its golden file");
+    assert!(now.contains("answer "), "the session answers someone");
+}
--- a/crates/tgw-serve/src/lib.rs
+++ b/crates/tgw-serve/src/lib.rs
@@ -23,5 +23,5 @@
 /// What the duties send one another.
 mod work;
 
-pub use serve::{Handle, Options, spawn};
+pub use serve::{Handle, MakeTap, Options, spawn};
 pub use status::Status;
--- a/crates/tgw-serve/src/serve.rs
+++ b/crates/tgw-serve/src/serve.rs
@@ -16,10 +16,10 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 use tgw_clock::{Clock, Freeze, Millis, Monotonic};
-use tgw_dispatch::{leaf::Failure, leaf::Outcome, owner, pick};
+use tgw_dispatch::leaf::{Failure, Outcome};
 use tgw_member::Force;
 use tgw_node::{
-    Message, Node,
+    Identity, Message, Node, Tap,
     message::{Ask, Told},
 };
 use tgw_owner::Directory;
@@ -54,12 +54,23 @@
     pub network: Arc<dyn Network>,
     /// Stops all duties while the VM counts as frozen.
     pub freeze: Freeze,
+    /// Makes what listens to the core, as for a trace.
+    pub tap: Option<MakeTap>,
 }
 
+/// Makes what listens to a core of this identity.
+pub type MakeTap = Box<dyn FnOnce(&Identity) -> anyhow::Result<Box<dyn Tap>> + Send>;
+
 impl Options {
     /// Options of a process that runs on its settings alone.
     pub fn new(settings: Settings) -> Self {
-        Self { settings, store: None, network: Arc::new(Open), freeze: Freeze::default() }
+        Self {
+            settings,
+            store: None,
+            network: Arc::new(Open),
+            freeze: Freeze::default(),
+            tap: None,
+        }
     }
 }
 
@@ -211,7 +222,7 @@
 
 /// Starts all duties. Errors: an address cannot be bound.
 pub fn spawn(options: Options) -> anyhow::Result<Handle> {
-    let Options { settings, store, network, freeze } = options;
+    let Options { settings, store, network, freeze, tap } = options;
     let clock: Arc<dyn Clock> = Arc::new(Monotonic::default());
     let gauges = Arc::new(Gauges::default());
     let metrics = Arc::new(Metrics::open(&gauges)?);
@@ -231,7 +242,11 @@
     peer.freeze = freeze.clone();
     let peers = tgw_peer::bind(peer, outgoing_out, sink, stopped.clone())?;
 
-    let node = Node::new(node_options(&settings, vm, incarnation, place));
+    let identity = identity(&settings, vm, incarnation, place);
+    let mut node = Node::new(tgw_node::Options::shipped(&identity));
+    if let Some(tap) = tap {
+        node.tap(tap(&identity)?);
+    }
     let ends = Ends { work, depth: core.clone(), errands, peers: outgoing.clone(), notices, idle };
     let (name, place) = (&settings.vm.name, place.to_string());
     let queries = Queries::new(name, &place, node, clock.clone(), gauges.clone(), ends);
@@ -329,27 +344,16 @@
     }
 }
 
-fn node_options(settings: &Settings, vm: Vm, incarnation: u64, place: Place) -> tgw_node::Options {
+fn identity(settings: &Settings, vm: Vm, incarnation: u64, place: Place) -> Identity {
     let us = |micros: u64| Millis::from_micros(micros).as_f64();
     let network = settings.network;
-    tgw_node::Options {
-        entry: tgw_query::Options {
-            vm,
-            incarnation,
-            places: settings.listen.concurrency as u32,
-            adapt: true,
-            sample: settings.log.sample,
-            hedge: true,
-        },
-        place,
-        distance: Distance {
-            local: us(network.local_us),
-            domains: us(network.domains_us),
-            regions: us(network.regions_us),
-        },
-        policy: Box::new(|_| Box::new(pick::Late)),
-        dispatch: owner::Options { hedge: 1.0, ramp: true, ..owner::Options::default() },
-    }
+    let distance = Distance {
+        local: us(network.local_us),
+        domains: us(network.domains_us),
+        regions: us(network.regions_us),
+    };
+    let (places, sample) = (settings.listen.concurrency as u32, settings.log.sample);
+    Identity { vm, incarnation, place, distance, places, sample }
 }
 
 fn thread(name: &str, run: impl FnOnce() + Send + 'static) -> anyhow::Result<JoinHandle<()>> {
--- a/crates/tgw-topology/src/lib.rs
+++ b/crates/tgw-topology/src/lib.rs
@@ -7,6 +7,8 @@
 mod id;
 /// Regions and failure domains.
 pub mod place;
+/// Bytes that are text in formats for people.
+pub mod text;
 
 pub use catalog::Catalog;
 pub use id::{Group, Layout, Order, Query, Service, Shard, Snapshot, Upstream, Vm};
--- /dev/null
+++ b/justfile
@@ -0,0 +1,21 @@
+# An entry point for each habit; every recipe is one command that also works by hand.
+
+# Everything that a submission is checked for.
+ci:
+    .ci/run
+
+# The main job: stand-ins, VMs, queries, faults, a report.
+demo *ARGS:
+    cargo run --release -p tanagergw -- demo {{ARGS}}
+
+# Experiments under the virtual clock.
+bench *ARGS:
+    cargo run --release -p tanagergw -- bench {{ARGS}}
+
+# What units of state and work cost, for docs/CAPACITY.md.
+slopes:
+    cargo run --release -p tanagergw -- bench slopes
+
+# Records the committed traces and golden sessions anew after a meant change of decisions.
+traces:
+    traces/record
