--- a/crates/tgw-demo/src/report.rs
+++ b/crates/tgw-demo/src/report.rs
@@ -2,7 +2,7 @@
 
 use crate::check::Broken;
 use serde::Serialize;
-use std::fmt;
+use std::{collections::BTreeMap, fmt};
 
 /// One demo's result.
 #[derive(Clone, Debug, Serialize)]
@@ -51,8 +51,10 @@
     pub connections_refused: u64,
     /// Calls of the platform.
     pub platform_calls: u64,
-    /// Processor time of this process for a leaf request, stand-ins and load included, in µs.
-    pub process_cpu_us_per_leaf: f64,
+    /// Processor time of the tier's threads for a leaf request, in µs.
+    pub tier_cpu_us_per_leaf: f64,
+    /// The same by duty.
+    pub duty_cpu_us_per_leaf: BTreeMap<String, f64>,
     /// Faults brought about, with the time.
     pub faults: Vec<String>,
     /// Promises seen broken.
@@ -89,6 +91,14 @@
             self.connections, self.connections_refused
         )?;
         writeln!(f, "platform    {} calls", self.platform_calls)?;
+        let duties: Vec<String> =
+            self.duty_cpu_us_per_leaf.iter().map(|(d, us)| format!("{d} {us:.1}")).collect();
+        writeln!(
+            f,
+            "processor   {:.1} µs a leaf request: {}",
+            self.tier_cpu_us_per_leaf,
+            duties.join(", ")
+        )?;
         for fault in &self.faults {
             writeln!(f, "fault       {fault}")?;
         }
--- a/crates/tgw-demo/src/run.rs
+++ b/crates/tgw-demo/src/run.rs
@@ -6,6 +6,7 @@
 };
 use serde::Serialize;
 use std::{
+    collections::BTreeMap,
     sync::{Arc, RwLock},
     time::{Duration, Instant},
 };
@@ -14,6 +15,8 @@
 
 /// With one in this many queries an order is sent.
 const ORDERS: u64 = 10;
+/// The tier's duties, as their threads are named.
+const DUTIES: [&str; 6] = ["callers", "queries", "upstreams", "peers", "config", "operators"];
 /// Pause between two faults.
 const PAUSE: Duration = Duration::from_millis(1500);
 
@@ -59,7 +62,7 @@
         orders: ORDERS,
         ordering: ordering(&options.size),
     };
-    let cpu = cpu_seconds();
+    let cpu = cpu_by_thread();
     let loading = std::thread::Builder::new().name("load".into()).spawn(move || {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         LocalSet::new().block_on(&runtime, load::run(load))
@@ -75,7 +78,7 @@
         faults.push(format!("{:.1} s: {fault} ended", began.elapsed().as_secs_f64()));
     }
     let result = loading.join().map_err(|_| anyhow::anyhow!("the load failed"))??;
-    let cpu = cpu_seconds() - cpu;
+    let cpu = cpu_per_leaf(&cpu, &cpu_by_thread(), result.shards);
     let report = report(options, &fleet, &result, faults, cpu);
     let undone = fleet.close();
     let mut report = report;
@@ -109,7 +112,7 @@
     fleet: &Fleet,
     result: &load::Result,
     faults: Vec<String>,
-    cpu: f64,
+    cpu: BTreeMap<String, f64>,
 ) -> Report {
     let journals: Vec<_> = fleet.upstreams.iter().map(tgw_standin::Upstream::journal).collect();
     let searches: u64 = journals.iter().map(|j| j.searches).sum();
@@ -141,7 +144,8 @@
         connections: journals.iter().map(|j| j.connections).sum(),
         connections_refused: journals.iter().map(|j| j.refused_connections).sum(),
         platform_calls: calls.gets + calls.lists + calls.watches + calls.writes,
-        process_cpu_us_per_leaf: cpu * 1e6 / result.shards.max(1) as f64,
+        tier_cpu_us_per_leaf: cpu.values().sum(),
+        duty_cpu_us_per_leaf: cpu,
         faults,
         broken_promises: broken,
     }
@@ -294,13 +298,34 @@
     Ok(())
 }
 
-/// Processor time of this process so far, in seconds.
-fn cpu_seconds() -> f64 {
+/// Processor time so far of the threads of each name, in seconds. The tier's threads bear the names of
+/// their duties; those of VMs that have ended are no longer counted.
+fn cpu_by_thread() -> BTreeMap<String, f64> {
     /// Ticks a second of the figures in `/proc`, as Linux has fixed them for user space.
     const TICKS: f64 = 100.0;
-    let text = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
-    let after = text.rsplit_once(')').map_or("", |(_, rest)| rest);
-    let fields: Vec<&str> = after.split_whitespace().collect();
-    let field = |index: usize| fields.get(index).and_then(|f| f.parse::<f64>().ok());
-    (field(11).unwrap_or(0.0) + field(12).unwrap_or(0.0)) / TICKS
+    let mut sums = BTreeMap::new();
+    let tasks = std::fs::read_dir("/proc/self/task").into_iter().flatten().flatten();
+    for task in tasks {
+        let text = std::fs::read_to_string(task.path().join("stat")).unwrap_or_default();
+        let Some((name, rest)) = text.split_once('(').and_then(|(_, r)| r.rsplit_once(')')) else {
+            continue;
+        };
+        let fields: Vec<f64> = rest.split_whitespace().map(|f| f.parse().unwrap_or(0.0)).collect();
+        let spent = fields.get(11).unwrap_or(&0.0) + fields.get(12).unwrap_or(&0.0);
+        *sums.entry(name.to_owned()).or_default() += spent / TICKS;
+    }
+    sums
+}
+
+/// Processor time of the duties between two readings, in µs for each of `leafs`.
+fn cpu_per_leaf(
+    before: &BTreeMap<String, f64>,
+    after: &BTreeMap<String, f64>,
+    leafs: u64,
+) -> BTreeMap<String, f64> {
+    let spent = |duty: &str| {
+        let of = |sums: &BTreeMap<String, f64>| sums.get(duty).copied().unwrap_or(0.0);
+        (of(after) - of(before)).max(0.0) * 1e6 / leafs.max(1) as f64
+    };
+    DUTIES.iter().map(|duty| ((*duty).to_owned(), spent(duty))).collect()
 }
--- a/crates/tgw-node/src/node.rs
+++ b/crates/tgw-node/src/node.rs
@@ -322,6 +322,11 @@
         self.map.directory()
     }
 
+    /// Whether the VM has met another one, or has counted itself alone, so that ownership is settled.
+    pub fn joined(&self) -> bool {
+        self.joined
+    }
+
     /// The owner of a group as this VM sees it.
     pub fn owner_of(&self, group: Group) -> Option<Vm> {
         Seen { map: &self.map, index: &self.index }.owners(group).first().copied()
--- a/crates/tgw-serve/src/queries.rs
+++ b/crates/tgw-serve/src/queries.rs
@@ -297,7 +297,9 @@
 
     /// Whether new queries are taken.
     fn ready(&self) -> bool {
-        !self.draining && self.node.table().is_some() && !self.node.catalog().services.is_empty()
+        // Until ownership is settled every leaf request would be turned away by this VM itself.
+        let known = self.node.joined() && self.node.table().is_some();
+        known && !self.draining && !self.node.catalog().services.is_empty()
     }
 
     fn publish(&self) {
