perf(upstream): header names made once, replies copied off the read buffer, errands drained

Cause: perf showed allocation (malloc_consolidate, _int_malloc, memmove) and parsing of header names leading the upstreams' duty, which takes more than half of the tier's processor time. Change: constant header names; the reply's bytes are copied so that the connection's buffer is reused; all waiting errands are taken at one wake-up.

--- a/crates/tgw-serve/src/upstreams.rs
+++ b/crates/tgw-serve/src/upstreams.rs
@@ -72,7 +72,10 @@
         loop {
             tokio::select! {
                 _ = stop.changed() => return,
-                errand = errands.recv() => duty.clone().handle(errand),
+                () = errands.ready() => {}
+            }
+            while let Some(errand) = errands.pop() {
+                duty.clone().handle(errand);
             }
             freeze.hold();
         }
--- a/crates/tgw-standin/src/upstream.rs
+++ b/crates/tgw-standin/src/upstream.rs
@@ -7,7 +7,7 @@
 };
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{HeaderMap, Request, Response, body::Incoming};
+use hyper::{HeaderMap, Request, Response, body::Incoming, header::HeaderName};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use rand_distr::{Distribution, LogNormal};
 use serde::Serialize;
@@ -398,11 +398,11 @@
     mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
 }
 
-fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+fn header(headers: &HeaderMap, name: HeaderName) -> Option<&str> {
     headers.get(name)?.to_str().ok()
 }
 
-fn put(response: &mut Response<Full<Bytes>>, name: &'static str, value: &str) {
+fn put(response: &mut Response<Full<Bytes>>, name: HeaderName, value: &str) {
     if let Ok(value) = hyper::header::HeaderValue::from_str(value) {
         response.headers_mut().insert(name, value);
     }
--- a/crates/tgw-upstream/src/client.rs
+++ b/crates/tgw-upstream/src/client.rs
@@ -4,6 +4,7 @@
 use hyper::{
     HeaderMap, Method, Request, StatusCode,
     client::conn::http1::{self, SendRequest},
+    header::{HOST, HeaderValue},
 };
 use hyper_util::rt::TokioIo;
 use std::{cell::Cell, cell::RefCell, net::SocketAddr, rc::Rc};
@@ -175,7 +176,9 @@
                 let large = e.is::<LengthLimitError>();
                 if large { Failure::Oversized } else { Failure::Malformed }
             })?;
-            Ok((head.status, head.headers, body.to_bytes()))
+            // The connection reads into one buffer again only if nothing holds on to it.
+            let body = Bytes::copy_from_slice(&body.to_bytes());
+            Ok((head.status, head.headers, body))
         };
         match timeout(limit.into(), exchange).await {
             Ok(Ok(response)) => {
@@ -259,6 +262,6 @@
         with: impl FnOnce(hyper::http::request::Builder) -> hyper::http::request::Builder,
     ) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
         let builder = Request::builder().method(method).uri(path);
-        with(builder.header(hyper::header::HOST, "upstream")).body(Full::new(body))
+        with(builder.header(HOST, HeaderValue::from_static("upstream"))).body(Full::new(body))
     }
 }
--- a/crates/tgw-upstream/src/protocol.rs
+++ b/crates/tgw-upstream/src/protocol.rs
@@ -1,5 +1,6 @@
 //! The upstreams' protocol: paths, headers and reasons, as `docs/API.md` describes them.
 
+use hyper::header::HeaderName;
 use tgw_dispatch::leaf::Held;
 use tgw_topology::{Layout, Snapshot};
 
@@ -15,21 +16,21 @@
 pub const LOAD: &str = "/load";
 
 /// Names one request to an upstream, for its cancellation.
-pub const REQUEST: &str = "x-request";
+pub const REQUEST: HeaderName = HeaderName::from_static("x-request");
 /// Milliseconds until the result is of no use.
-pub const DEADLINE: &str = "x-deadline-ms";
+pub const DEADLINE: HeaderName = HeaderName::from_static("x-deadline-ms");
 /// The snapshot that is asked for or was served, as `version.layout`.
-pub const SNAPSHOT: &str = "x-snapshot";
+pub const SNAPSHOT: HeaderName = HeaderName::from_static("x-snapshot");
 /// The shard that is asked for or was served.
-pub const SHARD: &str = "x-shard";
+pub const SHARD: HeaderName = HeaderName::from_static("x-shard");
 /// The snapshots that the upstream holds, separated by commas.
-pub const HELD: &str = "x-held";
+pub const HELD: HeaderName = HeaderName::from_static("x-held");
 /// Why the upstream refused: one of the reasons below.
-pub const REASON: &str = "x-reason";
+pub const REASON: HeaderName = HeaderName::from_static("x-reason");
 /// The life of the upstream's process.
-pub const INCARNATION: &str = "x-incarnation";
+pub const INCARNATION: HeaderName = HeaderName::from_static("x-incarnation");
 /// The key of a non-idempotent request.
-pub const ORDER_KEY: &str = "x-order-key";
+pub const ORDER_KEY: HeaderName = HeaderName::from_static("x-order-key");
 
 /// It works on as much as it can.
 pub const SHED: &str = "shed";
--- a/crates/tgw-upstream/src/reply.rs
+++ b/crates/tgw-upstream/src/reply.rs
@@ -1,6 +1,6 @@
 use crate::protocol;
 use bytes::Bytes;
-use hyper::{HeaderMap, StatusCode};
+use hyper::{HeaderMap, StatusCode, header::HeaderName};
 use serde_json::value::RawValue;
 use tgw_dispatch::leaf::{Failure, Held, Reply};
 use tgw_topology::Shard;
@@ -39,6 +39,6 @@
     header(headers, protocol::INCARNATION)?.parse().ok()
 }
 
-pub(crate) fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+pub(crate) fn header(headers: &HeaderMap, name: HeaderName) -> Option<&str> {
     headers.get(name)?.to_str().ok()
 }
