--- a/crates/tgw-demo/src/fleet.rs
+++ b/crates/tgw-demo/src/fleet.rs
@@ -23,7 +23,7 @@
 
 const KEY: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
 /// The operators' token of a demo.
-pub(crate) const TOKEN: &str = "demo-operators-token";
+pub const TOKEN: &str = "demo-operators-token";
 /// How long VMs may take until all take queries.
 const READY: Duration = Duration::from_secs(20);
 
@@ -133,10 +133,21 @@
         Ok(())
     }
 
-    /// Starts one VM in the domain of its number.
+    /// Starts one VM in the domain of its number; it finds the others through the platform's list.
     pub fn start(&self, index: usize, name: String) -> anyhow::Result<Vm> {
+        self.start_with_seeds(index, name, &[])
+    }
+
+    /// Starts one VM that asks `seeds` first.
+    pub fn start_with_seeds(
+        &self,
+        index: usize,
+        name: String,
+        seeds: &[SocketAddr],
+    ) -> anyhow::Result<Vm> {
         let place = size::place(index);
-        let settings = self.settings(&name, place)?;
+        let mut settings = self.settings(&name, place)?;
+        settings.peer.seeds = seeds.to_vec();
         let distance = self.size.user.distance();
         let network = From { ways: self.ways.clone(), place, distance };
         let mut options = Options::new(settings);
--- a/crates/tgw-demo/src/lib.rs
+++ b/crates/tgw-demo/src/lib.rs
@@ -20,6 +20,6 @@
 mod way;
 
 pub use client::Client;
-pub use fleet::{Fleet, Size};
+pub use fleet::{Fleet, Size, TOKEN};
 pub use report::Report;
 pub use run::{Options, Ready, hold, run};
--- a/crates/tgw-order/src/ledger.rs
+++ b/crates/tgw-order/src/ledger.rs
@@ -42,9 +42,6 @@
     /// The object for claims of the key's time is full.
     #[display("claims_full")]
     ClaimsFull,
-    /// The VM takes no orders: it is leaving, or has no table.
-    #[display("not_ready")]
-    NotReady,
 }
 
 /// One claim: who may send the order, and what came of it.
