--- a/crates/tgw-bench/src/members.rs
+++ b/crates/tgw-bench/src/members.rs
@@ -145,6 +145,11 @@
         first.map(|s| s.addr).collect()
     }
 
+    /// The next life of a VM gets another address.
+    pub fn move_to_new_address(&mut self, index: usize) {
+        self.seats[index].addr = address(index + 0x8000);
+    }
+
     /// Stops a VM without a word.
     pub fn kill(&mut self, index: usize) {
         self.seats[index].member = None;
--- a/crates/tgw-bench/tests/members.rs
+++ b/crates/tgw-bench/tests/members.rs
@@ -138,3 +138,19 @@
         assert!(forces.len() == 3 && forces.values().all(|e| *e == 7), "at {at}: {forces:?}");
     }
 }
+
+// A VM that is alone in its domain is replaced within two seconds. The others know it from its earlier
+// life, do not ask for its records, and hear of the new one only when records are next compared: for ten
+// seconds its upstreams have no owner.
+#[test_case(6, 1, 1; "one in each domain")]
+#[test_case(6, 1, 2; "one in each domain, other seed")]
+#[test_case(3, 5, 1; "five in each domain")]
+fn replaced_vm_is_known_everywhere_within_five_seconds(domains: usize, each: usize, seed: u64) {
+    let mut world = settled(domains, each, seed);
+    let last = domains * each - 1;
+    world.kill(last);
+    world.run(Millis::new(1500));
+    world.move_to_new_address(last);
+    world.start(last);
+    world.until(SECOND.scale(5.0), World::converged).expect("the new life is alive everywhere");
+}
--- a/crates/tgw-node/src/groups.rs
+++ b/crates/tgw-node/src/groups.rs
@@ -47,6 +47,11 @@
         matches!(self.rights.get(&group), Some(Right::Owner { .. } | Right::StandIn { .. }))
     }
 
+    /// Whether this VM has any right to the group, even one that has ended.
+    pub(crate) fn has(&self, group: Group) -> bool {
+        self.rights.contains_key(&group)
+    }
+
     pub(crate) fn owned(&self) -> impl Iterator<Item = Group> {
         let owned = |right: &Right| matches!(right, Right::Owner { .. });
         self.rights.iter().filter(move |(_, right)| owned(right)).map(|(group, _)| *group)
--- a/crates/tgw-node/src/node.rs
+++ b/crates/tgw-node/src/node.rs
@@ -26,7 +26,7 @@
 use tgw_topology::{
     Catalog, Group, Place, Service, Upstream, Vm,
     catalog::{Index, Node as Described},
-    place::Distance,
+    place::{Distance, Domain},
 };
 
 /// What a caller whose order was refused is told to wait.
@@ -684,7 +684,19 @@
             return;
         }
         let places: Vec<(Group, Place)> = self.index.iter().map(|(g, m)| (g, m.place)).collect();
-        let sole = self.map.directory().owners().count() <= 1;
+        let directory = self.map.directory();
+        let sole = directory.owners().count() <= 1;
+        let covered: BTreeSet<Domain> = directory.owners().map(|(_, m)| m.place.domain).collect();
+        // Ranking all VMs for all groups of the fleet at each change of membership anywhere would stop
+        // the thread for longer than a deadline. Only a VM of a group's own domain can own it, unless
+        // the domain has none.
+        let concerns = |group: Group| {
+            group.domain == self.place.domain
+                || !covered.contains(&group.domain)
+                || self.groups.has(group)
+        };
+        let places: Vec<(Group, Place)> =
+            places.into_iter().filter(|(group, _)| concerns(*group)).collect();
         for (group, place) in places {
             let owner = self.map.owners(group, place).first().copied();
             let steps = self.groups.settle(now, group, owner, self.me, sole);
--- a/crates/tgw-serve/src/config.rs
+++ b/crates/tgw-serve/src/config.rs
@@ -33,6 +33,10 @@
 const VM: &str = "vm";
 /// How long a watch waits for a change.
 const WATCH: Millis = Millis::new(10_000);
+/// How long a VM that starts waits for peers to hand over table and catalog, if it watches the platform
+/// for its domain, and if another does.
+const RELAY_PATIENCE: Millis = Millis::new(300);
+const PATIENCE: Millis = Millis::new(5000);
 const BACKOFF_FIRST: Millis = Millis::new(100);
 const BACKOFF_MOST: Millis = Millis::new(2000);
 /// Time after which another VM is asked for what one has not sent.
@@ -101,7 +105,7 @@
     /// Reads a kind once, then watches it for as long as this VM watches for its domain.
     async fn follow(self: Rc<Self>, kind: &'static str) {
         let mut backoff = BACKOFF_FIRST;
-        let mut known: Option<Version> = None;
+        let mut known: Option<Version> = self.wait_for_peers(kind).await.then_some(0);
         loop {
             if known.is_some() && !self.relay.get() {
                 // What happens meanwhile is learned from peers; a new watcher begins with a list.
@@ -130,6 +134,25 @@
         }
     }
 
+    /// Gives peers time to hand over what they have; whether they did. A domain whose VMs all start at
+    /// once would otherwise read the whole catalog from the platform once a VM: its relays do, and the
+    /// others ask the platform only when nobody has anything after a longer while.
+    async fn wait_for_peers(&self, kind: &str) -> bool {
+        let start = self.clock.now();
+        loop {
+            let has = match kind {
+                TABLE => self.table.borrow().edit() > 0,
+                SERVICE => self.catalog.borrow().version > 0,
+                _ => false,
+            };
+            let patience = if self.relay.get() { RELAY_PATIENCE } else { PATIENCE };
+            if has || kind == VM || self.clock.now() - start >= patience {
+                return has;
+            }
+            sleep(IDLE.into()).await;
+        }
+    }
+
     fn call<T>(&self, result: Result<T, Error>) -> Result<T, Error> {
         self.gauges.platform_calls.fetch_add(1, Ordering::Relaxed);
         if result.is_err() {
--- a/crates/tgw-serve/src/queries.rs
+++ b/crates/tgw-serve/src/queries.rs
@@ -18,10 +18,12 @@
 use tgw_topology::{Upstream, Vm, place::Domain};
 use tokio::{
     sync::{oneshot, watch},
-    time::{MissedTickBehavior, interval},
+    time::{Instant, sleep_until},
 };
 
 const TICK: Millis = Millis::new(1);
+/// Time between ticks while nothing waits or runs.
+const IDLE_TICK: Millis = Millis::new(20);
 /// Values taken from the ring before time is looked at again.
 const BATCH: usize = 256;
 const RETRY: Millis = Millis::new(1000);
@@ -91,12 +93,15 @@
         let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build();
         let Ok(runtime) = runtime else { return };
         runtime.block_on(async move {
-            let mut tick = interval(TICK.into());
-            tick.set_missed_tick_behavior(MissedTickBehavior::Skip);
+            let mut ticked = Instant::now();
             loop {
+                let period = if self.node.idle() { IDLE_TICK } else { TICK };
                 tokio::select! {
                     _ = stop.changed() => return,
-                    _ = tick.tick() => self.step(true),
+                    () = sleep_until(ticked + period.into()) => {
+                        ticked = Instant::now();
+                        self.step(true);
+                    }
                     () = self.work.ready() => self.step(false),
                 }
                 freeze.hold();
--- a/crates/tgw-serve/src/upstreams.rs
+++ b/crates/tgw-serve/src/upstreams.rs
@@ -26,7 +26,7 @@
 /// Connections beyond the slots: one for load probes, one for cancellations.
 const CONTROL: u32 = 2;
 /// How often an upstream is asked for its load.
-const PROBE: Millis = Millis::new(250);
+const PROBE: Millis = Millis::new(1000);
 /// Time for an upstream to answer a load probe.
 const PROBE_LIMIT: Millis = Millis::new(1000);
 
