refactor: split the grown files by their jobs

Change: node.rs gives its types, placing and ordering to files of their own; member.rs judging and comparing; group.rs lateness and views; clerk.rs its books; sim.rs its faults. No behaviour changes.

--- a/crates/tgw-bench/src/lib.rs
+++ b/crates/tgw-bench/src/lib.rs
@@ -4,6 +4,8 @@
 //! A measuring tool, not a cluster simulator: membership and platform are reduced to when a VM
 //! learns of a change, and every delay is a constant or drawn from one distribution.
 
+/// What goes wrong in a run.
+mod faults;
 /// What one run yields.
 pub mod figures;
 /// Membership of many VMs under a virtual clock.
--- a/crates/tgw-bench/src/sim.rs
+++ b/crates/tgw-bench/src/sim.rs
@@ -1,10 +1,11 @@
 use crate::{
+    faults::RESET,
     figures::{Collector, Figures},
     model::{self, Job, Taken, Upstream},
     policy::{Policy, Truth},
 };
 use bytes::Bytes;
-use rand::{Rng, SeedableRng, rngs::SmallRng, seq::SliceRandom};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
 use rand_distr::{Distribution, Exp};
 use std::{
     cmp::Reverse,
@@ -38,15 +39,6 @@
 const BACKLOG: usize = 2;
 /// Backlog under direct dispatch, where upstreams queue: as good as without bound.
 const DIRECT_BACKLOG: usize = 10_000;
-/// How often the stragglers change in turn.
-const TURN: Millis = Millis::new(300);
-/// The part of the upstreams that straggle, and by how much.
-const STRAGGLERS: f64 = 0.05;
-const SLOWER: f64 = 10.0;
-/// How long membership takes to declare a VM dead, as measured at 312 VMs in a domain.
-pub(crate) const DETECTION: Millis = Millis::new(2000);
-/// How long a broken connection takes to be noticed.
-const RESET: Millis = Millis::new(1);
 /// Time after the end in which running queries may still be answered.
 const TAIL: Millis = Millis::new(3000);
 
@@ -108,7 +100,7 @@
 }
 
 #[derive(Debug)]
-enum Event {
+pub(crate) enum Event {
     Arrive(Service),
     Letter { to: usize, life: u32, from: usize, message: Message },
     Lost { at: usize, vm: usize },
@@ -126,43 +118,43 @@
     Mend,
 }
 
-struct Waiting {
+pub(crate) struct Waiting {
     service: Service,
     at: Millis,
     body: u64,
     measured: bool,
 }
 
-struct VmState {
-    node: Node,
-    vm: Vm,
-    place: Place,
-    life: u32,
-    up: bool,
-    paused: Vec<Event>,
-    is_paused: bool,
+pub(crate) struct VmState {
+    pub(crate) node: Node,
+    pub(crate) vm: Vm,
+    pub(crate) place: Place,
+    pub(crate) life: u32,
+    pub(crate) up: bool,
+    pub(crate) paused: Vec<Event>,
+    pub(crate) is_paused: bool,
 }
 
-struct Sim {
-    setup: Setup,
-    policy: Policy,
-    distance: Distance,
-    now: Millis,
-    heap: BinaryHeap<Reverse<(Millis, u64)>>,
-    events: BTreeMap<u64, Event>,
-    seq: u64,
-    rng: SmallRng,
-    arrivals: SmallRng,
-    vms: Vec<VmState>,
-    upstreams: Vec<Upstream>,
-    catalog: Catalog,
-    truth: Truth,
-    waiting: BTreeMap<(usize, u64), Waiting>,
-    next_token: u64,
-    sent_measured: BTreeSet<Query>,
-    collector: Collector,
-    cut: BTreeSet<(Domain, Domain)>,
-    mangled: bool,
+pub(crate) struct Sim {
+    pub(crate) setup: Setup,
+    pub(crate) policy: Policy,
+    pub(crate) distance: Distance,
+    pub(crate) now: Millis,
+    pub(crate) heap: BinaryHeap<Reverse<(Millis, u64)>>,
+    pub(crate) events: BTreeMap<u64, Event>,
+    pub(crate) seq: u64,
+    pub(crate) rng: SmallRng,
+    pub(crate) arrivals: SmallRng,
+    pub(crate) vms: Vec<VmState>,
+    pub(crate) upstreams: Vec<Upstream>,
+    pub(crate) catalog: Catalog,
+    pub(crate) truth: Truth,
+    pub(crate) waiting: BTreeMap<(usize, u64), Waiting>,
+    pub(crate) next_token: u64,
+    pub(crate) sent_measured: BTreeSet<Query>,
+    pub(crate) collector: Collector,
+    pub(crate) cut: BTreeSet<(Domain, Domain)>,
+    pub(crate) mangled: bool,
 }
 
 /// Runs one policy through one setup.
@@ -259,13 +251,13 @@
         }
     }
 
-    fn at(&mut self, time: Millis, event: Event) {
+    pub(crate) fn at(&mut self, time: Millis, event: Event) {
         self.seq += 1;
         self.heap.push(Reverse((time, self.seq)));
         self.events.insert(self.seq, event);
     }
 
-    fn after(&mut self, delay_ms: f64, event: Event) {
+    pub(crate) fn after(&mut self, delay_ms: f64, event: Event) {
         self.at(self.now + Millis::from_f64(delay_ms), event);
     }
 
@@ -306,7 +298,7 @@
     }
 
     /// The catalog; with fixed shares each VM is told of its part of the slots only.
-    fn catalog_for(&self, _index: usize) -> Catalog {
+    pub(crate) fn catalog_for(&self, _index: usize) -> Catalog {
         let mut catalog = self.catalog.clone();
         if self.policy == Policy::DirectShares {
             let vms = self.setup.vms as u16;
@@ -322,7 +314,7 @@
     }
 
     /// The VMs as VM `index` sees them; under direct dispatch each owns all groups itself.
-    fn directory(&self, index: usize) -> Directory {
+    pub(crate) fn directory(&self, index: usize) -> Directory {
         let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
         let mut directory = Directory::default();
         let here = self.vms[index].place.domain;
@@ -361,7 +353,7 @@
         }
     }
 
-    fn handle(&mut self, event: Event) {
+    pub(crate) fn handle(&mut self, event: Event) {
         match event {
             Event::Arrive(service) => self.arrive(service),
             Event::Letter { to, life, from, message } => {
@@ -419,7 +411,7 @@
         self.vms[vm].is_paused && self.vms[vm].life == life
     }
 
-    fn is_cut(&self, a: Place, b: Place) -> bool {
+    pub(crate) fn is_cut(&self, a: Place, b: Place) -> bool {
         self.cut.contains(&(a.domain, b.domain))
     }
 
@@ -441,7 +433,7 @@
         self.input(vm, Input::Submit { token, service, within: None, body });
     }
 
-    fn input(&mut self, vm: usize, input: Input) {
+    pub(crate) fn input(&mut self, vm: usize, input: Input) {
         let mut out = Vec::new();
         self.vms[vm].node.on(self.now, input, &mut out);
         for output in out {
@@ -619,156 +611,6 @@
             self.collector.lost += 1;
         }
     }
-
-    fn fault(&mut self, fault: &Fault) {
-        match fault {
-            Fault::Stragglers => {
-                self.slow(|index, _| index % (1.0 / STRAGGLERS) as usize == 0);
-            }
-            Fault::StragglersInTurn => self.turn(),
-            Fault::ReplicaLost => self.break_replicas(1),
-            Fault::HalfLost(time) => {
-                self.break_replicas(2);
-                self.at(self.now + *time, Event::Mend);
-            }
-            Fault::Version(gap) => self.begin_roll(*gap, |layout| layout),
-            Fault::Repartition(gap) => self.begin_roll(*gap, |_| tgw_topology::Layout(2)),
-            Fault::Cold => {
-                for upstream in self.upstreams.iter_mut().step_by(3) {
-                    upstream.cold = model::COLD_REQUESTS;
-                }
-                let restarted: Vec<_> =
-                    self.upstreams.iter().step_by(3).map(|u| u.node.id).collect();
-                for vm in 0..self.vms.len() {
-                    for id in &restarted {
-                        self.input(vm, Input::Restarted(*id));
-                    }
-                }
-            }
-            Fault::Mangled => self.mangled = true,
-            Fault::Kill => self.kill(1),
-            Fault::Pause(time) => {
-                self.vms[1].is_paused = true;
-                self.at(self.now + *time, Event::Resume(1));
-                if *time > DETECTION {
-                    self.at(self.now + DETECTION, Event::Directory);
-                }
-            }
-            Fault::Partition(time) => {
-                let own = self.vms[0].place.domain;
-                let domains: BTreeSet<Domain> =
-                    self.upstreams.iter().map(|u| u.node.place.domain).collect();
-                for other in domains.into_iter().filter(|d| *d != own) {
-                    self.cut.insert((own, other));
-                    self.cut.insert((other, own));
-                }
-                self.at(self.now + DETECTION, Event::Directory);
-                self.at(self.now + *time, Event::Rejoin);
-            }
-        }
-    }
-
-    fn slow(&mut self, slow: impl Fn(usize, &Upstream) -> bool) {
-        for index in 0..self.upstreams.len() {
-            let is = slow(index, &self.upstreams[index]);
-            self.upstreams[index].factor = if is { SLOWER } else { 1.0 };
-        }
-        let slow = self.upstreams.iter().filter(|u| u.factor > 1.0).map(|u| u.node.id);
-        self.truth.set(slow);
-    }
-
-    fn turn(&mut self) {
-        let count = (self.upstreams.len() as f64 * STRAGGLERS).round() as usize;
-        let mut order: Vec<usize> = (0..self.upstreams.len()).collect();
-        order.shuffle(&mut self.arrivals);
-        let chosen: BTreeSet<usize> = order.into_iter().take(count).collect();
-        self.slow(|index, _| chosen.contains(&index));
-        self.at(self.now + TURN, Event::Turn);
-    }
-
-    /// Breaks the first `count` replicas of every shard.
-    fn break_replicas(&mut self, count: usize) {
-        let broken: BTreeSet<u32> = self
-            .catalog
-            .services
-            .values()
-            .flat_map(|s| s.layouts.iter().flat_map(|l| &l.shards))
-            .flat_map(|replicas| {
-                // Where replicas of different shards overlap, breaking one of each shard must not
-                // break all of another: every third upstream stands for one of three replicas.
-                replicas.iter().filter(|u| (u.0 as usize) % 3 < count).map(|u| u.0)
-            })
-            .collect();
-        for upstream in &mut self.upstreams {
-            upstream.broken = broken.contains(&upstream.node.id.0);
-        }
-        let now_broken = self.upstreams.iter().filter(|u| u.broken).map(|u| u.node.id);
-        self.truth.set(now_broken);
-    }
-
-    fn begin_roll(
-        &mut self,
-        gap: Millis,
-        layout: impl Fn(tgw_topology::Layout) -> tgw_topology::Layout,
-    ) {
-        let old = Snapshot { version: 1, layout: tgw_topology::Layout(1) };
-        let new = Snapshot { version: 2, layout: layout(old.layout) };
-        for entry in self.catalog.services.values_mut() {
-            entry.snapshots = vec![new, old];
-        }
-        for vm in 0..self.vms.len() {
-            let catalog = Arc::new(self.catalog_for(vm));
-            self.input(vm, Input::Catalog(catalog));
-        }
-        self.at(self.now + gap, Event::Roll { step: 0, new, gap });
-    }
-
-    /// Steps 0 to 2 bring the new snapshot to one replica in three, 3 to 5 take the old one away.
-    fn roll(&mut self, step: usize, new: Snapshot, gap: Millis) {
-        const STEPS: usize = 6;
-        for upstream in self.upstreams.iter_mut().skip(step % 3).step_by(3) {
-            if step < 3 {
-                upstream.held.insert(0, new);
-            } else {
-                upstream.held.truncate(1);
-            }
-        }
-        if step + 1 < STEPS {
-            self.at(self.now + gap, Event::Roll { step: step + 1, new, gap });
-        }
-    }
-
-    fn kill(&mut self, vm: usize) {
-        self.vms[vm].up = false;
-        self.waiting.retain(|(owner, _), _| *owner != vm);
-        for other in (0..self.vms.len()).filter(|o| *o != vm) {
-            self.after(RESET.as_f64(), Event::Lost { at: other, vm });
-        }
-        self.at(self.now + DETECTION, Event::Directory);
-    }
-
-    fn resume(&mut self, vm: usize) {
-        self.vms[vm].is_paused = false;
-        let late = std::mem::take(&mut self.vms[vm].paused);
-        self.input(vm, Input::Paused);
-        for event in late {
-            self.handle(event);
-        }
-        self.spread_directory();
-    }
-
-    /// Tells all running VMs who lives, as membership would.
-    fn spread_directory(&mut self) {
-        for vm in 0..self.vms.len() {
-            if self.vms[vm].up && !self.vms[vm].is_paused {
-                let mut directory = self.directory(vm);
-                for state in self.vms.iter().filter(|v| v.is_paused) {
-                    directory.members.remove(&state.vm);
-                }
-                self.input(vm, Input::Directory(Arc::new(directory)));
-            }
-        }
-    }
 }
 
 /// The same reply as it would be for the next shard.
--- a/crates/tgw-dispatch/src/group.rs
+++ b/crates/tgw-dispatch/src/group.rs
@@ -1,7 +1,7 @@
 use crate::{
-    leaf::{Failure, Held, Key, Leaf, Outcome, Reply, Stock},
+    leaf::{Failure, Held, Key, Leaf, Outcome, Reply},
     owner::{Action, Note, Options, Passed, Ticket, What},
-    pick::{Candidate, Policy},
+    pick::Policy,
     trust::{Rank, Run, Trust},
 };
 use smallvec::SmallVec;
@@ -12,12 +12,6 @@
 
 /// Waiting requests looked at for one free slot; those behind them wait for the next.
 const SCAN: usize = 64;
-/// An upstream is a suspect once a request on it has run this much longer than a late one.
-const OVERDUE: f64 = 1.1;
-/// Waiting requests for each trusted slot above which suspects are used without a pause.
-const PRESSED: usize = 1;
-/// The pressure of a group without a trusted upstream.
-const UNFIT: f32 = 4.0;
 const RETRY_BURST: f64 = 20.0;
 
 /// What the groups of one service share at their owner.
@@ -36,35 +30,35 @@
 }
 
 /// A request that waits or runs.
-struct Task {
-    leaf: Leaf,
-    arrived: Millis,
+pub(crate) struct Task {
+    pub(crate) leaf: Leaf,
+    pub(crate) arrived: Millis,
     /// Time in the queue before the first sending; `None` while it has not been sent.
-    waited: Option<Millis>,
+    pub(crate) waited: Option<Millis>,
     /// Indices of the upstreams that may serve it; those that failed are taken out.
-    eligible: SmallVec<[usize; 4]>,
+    pub(crate) eligible: SmallVec<[usize; 4]>,
     /// Sendings that run now.
-    runs: SmallVec<[(Ticket, usize); 2]>,
-    sent: u8,
-    hedged: bool,
+    pub(crate) runs: SmallVec<[(Ticket, usize); 2]>,
+    pub(crate) sent: u8,
+    pub(crate) hedged: bool,
     /// What the last failed sending brought, for the answer when nothing is left to try.
-    last: Option<Outcome>,
+    pub(crate) last: Option<Outcome>,
 }
 
 /// One replica group.
 pub(crate) struct Group {
-    id: GroupId,
-    options: Options,
-    policy: Box<dyn Policy>,
-    upstreams: Vec<Trust>,
-    tasks: BTreeMap<u64, Task>,
-    keys: BTreeMap<Key, u64>,
+    pub(crate) id: GroupId,
+    pub(crate) options: Options,
+    pub(crate) policy: Box<dyn Policy>,
+    pub(crate) upstreams: Vec<Trust>,
+    pub(crate) tasks: BTreeMap<u64, Task>,
+    pub(crate) keys: BTreeMap<Key, u64>,
     /// Waiting requests by deadline, then arrival.
-    queue: BTreeSet<(Millis, u64)>,
-    next_task: u64,
-    retry: Budget,
-    share: f64,
-    released: bool,
+    pub(crate) queue: BTreeSet<(Millis, u64)>,
+    pub(crate) next_task: u64,
+    pub(crate) retry: Budget,
+    pub(crate) share: f64,
+    pub(crate) released: bool,
 }
 
 impl Group {
@@ -315,7 +309,7 @@
         }
     }
 
-    fn try_again(&mut self, now: Millis, number: u64, out: &mut Vec<Action>) {
+    pub(crate) fn try_again(&mut self, now: Millis, number: u64, out: &mut Vec<Action>) {
         let Some(task) = self.tasks.get_mut(&number) else { return };
         let may = task.sent < self.options.attempts && !task.eligible.is_empty();
         // A shed or missing snapshot cost the upstream nothing, so only work that may have been
@@ -329,13 +323,19 @@
         }
     }
 
-    fn give_up(&mut self, now: Millis, number: u64, out: &mut Vec<Action>) {
+    pub(crate) fn give_up(&mut self, now: Millis, number: u64, out: &mut Vec<Action>) {
         let last = self.tasks.get_mut(&number).and_then(|t| t.last.take());
         let outcome = last.unwrap_or(Outcome::Failed(Failure::NoUpstream));
         self.answer(now, number, outcome, out);
     }
 
-    fn answer(&mut self, now: Millis, number: u64, outcome: Outcome, out: &mut Vec<Action>) {
+    pub(crate) fn answer(
+        &mut self,
+        now: Millis,
+        number: u64,
+        outcome: Outcome,
+        out: &mut Vec<Action>,
+    ) {
         let Some(task) = self.remove(number, out) else { return };
         out.push(Action::Answer {
             key: task.leaf.key,
@@ -364,47 +364,6 @@
         Some(task)
     }
 
-    /// Whether another group should be asked at once: every upstream that could serve the request is
-    /// set aside after failures. A group that fails at once looks fast and empty, and would draw
-    /// ever more requests.
-    fn unfit(&self, now: Millis, number: u64) -> bool {
-        let Some(task) = self.tasks.get(&number) else { return false };
-        let set_aside = |i: &usize| self.upstreams[*i].rank(now) >= Rank::Ejected;
-        task.leaf.give_back.is_some() && task.eligible.iter().all(set_aside)
-    }
-
-    /// Whether more waits than the trusted upstreams can soon serve.
-    fn pressed(&self) -> bool {
-        let trusted = self.upstreams.iter().filter(|u| u.trusted());
-        let slots: usize = trusted.map(|u| usize::from(u.slots)).sum();
-        self.queue.len() > slots * PRESSED
-    }
-
-    /// Requests that wait or run, as a part of the slots that may be used.
-    fn pressure(&self, now: Millis) -> f32 {
-        let usable = self.upstreams.iter().filter(|u| u.rank(now) == Rank::Trusted);
-        let slots: f64 = usable.map(|u| f64::from(u.slots) * self.share).sum();
-        if slots == 0.0 {
-            return UNFIT + self.tasks.len() as f32;
-        }
-        (self.tasks.len() as f64 / slots) as f32
-    }
-
-    /// The snapshots held by upstreams that may be used; `None` while nothing is known. An upstream
-    /// that has not told what it holds counts for each snapshot that another does.
-    fn stock(&self) -> Option<Stock> {
-        let usable = || self.upstreams.iter().filter(|u| !u.leaving());
-        let mut stock = Stock::new();
-        for snapshot in usable().filter_map(Trust::held).flatten() {
-            if !stock.iter().any(|(s, _)| s == snapshot) {
-                let count = usable().filter(|u| u.holds(*snapshot)).count();
-                stock.push((*snapshot, count as u8));
-            }
-        }
-        let known = usable().any(|u| u.held().is_some());
-        known.then_some(stock)
-    }
-
     pub(crate) fn tick(&mut self, now: Millis, pool: &mut Pool<'_>, out: &mut Vec<Action>) {
         if self.tasks.is_empty() {
             return;
@@ -414,52 +373,7 @@
         self.fill(now, pool, out);
     }
 
-    fn expire(&mut self, now: Millis, out: &mut Vec<Action>) {
-        let expired: SmallVec<[u64; 8]> =
-            self.tasks.iter().filter(|(_, t)| t.leaf.deadline <= now).map(|(n, _)| *n).collect();
-        for number in expired {
-            let runs = |t: &Task| t.leaf.once() && !t.runs.is_empty();
-            let may_run = self.tasks.get(&number).is_some_and(runs);
-            let outcome = if may_run { Outcome::Failed(Failure::Closed) } else { Outcome::Expired };
-            self.answer(now, number, outcome, out);
-        }
-        // What waits behind a straggler that is a group of its own cannot be moved here. Its entry
-        // can: nothing was sent, so asking another group costs no extra load.
-        let due = |task: &&Task| task.leaf.give_back.is_some_and(|at| at <= now);
-        let waits = |(_, number): &(Millis, u64)| self.tasks.get(number).filter(due).is_some();
-        let given_back: SmallVec<[u64; 8]> =
-            self.queue.iter().filter(|q| waits(q)).map(|q| q.1).collect();
-        for number in given_back {
-            self.answer(now, number, Outcome::Crowded, out);
-        }
-    }
-
-    /// Counts requests that have become late, and stops trusting the upstreams that they run on.
-    fn mark_late(&mut self, now: Millis, pool: &mut Pool<'_>, out: &mut Vec<Action>) {
-        let late = pool.hedge.delay();
-        let overdue = late.scale(OVERDUE);
-        for upstream in &mut self.upstreams {
-            let mut news = false;
-            for run in upstream.runs.iter_mut().filter(|r| !r.late && now - r.started >= late) {
-                run.late = true;
-                news = true;
-                pool.hedge.late();
-            }
-            if news {
-                upstream.late(now);
-            }
-            if !self.options.suspect {
-                continue;
-            }
-            let oldest = upstream.runs.iter().map(|r| now - r.started).max();
-            let Some(age) = oldest.filter(|age| *age >= overdue) else { continue };
-            if upstream.overdue(now, age) {
-                note(None, upstream.id, What::Suspect, SmallVec::new(), out);
-            }
-        }
-    }
-
-    fn fill(&mut self, now: Millis, pool: &mut Pool<'_>, out: &mut Vec<Action>) {
+    pub(crate) fn fill(&mut self, now: Millis, pool: &mut Pool<'_>, out: &mut Vec<Action>) {
         if self.options.hedge_first {
             self.hedge_late(now, pool, out);
             self.place(now, pool, out);
@@ -470,7 +384,7 @@
     }
 
     /// Sends waiting requests to free upstreams.
-    fn place(&mut self, now: Millis, pool: &mut Pool<'_>, out: &mut Vec<Action>) {
+    pub(crate) fn place(&mut self, now: Millis, pool: &mut Pool<'_>, out: &mut Vec<Action>) {
         let pressed = self.pressed();
         let mut from = (Millis::ZERO, 0);
         for _ in 0..SCAN {
@@ -493,34 +407,7 @@
         }
     }
 
-    /// Sends requests that run late a second time, the longest running first.
-    fn hedge_late(&mut self, now: Millis, pool: &mut Pool<'_>, out: &mut Vec<Action>) {
-        let pressed = self.pressed();
-        let mut due: SmallVec<[(Millis, u64); 8]> = SmallVec::new();
-        for run in self.upstreams.iter().flat_map(|u| &u.runs) {
-            let open = |t: &Task| !t.hedged && t.sent < self.options.attempts && !t.leaf.once();
-            if run.late && !run.aborted && self.tasks.get(&run.task).is_some_and(open) {
-                due.push((run.started, run.task));
-            }
-        }
-        due.sort_unstable();
-        for (_, number) in due {
-            let Some(task) = self.tasks.get(&number) else { continue };
-            let mut usable = self.usable(task);
-            usable.retain(|i| {
-                self.upstreams[*i].free(now, self.share, pressed)
-                    && self.upstreams[*i].rank(now) == Rank::Trusted
-            });
-            let candidates = self.candidates(now, &usable);
-            let Some(chosen) = self.policy.choose(now, &candidates) else { continue };
-            if !pool.hedge.fire() {
-                return;
-            }
-            self.send(now, number, usable[chosen], What::Hedge, pool, out);
-        }
-    }
-
-    fn send(
+    pub(crate) fn send(
         &mut self,
         now: Millis,
         number: u64,
@@ -545,52 +432,6 @@
         out.push(Action::Send { ticket, upstream: upstream.id, leaf: task.leaf.clone() });
     }
 
-    /// The upstreams that may be sent a request: eligible, holding its snapshot, not running it.
-    fn usable(&self, task: &Task) -> SmallVec<[usize; 4]> {
-        let fits = |i: &&usize| {
-            let upstream = &self.upstreams[**i];
-            !upstream.leaving()
-                && (task.leaf.once() || upstream.holds(task.leaf.snapshot))
-                && !task.runs.iter().any(|(_, running)| running == *i)
-        };
-        task.eligible.iter().filter(fits).copied().collect()
-    }
-
-    fn candidates(&self, now: Millis, indices: &[usize]) -> SmallVec<[Candidate; 4]> {
-        let pressed = self.pressed();
-        let view = |i: &usize| {
-            let upstream = &self.upstreams[*i];
-            Candidate {
-                upstream: upstream.id,
-                free: upstream.free(now, self.share, pressed),
-                load: upstream.runs.len(),
-                latency: upstream.latency.get(),
-                rank: upstream.rank(now),
-            }
-        };
-        indices.iter().map(view).collect()
-    }
-
-    fn passed(&self, now: Millis, number: u64, chosen: usize) -> SmallVec<[(Upstream, Passed); 4]> {
-        let pressed = self.pressed();
-        let Some(task) = self.tasks.get(&number) else { return SmallVec::new() };
-        let reason = |index: usize, upstream: &Trust| match upstream.rank(now) {
-            Rank::Leaving => Passed::Leaving,
-            _ if !upstream.holds(task.leaf.snapshot) => Passed::Gone,
-            _ if !task.eligible.contains(&index) => Passed::Tried,
-            Rank::Ejected => Passed::Ejected,
-            Rank::Suspect => Passed::Suspect,
-            Rank::Trusted if upstream.free(now, self.share, pressed) => Passed::Lower,
-            Rank::Trusted => Passed::Busy,
-        };
-        self.upstreams
-            .iter()
-            .enumerate()
-            .filter(|(index, _)| *index != chosen)
-            .map(|(index, upstream)| (upstream.id, reason(index, upstream)))
-            .collect()
-    }
-
     fn give_up_unservable(&mut self, now: Millis, out: &mut Vec<Action>) {
         let waiting: Vec<u64> = self.queue.iter().map(|(_, number)| *number).collect();
         for number in waiting {
@@ -599,7 +440,12 @@
     }
 
     /// Answers a waiting request at once when no upstream could ever be sent it.
-    fn give_up_if_unservable(&mut self, now: Millis, number: u64, out: &mut Vec<Action>) {
+    pub(crate) fn give_up_if_unservable(
+        &mut self,
+        now: Millis,
+        number: u64,
+        out: &mut Vec<Action>,
+    ) {
         let Some(task) = self.tasks.get_mut(&number) else { return };
         if !task.runs.is_empty() || !self.queue.contains(&(task.leaf.deadline, number)) {
             return;
@@ -621,7 +467,7 @@
     }
 }
 
-fn note(
+pub(crate) fn note(
     key: Option<Key>,
     upstream: Upstream,
     what: What,
--- a/crates/tgw-dispatch/src/lib.rs
+++ b/crates/tgw-dispatch/src/lib.rs
@@ -7,6 +7,8 @@
 
 /// One replica group: its queue, running requests and upstreams.
 mod group;
+/// What time alone brings about in a group: deadlines, lateness, hedges.
+mod late;
 /// Leaf requests, their outcomes and what upstreams reply.
 pub mod leaf;
 /// All groups that a VM owns.
@@ -15,6 +17,8 @@
 pub mod pick;
 /// What the owner believes of one upstream.
 mod trust;
+/// What a group looks like to a policy, to the entry and to the log.
+mod view;
 
 pub use leaf::{Leaf, Outcome};
 pub use owner::{Action, Event, Owner};
--- a/crates/tgw-member/src/lib.rs
+++ b/crates/tgw-member/src/lib.rs
@@ -4,8 +4,12 @@
 //! Performs no I/O: packets and the time go in, packets to send and news come out. The platform's
 //! list of VMs only names addresses to ask first.
 
+/// Comparison of records with another VM.
+mod compare;
 /// News on its way to other VMs, and how often it still has to be told.
 mod gossip;
+/// Judgement of other VMs: probes, suspicion, last tries.
+mod judge;
 /// The state machine.
 mod member;
 /// What VMs send one another over UDP.
--- a/crates/tgw-member/src/member.rs
+++ b/crates/tgw-member/src/member.rs
@@ -1,7 +1,7 @@
 use crate::{
     Record,
     gossip::Gossip,
-    packet::{Body, NEWS, News, Packet},
+    packet::{Body, News, Packet},
     probe::Probes,
     relay::Relay,
 };
@@ -14,21 +14,13 @@
 use tgw_clock::Millis;
 use tgw_owner::{Directory, Member as Entry, State};
 use tgw_topology::{Place, Vm, place::Domain};
-use xxhash_rust::xxh3::xxh3_64;
 
 pub use crate::relay::Force;
 
 /// How often one VM of the domain is probed.
-const PERIOD: Millis = Millis::new(300);
-/// Time for a direct acknowledgement, before third VMs are asked.
-const DIRECT: Millis = Millis::new(100);
-/// Third VMs that are asked.
-const HELPERS: usize = 3;
+pub(crate) const PERIOD: Millis = Millis::new(300);
 /// How long a suspect has to refute.
-const SUSPICION: Millis = Millis::new(1200);
-/// Last direct probes of a suspect whose time is up, and how long they may take in all.
-const LAST_PROBES: u8 = 3;
-const LAST_PROBE_GAP: Millis = Millis::new(100);
+pub(crate) const SUSPICION: Millis = Millis::new(1200);
 /// VMs to which fresh news is pushed at once.
 const PUSH: usize = 3;
 /// VMs of each domain that keep contact with the others.
@@ -41,8 +33,6 @@
 const COMPARE: Millis = Millis::new(10_000);
 /// How often the edition in force is reported to the relays besides when it changes.
 const REPORT: Millis = Millis::new(2000);
-/// A dead VM's record is kept this long.
-const FORGET: Millis = Millis::new(600_000);
 /// A gap between two ticks that says that this VM was paused.
 const PAUSE: Millis = Millis::new(700);
 
@@ -121,38 +111,39 @@
     pub refuted: u64,
 }
 
-struct Suspicion {
-    until: Millis,
-    probes: u8,
+/// How long a VM has to refute that it is dead, and how often it was probed a last time.
+pub(crate) struct Suspicion {
+    pub(crate) until: Millis,
+    pub(crate) probes: u8,
 }
 
 /// Membership as one VM sees it.
 pub struct Member {
-    options: Options,
-    incarnation: u64,
-    leaving: bool,
-    edit: u64,
-    world: u64,
-    records: BTreeMap<Vm, Record>,
-    suspicions: BTreeMap<Vm, Suspicion>,
-    dead_since: BTreeMap<Vm, Millis>,
-    probes: Probes,
-    round: Vec<Vm>,
-    relay: Relay,
-    foreign_round: Vec<Domain>,
-    gossip: Gossip,
-    rng: SmallRng,
-    last_tick: Millis,
-    next_probe: Millis,
-    next_relay: Millis,
-    next_retry: Millis,
-    next_compare: Millis,
-    next_report: Millis,
-    stats: Stats,
-    changed: bool,
+    pub(crate) options: Options,
+    pub(crate) incarnation: u64,
+    pub(crate) leaving: bool,
+    pub(crate) edit: u64,
+    pub(crate) world: u64,
+    pub(crate) records: BTreeMap<Vm, Record>,
+    pub(crate) suspicions: BTreeMap<Vm, Suspicion>,
+    pub(crate) dead_since: BTreeMap<Vm, Millis>,
+    pub(crate) probes: Probes,
+    pub(crate) round: Vec<Vm>,
+    pub(crate) relay: Relay,
+    pub(crate) foreign_round: Vec<Domain>,
+    pub(crate) gossip: Gossip,
+    pub(crate) rng: SmallRng,
+    pub(crate) last_tick: Millis,
+    pub(crate) next_probe: Millis,
+    pub(crate) next_relay: Millis,
+    pub(crate) next_retry: Millis,
+    pub(crate) next_compare: Millis,
+    pub(crate) next_report: Millis,
+    pub(crate) stats: Stats,
+    pub(crate) changed: bool,
 }
 
-type Out = Vec<Action>;
+pub(crate) type Out = Vec<Action>;
 
 impl Member {
     /// A VM that knows itself and its seeds.
@@ -241,11 +232,11 @@
         }
     }
 
-    fn here(&self) -> Domain {
+    pub(crate) fn here(&self) -> Domain {
         self.options.place.domain
     }
 
-    fn own_record(&self) -> Record {
+    pub(crate) fn own_record(&self) -> Record {
         let state = if self.leaving { State::Leaving } else { State::Alive };
         let Options { name, place, addr, vm, .. } = &self.options;
         let (name, incarnation) = (name.clone(), self.incarnation);
@@ -254,18 +245,18 @@
     }
 
     /// The live VMs of a domain that keep contact with others: the lowest of them.
-    fn relays(&self, domain: Domain) -> SmallVec<[Vm; 2]> {
+    pub(crate) fn relays(&self, domain: Domain) -> SmallVec<[Vm; 2]> {
         let live = self.records.values().filter(|r| r.member.place.domain == domain);
         live.filter(|r| r.member.state.owns()).map(|r| r.vm).take(RELAYS).collect()
     }
 
     /// Whether this VM sums up what its domain has in force.
-    fn sums_up(&self) -> bool {
+    pub(crate) fn sums_up(&self) -> bool {
         self.relays(self.here()).first() == Some(&self.options.vm)
     }
 
     /// Other VMs of this domain that may answer.
-    fn neighbours(&self) -> Vec<Vm> {
+    pub(crate) fn neighbours(&self) -> Vec<Vm> {
         let here = self.here();
         let near = self.records.values().filter(|r| r.member.place.domain == here);
         near.filter(|r| r.member.state != State::Dead && r.vm != self.options.vm)
@@ -275,7 +266,7 @@
 
     /// How often a piece of news is told by one VM: enough to reach all of the domain, and from a
     /// relay all domains besides.
-    fn times(&self) -> u32 {
+    pub(crate) fn times(&self) -> u32 {
         let count = self.neighbours().len() as u32 + 2;
         let domains: BTreeSet<Domain> =
             self.records.values().map(|r| r.member.place.domain).collect();
@@ -283,11 +274,11 @@
         3 * (u32::BITS - count.leading_zeros()) + relay
     }
 
-    fn addr(&self, vm: Vm) -> Option<SocketAddr> {
+    pub(crate) fn addr(&self, vm: Vm) -> Option<SocketAddr> {
         self.records.get(&vm).map(|r| r.member.addr)
     }
 
-    fn send(&mut self, to: SocketAddr, body: Body, out: &mut Out) {
+    pub(crate) fn send(&mut self, to: SocketAddr, body: Body, out: &mut Out) {
         self.stats.sent += 1;
         let news = self.gossip.take();
         let Self { edit, world, .. } = *self;
@@ -378,23 +369,8 @@
         }
     }
 
-    /// Takes in records that another VM sent for comparison. A VM that joins gets all of them; if it
-    /// spread each as news, every join would cost as much as the fleet is large.
-    fn merge(&mut self, now: Millis, records: Vec<Record>, out: &mut Out) {
-        let newer = |r: &Record| self.records.get(&r.vm).is_none_or(|known| r.supersedes(known));
-        let news: Vec<Record> = records.into_iter().filter(newer).collect();
-        let few = news.len() <= NEWS;
-        for record in news {
-            if few || record.vm == self.options.vm {
-                self.learn(now, record, out);
-            } else {
-                self.take(now, &record);
-            }
-        }
-    }
-
     /// Takes in a word about a VM, if it counts more than what is known.
-    fn learn(&mut self, now: Millis, record: Record, out: &mut Out) {
+    pub(crate) fn learn(&mut self, now: Millis, record: Record, out: &mut Out) {
         if record.vm == self.options.vm {
             return self.refute(&record, out);
         }
@@ -412,7 +388,7 @@
     }
 
     /// Puts a word about another VM in force here.
-    fn take(&mut self, now: Millis, record: &Record) {
+    pub(crate) fn take(&mut self, now: Millis, record: &Record) {
         match record.member.state {
             State::Suspect => {
                 let until = now + SUSPICION;
@@ -456,13 +432,13 @@
     }
 
     /// Queues news and pushes it to a few VMs of the domain at once.
-    fn spread(&mut self, news: News, out: &mut Out) {
+    pub(crate) fn spread(&mut self, news: News, out: &mut Out) {
         let times = self.times();
         self.gossip.add(news, times);
         self.push(PUSH, out);
     }
 
-    fn push(&mut self, count: usize, out: &mut Out) {
+    pub(crate) fn push(&mut self, count: usize, out: &mut Out) {
         let mut near = self.neighbours();
         near.shuffle(&mut self.rng);
         for vm in near.into_iter().take(count) {
@@ -510,14 +486,14 @@
         }
     }
 
-    fn foreign_domains(&self) -> Vec<Domain> {
+    pub(crate) fn foreign_domains(&self) -> Vec<Domain> {
         let all = self.records.values().filter(|r| r.member.state != State::Dead);
         let domains: BTreeSet<Domain> = all.map(|r| r.member.place.domain).collect();
         domains.into_iter().filter(|d| *d != self.here()).collect()
     }
 
     /// Sends something to one relay of another domain.
-    fn contact(&mut self, domain: Domain, body: Body, out: &mut Out) -> Option<Vm> {
+    pub(crate) fn contact(&mut self, domain: Domain, body: Body, out: &mut Out) -> Option<Vm> {
         let relays = self.relays(domain);
         let vm = *relays.get(self.rng.random_range(0..relays.len().max(1)))?;
         let addr = self.addr(vm)?;
@@ -556,30 +532,6 @@
         }
     }
 
-    /// After a pause every timer has run out at once: judging others by them would declare the whole
-    /// fleet dead. Probes under way are dropped and suspicions begin anew.
-    fn resume(&mut self, now: Millis, gap: Millis, out: &mut Out) {
-        self.probes.open.clear();
-        for suspicion in self.suspicions.values_mut() {
-            *suspicion = Suspicion { until: now + SUSPICION, probes: 0 };
-        }
-        out.push(Action::Paused(gap));
-    }
-
-    fn probe_neighbour(&mut self, now: Millis, out: &mut Out) {
-        if self.round.is_empty() {
-            self.round = self.neighbours();
-            self.round.shuffle(&mut self.rng);
-        }
-        while let Some(vm) = self.round.pop() {
-            let live = self.records.get(&vm).filter(|r| r.member.state != State::Dead);
-            if let Some(addr) = live.map(|r| r.member.addr) {
-                let seq = self.probes.start(now, vm, false);
-                return self.send(addr, Body::Ping { seq }, out);
-            }
-        }
-    }
-
     fn relay_turn(&mut self, now: Millis, out: &mut Out) {
         if !self.is_relay() {
             return;
@@ -609,168 +561,4 @@
             self.gossip.add(news, times);
         }
     }
-
-    /// Probes that were not answered: asks third VMs, then suspects.
-    fn check_probes(&mut self, now: Millis, out: &mut Out) {
-        let direct: Vec<(u64, Vm)> = self
-            .probes
-            .open
-            .iter()
-            .filter(|(_, p)| !p.indirect && now - p.sent >= DIRECT)
-            .map(|(seq, p)| (*seq, p.target))
-            .collect();
-        for (seq, target) in direct {
-            self.ask_helpers(seq, target, out);
-        }
-        let late: Vec<(u64, Vm, bool)> = self
-            .probes
-            .open
-            .iter()
-            .filter(|(_, p)| now - p.sent >= PERIOD)
-            .map(|(seq, p)| (*seq, p.target, p.foreign))
-            .collect();
-        for (seq, target, foreign) in late {
-            self.probes.open.remove(&seq);
-            if !foreign {
-                self.suspect(now, target, out);
-            }
-        }
-        self.probes.forget_relayed(now, PERIOD + PERIOD);
-    }
-
-    fn ask_helpers(&mut self, seq: u64, target: Vm, out: &mut Out) {
-        if let Some(probe) = self.probes.open.get_mut(&seq) {
-            probe.indirect = true;
-        }
-        let Some(addr) = self.addr(target) else { return };
-        let mut helpers = self.neighbours();
-        helpers.retain(|vm| *vm != target);
-        if helpers.is_empty() {
-            // A domain of two VMs: those of other domains are the only third ones.
-            helpers = self.foreign_domains().into_iter().flat_map(|d| self.relays(d)).collect();
-        }
-        helpers.shuffle(&mut self.rng);
-        for helper in helpers.into_iter().take(HELPERS) {
-            if let Some(via) = self.addr(helper) {
-                self.send(via, Body::Indirect { seq, target: addr }, out);
-            }
-        }
-    }
-
-    fn suspect(&mut self, now: Millis, target: Vm, out: &mut Out) {
-        let Some(mut record) = self.records.get(&target).cloned() else { return };
-        if !matches!(record.member.state, State::Alive | State::Leaving) {
-            return;
-        }
-        self.stats.suspected += 1;
-        if record.member.state == State::Leaving {
-            record.member.state = State::Dead;
-        } else {
-            record.member.state = State::Suspect;
-        }
-        self.learn(now, record, out);
-    }
-
-    /// Suspects whose time is up are probed a few last times, then declared dead.
-    fn check_suspects(&mut self, now: Millis, out: &mut Out) {
-        let up: Vec<Vm> =
-            self.suspicions.iter().filter(|(_, s)| s.until <= now).map(|(vm, _)| *vm).collect();
-        for vm in up {
-            let Some(suspicion) = self.suspicions.get_mut(&vm) else { continue };
-            suspicion.probes += 1;
-            suspicion.until = now + LAST_PROBE_GAP;
-            let last = suspicion.probes > LAST_PROBES;
-            let Some(mut record) = self.records.get(&vm).cloned() else { continue };
-            if last {
-                self.stats.declared += 1;
-                record.member.state = State::Dead;
-                self.learn(now, record, out);
-            } else {
-                self.gossip.add(News::Record(record.clone()), 1);
-                let seq = self.probes.next();
-                self.send(record.member.addr, Body::Ping { seq }, out);
-            }
-        }
-    }
-
-    /// Tries a dead VM or a seed that is not known: after a partition nobody else would.
-    fn retry(&mut self, out: &mut Out) {
-        let known: BTreeSet<SocketAddr> = self
-            .records
-            .values()
-            .filter(|r| r.member.state != State::Dead)
-            .map(|r| r.member.addr)
-            .collect();
-        let dead = self.records.values().filter(|r| r.member.state == State::Dead);
-        let mut targets: Vec<SocketAddr> = dead.map(|r| r.member.addr).collect();
-        targets.extend(self.options.seeds.iter().copied());
-        targets.retain(|addr| !known.contains(addr));
-        targets.shuffle(&mut self.rng);
-        for addr in targets.into_iter().take(2) {
-            self.gossip.add(News::Record(self.own_record()), 1);
-            let seq = self.probes.next();
-            // One that knows nobody may be known from its earlier life; it still needs all records.
-            let body = if known.len() <= 1 { Body::Join { seq } } else { Body::Ping { seq } };
-            self.send(addr, body, out);
-        }
-    }
-
-    fn hashes(&self) -> SmallVec<[(Domain, u64); 4]> {
-        let mut sums: BTreeMap<Domain, u64> = BTreeMap::new();
-        for record in self.records.values() {
-            let member = &record.member;
-            let text = (record.vm.0, member.incarnation, member.state as u8);
-            let mut bytes = [0; 17];
-            bytes[..8].copy_from_slice(&text.0.to_le_bytes());
-            bytes[8..16].copy_from_slice(&text.1.to_le_bytes());
-            bytes[16] = text.2;
-            *sums.entry(member.place.domain).or_default() ^= xxh3_64(&bytes);
-        }
-        sums.into_iter().collect()
-    }
-
-    fn start_compare(&mut self, out: &mut Out) {
-        let hashes = self.hashes();
-        let mut partners = self.neighbours();
-        partners.shuffle(&mut self.rng);
-        if let Some(addr) = partners.first().and_then(|vm| self.addr(*vm)) {
-            self.send(addr, Body::Hashes(hashes.clone()), out);
-        }
-        let foreign = self.foreign_domains();
-        if self.is_relay() && !foreign.is_empty() {
-            let domain = foreign[self.rng.random_range(0..foreign.len())];
-            self.contact(domain, Body::Hashes(hashes), out);
-        }
-    }
-
-    /// Sends the records of the domains in which another VM's differ.
-    fn compare(&mut self, addr: SocketAddr, theirs: &[(Domain, u64)], out: &mut Out) {
-        let differs = |(domain, hash): &(Domain, u64)| !theirs.contains(&(*domain, *hash));
-        let domains: BTreeSet<Domain> =
-            self.hashes().iter().filter(|h| differs(h)).map(|h| h.0).collect();
-        if domains.is_empty() {
-            return;
-        }
-        let records: Vec<Record> = self
-            .records
-            .values()
-            .filter(|r| domains.contains(&r.member.place.domain))
-            .cloned()
-            .collect();
-        out.push(Action::Sync(addr, records));
-    }
-
-    fn forget(&mut self, now: Millis) {
-        let old: Vec<Vm> = self
-            .dead_since
-            .iter()
-            .filter(|(_, since)| now - **since >= FORGET)
-            .map(|(vm, _)| *vm)
-            .collect();
-        for vm in old {
-            self.dead_since.remove(&vm);
-            self.records.remove(&vm);
-            self.changed = true;
-        }
-    }
 }
--- a/crates/tgw-node/src/lib.rs
+++ b/crates/tgw-node/src/lib.rs
@@ -9,9 +9,16 @@
 pub mod message;
 /// The core.
 mod node;
+/// Orders on their way through the core.
+mod ordering;
 /// Orders: taken in, claimed by a clerk, run by an owner.
 mod orders;
+/// Moves of groups between VMs: catalog, directory, leaving upstreams.
+mod placing;
+/// What the core is told and what it does.
+mod step;
 
 pub use message::Message;
-pub use node::{Identity, Input, Intake, Node, Note, Options, Output, Placement, Tap};
+pub use node::Node;
+pub use step::{Identity, Input, Intake, Note, Options, Output, Placement, Tap};
 pub use tgw_dispatch::leaf::Outcome as LeafOutcome;
--- a/crates/tgw-order/src/clerk.rs
+++ b/crates/tgw-order/src/clerk.rs
@@ -1,16 +1,14 @@
 use crate::{
     Key,
+    book::{Book, Call, Order, Stage, Waiting},
     ledger::{self, Claim, Ledger, Outcome, Reason},
 };
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use tgw_clock::Millis;
 
 /// Pause between two writes of one object: what is asked meanwhile travels in the next.
 const PAUSE: Millis = Millis::new(100);
-/// How long outcomes may wait to be recorded: those who wait have been told, and a write for the next
-/// claim takes them along.
-const RECORD: Millis = Millis::new(1000);
 /// Pause after the store refused a call.
 const BACKOFF: Millis = Millis::new(100);
 /// How often an object is read again while another clerk's claim in it has no outcome.
@@ -19,7 +17,7 @@
 const KEEP: Millis = Millis::new(60_000);
 
 /// A version of the store.
-type Version = u64;
+pub(crate) type Version = u64;
 
 /// Names who waits for an outcome.
 pub type Waiter = u64;
@@ -101,61 +99,6 @@
     pub runs: u64,
 }
 
-/// What the clerk does about one order.
-#[derive(Clone, Debug, PartialEq)]
-enum Stage {
-    /// It will be claimed with the next write.
-    Wanted,
-    /// A write that claims it is under way, or may be.
-    Claiming,
-    /// It is claimed here and was sent.
-    Running,
-    /// Another clerk holds the claim, or an earlier life of this VM.
-    Foreign,
-}
-
-#[derive(Clone, Debug)]
-struct Order {
-    key: Key,
-    stage: Stage,
-    deadline: Millis,
-    waiters: Vec<Waiting>,
-}
-
-#[derive(Copy, Clone, Debug)]
-struct Waiting {
-    waiter: Waiter,
-    /// No earlier request for the key can have run: nobody else could have been asked, or the claims
-    /// were read since and hold none for it.
-    sure: bool,
-}
-
-#[derive(Clone, Debug, PartialEq)]
-enum Call {
-    None,
-    Reading,
-    /// The claims as they stand once the write has taken effect.
-    Writing(Ledger),
-}
-
-/// One object as the clerk knows it.
-#[derive(Clone, Debug)]
-struct Book {
-    /// Version and claims; `None` before it was read, or when it must be read again.
-    known: Option<(Version, Ledger)>,
-    call: Call,
-    not_before: Millis,
-    orders: BTreeMap<String, Order>,
-    /// Outcomes to be recorded.
-    results: BTreeMap<String, Outcome>,
-    /// Claims of ours that must never be sent: their orders were answered as not run.
-    dropped: BTreeSet<String>,
-    /// Since when an outcome waits to be recorded.
-    result_since: Option<Millis>,
-    poll_at: Millis,
-    used: Millis,
-}
-
 /// Claims, runs and records the orders of the buckets that this VM is asked for.
 pub struct Clerk {
     holder: u64,
@@ -414,100 +357,3 @@
         }
     }
 }
-
-impl Book {
-    fn new(now: Millis) -> Self {
-        Self {
-            known: None,
-            call: Call::None,
-            not_before: now,
-            orders: BTreeMap::new(),
-            results: BTreeMap::new(),
-            dropped: BTreeSet::new(),
-            result_since: None,
-            poll_at: now,
-            used: now,
-        }
-    }
-
-    /// The outcome that stands or is about to be recorded.
-    fn outcome(&self, name: &str) -> Option<Outcome> {
-        if let Some(outcome) = self.results.get(name) {
-            return Some(outcome.clone());
-        }
-        let claim = self.known.as_ref().and_then(|(_, ledger)| ledger.claims.get(name));
-        claim.and_then(|c| c.outcome.clone())
-    }
-
-    fn claimed(&self, name: &str) -> bool {
-        self.known.as_ref().is_some_and(|(_, ledger)| ledger.claims.contains_key(name))
-    }
-
-    fn full(&self) -> bool {
-        self.known.as_ref().is_some_and(|(_, l)| l.bytes() >= ledger::LIMIT_BYTES)
-    }
-
-    /// The claims after the next write, and whether they differ. Marks the orders that it claims.
-    fn next(&mut self, mut ledger: Ledger, holder: u64) -> (Ledger, bool) {
-        let mut changed = false;
-        let room = ledger.bytes() < ledger::LIMIT_BYTES;
-        for (name, order) in &mut self.orders {
-            if order.stage == Stage::Wanted && room && !ledger.claims.contains_key(name) {
-                order.stage = Stage::Claiming;
-                ledger.claims.insert(name.clone(), Claim { holder, outcome: None });
-                changed = true;
-            }
-        }
-        changed |= self.record(&mut ledger, holder);
-        (ledger, changed)
-    }
-
-    /// Puts outcomes on claims of this holder.
-    fn record(&mut self, ledger: &mut Ledger, holder: u64) -> bool {
-        let mut changed = false;
-        for (name, outcome) in &self.results {
-            let claim = ledger.claims.get_mut(name).filter(|c| c.holder == holder);
-            if let Some(claim) = claim.filter(|c| c.outcome.is_none()) {
-                claim.outcome = Some(outcome.clone());
-                changed = true;
-            }
-        }
-        changed
-    }
-
-    /// A write that was refused has claimed nothing.
-    fn unclaim(&mut self) {
-        for order in self.orders.values_mut().filter(|o| o.stage == Stage::Claiming) {
-            order.stage = Stage::Wanted;
-        }
-    }
-
-    /// Whether a claim is wanted, or an outcome has waited for long enough to be recorded.
-    fn must_write(&self, now: Millis) -> bool {
-        let wanted = self.orders.values().any(|o| o.stage == Stage::Wanted);
-        let due = self.result_since.is_some_and(|since| now - since >= RECORD);
-        wanted || (due && !self.results.is_empty())
-    }
-
-    /// Reads the object again while another clerk's claim in it has no outcome.
-    fn poll(&mut self, now: Millis, object: &str, stats: &mut Stats, out: &mut Vec<Action>) {
-        let waits = self.orders.values().any(|o| o.stage == Stage::Foreign);
-        if waits && now >= self.poll_at {
-            self.call = Call::Reading;
-            stats.reads += 1;
-            out.push(Action::Get(object.into()));
-        }
-    }
-
-    fn end(&mut self, name: &str, outcome: &Outcome, out: &mut Vec<Action>) {
-        if let Some(order) = self.orders.remove(name) {
-            for Waiting { waiter, .. } in order.waiters {
-                out.push(Action::Tell(waiter, outcome.clone()));
-            }
-        }
-    }
-
-    fn idle(&self) -> bool {
-        self.call == Call::None && self.orders.is_empty() && self.results.is_empty()
-    }
-}
--- a/crates/tgw-order/src/lib.rs
+++ b/crates/tgw-order/src/lib.rs
@@ -7,6 +7,8 @@
 //!
 //! Performs no I/O: events and the time go in, actions come out.
 
+/// One object as the clerk knows it.
+mod book;
 /// The state machine that claims, runs and records orders.
 mod clerk;
 /// Callers' keys.
