--- a/crates/tgw-dispatch/src/group.rs
+++ b/crates/tgw-dispatch/src/group.rs
@@ -278,13 +278,14 @@
         task.runs.retain(|(ticket, _)| *ticket != run.ticket);
         let outcome = match result {
             // An upstream that answers for another snapshot or shard than it was asked for would
-            // put foreign items into the answer; it counts as not holding what was asked.
+            // put foreign items into the answer. It costs the attempt, and says nothing of what the
+            // upstream holds: taken as a lost snapshot, it made the entry give up the whole group.
             Ok(Reply::Items { snapshot, shard, items }) => {
                 if (snapshot, shard) == (task.leaf.snapshot, task.leaf.key.shard) {
                     self.answer(now, run.task, Outcome::Items(items), out);
                     return;
                 }
-                Outcome::Gone
+                Outcome::Failed(Failure::Malformed)
             }
             Ok(Reply::Ran(result)) => {
                 self.answer(now, run.task, Outcome::Items(result), out);
--- a/crates/tgw-node/src/groups.rs
+++ b/crates/tgw-node/src/groups.rs
@@ -5,7 +5,7 @@
 /// How long a new owner, or a stand-in, uses half of the slots: the old one may still use the rest.
 /// After that the upstream's own queue and shedding bound the harm; at half of the slots for longer,
 /// a load of one half would fill the owner's queue.
-const TAKE_OVER: Millis = Millis::new(400);
+const TAKE_OVER: Millis = Millis::new(100);
 /// How long a stand-in keeps a group after it was last asked.
 const STAND_IN: Millis = Millis::new(3000);
 /// The part of the slots used while another VM may use the rest.
--- a/crates/tgw-query/src/late.rs
+++ b/crates/tgw-query/src/late.rs
@@ -2,6 +2,7 @@
     answer::{Cause, Reason},
     context::Cx,
     entry::{Entry, RETRY_AFTER},
+    running::Running,
     step::Why,
 };
 use tgw_clock::Millis;
@@ -64,6 +65,12 @@
         }
     }
 
+    /// Whether all attempts under way at a shard are with VMs that are silent.
+    fn owed_by_silent(&self, running: &Running, index: usize) -> bool {
+        let open = running.parts[index].attempts.iter().filter(|a| a.open);
+        open.into_iter().all(|a| self.paths.stalled(a.to))
+    }
+
     /// Asks stand-ins for all that a silent or lost VM still owes.
     pub(crate) fn ask_elsewhere(&mut self, cx: &mut Cx<'_>, vm: Vm) {
         let owing: Vec<(Query, Shard)> = self
@@ -76,10 +83,14 @@
         for (query, shard) in owing {
             let Some(mut running) = self.running.remove(&query) else { continue };
             let index = usize::from(shard.0);
-            if self.tail(cx, running.service).retry.spend() {
-                self.ask(cx, &mut running, index, Why::Silent);
+            let asked = self.tail(cx, running.service).retry.spend()
+                && self.ask(cx, &mut running, index, Why::Silent);
+            // Where every VM that could dispatch is silent, as on the other side of a partition, the
+            // caller would wait for its whole deadline for what cannot come.
+            if !asked && self.owed_by_silent(&running, index) {
+                self.miss(cx, &mut running, index, Reason::Unreachable);
             }
-            self.running.insert(query, running);
+            self.settle(cx, running);
         }
     }
 }
