fix(query): a silent VM is no reason to hold an answer back

Cause: partition at Aspen had p99 599.6 ms, the deadline: the owner was silent, its stand-in had failed, and the answer waited for what the silent owner owed. The new test waits past 380 ms without the change.

--- a/crates/tgw-bench/src/sim.rs
+++ b/crates/tgw-bench/src/sim.rs
@@ -107,7 +107,7 @@
     AtUpstream { upstream: usize, job: Box<Job> },
     Finish { upstream: usize, run: u64 },
     Stop { upstream: usize, vm: usize, ticket: u64 },
-    Done { vm: usize, life: u32, ticket: u64, result: Result<Reply, Failure>, held: Held },
+    Done { vm: usize, life: u32, ticket: u64, result: Result<Reply, Failure>, held: Option<Held> },
     Tick(usize, u32),
     Fault(usize),
     Turn,
@@ -380,7 +380,7 @@
                     return self.vms[vm].paused.push(event);
                 }
                 if self.vms[vm].up && self.vms[vm].life == life {
-                    self.input(vm, Input::Done { ticket, result, held: Some(held) });
+                    self.input(vm, Input::Done { ticket, result, held });
                 }
             }
             Event::Tick(vm, life) => {
@@ -456,7 +456,7 @@
                 if cut {
                     let life = self.vms[vm].life;
                     let result = Err(Failure::Connect);
-                    let event = Event::Done { vm, life, ticket, result, held: Held::new() };
+                    let event = Event::Done { vm, life, ticket, result, held: None };
                     return self.after(RESET.as_f64(), event);
                 }
                 self.after(way, Event::AtUpstream { upstream: index, job: Box::new(job) });
@@ -534,13 +534,13 @@
 
     fn reply(&mut self, index: usize, job: &Job, result: Result<Reply, Failure>) {
         let way = self.way_to_upstream(job.vm, index);
-        let held = self.upstreams[index].held.iter().copied().collect();
+        let held = Some(self.upstreams[index].held.iter().copied().collect());
         let Job { vm, life, ticket, .. } = *job;
         let event = |result| Event::Done { vm, life, ticket, result, held };
         match if self.mangled { self.rng.random_range(0..10) } else { 10 } {
             0 => {
                 self.after(way, event(result.clone()));
-                let held = self.upstreams[index].held.iter().copied().collect();
+                let held = Some(self.upstreams[index].held.iter().copied().collect());
                 self.after(way + 1.0, Event::Done { vm, life, ticket, result, held });
             }
             1 => self.after(way + LATE_MS, event(result)),
@@ -572,7 +572,7 @@
     fn stop(&mut self, index: usize, vm: usize, ticket: u64) {
         if self.upstreams[index].stop(vm, ticket) {
             let way = self.way_to_upstream(vm, index);
-            let held = self.upstreams[index].held.iter().copied().collect();
+            let held = Some(self.upstreams[index].held.iter().copied().collect());
             let life = self.vms[vm].life;
             let result = Ok(Reply::Cancelled);
             self.after(way, Event::Done { vm, life, ticket, result, held });
--- a/crates/tgw-dispatch/src/group.rs
+++ b/crates/tgw-dispatch/src/group.rs
@@ -371,6 +371,8 @@
         }
         self.expire(now, out);
         self.mark_late(now, pool, out);
+        // What waits for a snapshot that the last upstream has let go since would wait for its deadline.
+        self.give_up_unservable(now, out);
         self.fill(now, pool, out);
     }
 
--- a/crates/tgw-dispatch/tests/dispatch.rs
+++ b/crates/tgw-dispatch/tests/dispatch.rs
@@ -349,3 +349,20 @@
     assert_eq!(bench.answers(), [Outcome::Gone]);
     assert!(bench.sent().is_empty(), "it cost no upstream anything");
 }
+
+// A search waits for its whole deadline: it stood in the queue while the last replica that held its
+// snapshot let it go.
+#[test]
+fn what_waits_for_a_snapshot_that_goes_is_told_at_once() {
+    let mut bench = Bench::new();
+    for _ in 0..7 {
+        bench.search();
+    }
+    bench.sent();
+    let other: Held = [Snapshot { version: 9, ..SNAPSHOT }].into_iter().collect();
+    for upstream in 0..3 {
+        bench.on(Event::Held(Upstream(upstream), other.clone()));
+    }
+    bench.tick(1);
+    assert_eq!(bench.answers(), [Outcome::Gone]);
+}
--- a/crates/tgw-query/src/late.rs
+++ b/crates/tgw-query/src/late.rs
@@ -66,7 +66,7 @@
     }
 
     /// Whether all attempts under way at a shard are with VMs that are silent.
-    fn owed_by_silent(&self, running: &Running, index: usize) -> bool {
+    pub(crate) fn owed_by_silent(&self, running: &Running, index: usize) -> bool {
         let open = running.parts[index].attempts.iter().filter(|a| a.open);
         open.into_iter().all(|a| self.paths.stalled(a.to))
     }
--- a/crates/tgw-query/src/outcome.rs
+++ b/crates/tgw-query/src/outcome.rs
@@ -144,7 +144,8 @@
         if let Some(attempt) = running.parts[index].attempts.last().filter(|_| useless) {
             self.paths.failed(cx.now, attempt.group);
         }
-        if running.parts[index].waiting() {
+        // An attempt that a silent VM owes is no reason to wait: it may never come.
+        if !self.owed_by_silent(running, index) {
             return;
         }
         let attempts = cx.row(running.service).map_or(1, |r| usize::from(r.attempts));
--- a/crates/tgw-query/src/running.rs
+++ b/crates/tgw-query/src/running.rs
@@ -46,10 +46,6 @@
         matches!(self.state, State::Open)
     }
 
-    pub(crate) fn waiting(&self) -> bool {
-        self.attempts.iter().any(|a| a.open)
-    }
-
     /// Notes that an attempt was given back unsent.
     pub(crate) fn unsent(&mut self, number: u8) {
         if let Some(attempt) = self.attempts.iter_mut().find(|a| a.number == number) {
--- a/crates/tgw-query/tests/query.rs
+++ b/crates/tgw-query/tests/query.rs
@@ -40,6 +40,25 @@
     assert!(restarts > 100 && late > 1000 && crossed > 100, "{restarts} {late} {crossed}");
 }
 
+// During a partition a caller waits for its whole deadline for shards that cannot come: the owner was
+// silent, its stand-in failed, and the answer was held back for what the silent owner still owed.
+#[test]
+fn shard_that_only_silent_vms_owe_is_given_up_before_the_deadline() {
+    let mut world = World::new(1);
+    world.submit();
+    let asked = world.asked_vms();
+    assert!(!asked.is_empty());
+    // Nobody answers; the stand-ins that are asked then fail, and the others stay silent.
+    let mut passed = Millis::ZERO;
+    while !world.open.is_empty() && passed < Millis::new(380) {
+        world.now += Millis::new(1);
+        passed += Millis::new(1);
+        world.give(tgw_query::Event::Tick);
+        world.fail_all_but(&asked);
+    }
+    assert!(world.open.is_empty(), "still waiting after {passed}");
+}
+
 fn row(weight: u32, concurrency: u32, queue: u32) -> Row {
     Row { weight, concurrency, queue, ..Row::named("desk") }
 }
--- a/crates/tgw-query/tests/world/mod.rs
+++ b/crates/tgw-query/tests/world/mod.rs
@@ -203,6 +203,27 @@
         self.give(event);
     }
 
+    /// The VMs that owe an answer.
+    pub(crate) fn asked_vms(&self) -> BTreeSet<Vm> {
+        self.asked.iter().map(|a| a.to).collect()
+    }
+
+    /// All VMs but these answer that what they were asked has failed.
+    pub(crate) fn fail_all_but(&mut self, silent: &BTreeSet<Vm>) {
+        while let Some(at) = self.asked.iter().position(|a| !silent.contains(&a.to)) {
+            let Asked { to, leaf, .. } = self.asked.swap_remove(at);
+            self.give(Event::Outcome {
+                from: to,
+                key: leaf.key,
+                outcome: Outcome::Failed(Failure::Connect),
+                stock: None,
+                extra: 0,
+                waited: Millis::ZERO,
+                pressure: 0.0,
+            });
+        }
+    }
+
     /// An answer that came before comes again, from another VM, for another attempt, or for the same
     /// number in an earlier life of this VM.
     fn repeat(&mut self) {
