fix(query): give requests back only for the sake of a group that can be asked

Cause: partition at Coimbra kept p99 at its deadline of 1,500 ms: the VM that stood in for a group whose upstreams it could not reach gave each request back, as another group existed; that group's VMs were silent, so the request came back to the same VM, was given back again, and ran out of attempt numbers. Change: another group counts only if one of its VMs can be asked.

--- a/crates/tgw-query/src/attempt.rs
+++ b/crates/tgw-query/src/attempt.rs
@@ -138,7 +138,14 @@
         } else {
             SmallVec::new()
         };
-        let other = options.iter().filter(|o| o.2 != group && !o.0).map(|o| o.1).next();
+        // A group whose VMs are silent is no other way: a request given back for its sake would come to
+        // the same owner again, and again be given back.
+        let part = &running.parts[index];
+        let other = options
+            .iter()
+            .filter(|o| o.2 != group && !o.0)
+            .find(|o| self.vm_for(cx, o.2, part, why).is_some())
+            .map(|o| o.1);
         let back =
             cx.view.index.get(group).map(|m| cx.view.distance.between(cx.view.here, m.place));
         let patience =
