--- a/crates/tgw-settings/tests/settings.rs
+++ b/crates/tgw-settings/tests/settings.rs
@@ -2,6 +2,10 @@
 
 #![allow(clippy::expect_used, clippy::unwrap_used, clippy::panic)] // A test fails by panic.
 
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
 use test_case::test_case;
 
 const EXAMPLE: &str = include_str!("../../../examples/tanagergw.ini");
@@ -46,3 +50,25 @@
     let shown = format!("{settings:?}");
     assert!(!shown.contains("change-this-token") && !shown.contains("3f1c0b"), "{shown}");
 }
+
+fn config() -> ProptestConfig {
+    Config { rng_seed: RngSeed::Fixed(1), failure_persistence: None, ..Config::default() }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    // A damaged file ends the start in a panic instead of findings.
+    #[test]
+    fn any_damage_is_settings_or_findings(at in 0usize..4000, with in "\\PC{0,4}") {
+        let mut text = EXAMPLE.to_owned();
+        let mut at = at % text.len();
+        while !text.is_char_boundary(at) || !text.is_char_boundary(at + 1) {
+            at -= 1;
+        }
+        text.replace_range(at..at + 1, &with);
+        if let Err(findings) = tgw_settings::parse("s.ini", &text) {
+            prop_assert!(!findings.is_empty());
+        }
+    }
+}
--- a/crates/tgw-table/tests/table.rs
+++ b/crates/tgw-table/tests/table.rs
@@ -2,6 +2,10 @@
 
 #![allow(clippy::expect_used, clippy::unwrap_used, clippy::panic)] // A test fails by panic.
 
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
 use tgw_table::{
     Document,
     adopt::{Outcome, State},
@@ -129,3 +133,29 @@
     }
     all
 }
+
+fn config() -> ProptestConfig {
+    Config { rng_seed: RngSeed::Fixed(1), failure_persistence: None, ..Config::default() }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    // An operator pastes anything at all into the table, and the check ends in a panic.
+    #[test]
+    fn any_text_is_a_table_or_findings(text in "\\PC{0,200}") {
+        if let Err(findings) = Document::from_csv(&text) {
+            prop_assert!(!findings.is_empty());
+        }
+    }
+
+    #[test]
+    fn any_damage_is_a_table_or_findings(at in 0usize..300, with in "[\\x00-\\x7f]{0,3}") {
+        let mut text = CSV.to_owned();
+        let at = at % text.len();
+        text.replace_range(at..at + 1, &with);
+        if let Ok(document) = Document::from_csv(&text) {
+            prop_assert!(document.rows.values().all(|r| r.weight >= 1 && r.attempts >= 1));
+        }
+    }
+}
