--- a/crates/tanagergw/src/status.rs
+++ b/crates/tanagergw/src/status.rs
@@ -7,6 +7,13 @@
 /// The VMs, the table in force in each failure domain, and the upstreams with owner and state.
 #[derive(clap::Args)]
 pub(crate) struct Status {
+    #[command(flatten)]
+    asked: Asked,
+}
+
+/// Whom to ask, and how to print.
+#[derive(clap::Args)]
+struct Asked {
     #[command(flatten)]
     platform: Platform,
     #[command(flatten)]
@@ -22,19 +29,14 @@
     /// The query's identity, or the caller's own name for it.
     query: String,
     #[command(flatten)]
-    platform: Platform,
-    #[command(flatten)]
-    vms: Vms,
-    /// Print JSON.
-    #[arg(long)]
-    json: bool,
+    asked: Asked,
 }
 
 pub(crate) fn run(args: &Status) -> anyhow::Result<ExitCode> {
-    let access = have!(access::vms(&args.platform, &args.vms));
+    let access = have!(access::vms(&args.asked.platform, &args.asked.vms));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let fleet = runtime.block_on(status::fetch(&access));
-    if args.json {
+    if args.asked.json {
         println!("{}", serde_json::to_string(&fleet)?);
     } else {
         print!("{}", status::text(&fleet));
@@ -44,10 +46,10 @@
 }
 
 pub(crate) fn explain(args: &Explain) -> anyhow::Result<ExitCode> {
-    let access = have!(access::vms(&args.platform, &args.vms));
+    let access = have!(access::vms(&args.asked.platform, &args.asked.vms));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let lines = runtime.block_on(explain::fetch(&access, &args.query));
-    if args.json {
+    if args.asked.json {
         println!("{}", serde_json::to_string(&lines)?);
     } else {
         print!("{}", explain::text(&lines));
--- a/crates/tgw-bench/src/faults.rs
+++ b/crates/tgw-bench/src/faults.rs
@@ -145,6 +145,9 @@
     pub(crate) fn resume(&mut self, vm: usize) {
         self.vms[vm].is_paused = false;
         let late = std::mem::take(&mut self.vms[vm].paused);
+        if !self.vms[vm].up {
+            return;
+        }
         self.input(vm, Input::Paused);
         for event in late {
             self.handle(event);
--- a/crates/tgw-node/src/node.rs
+++ b/crates/tgw-node/src/node.rs
@@ -272,7 +272,8 @@
         self.at_owner(now, owner::Event::Ask { group, replicas, leaf }, out);
     }
 
-    pub(crate) fn at_entry(&mut self, now: Millis, event: Event, out: &mut Vec<Output>) {
+    /// Works with the entry and what it reads.
+    pub(crate) fn with_view<T>(&mut self, work: impl FnOnce(&mut Entry, &View<'_>) -> T) -> T {
         let seen = Seen { map: &self.map, index: &self.index };
         let view = View {
             catalog: &self.catalog,
@@ -282,8 +283,12 @@
             here: self.place,
             distance: self.distance,
         };
+        work(&mut self.entry, &view)
+    }
+
+    pub(crate) fn at_entry(&mut self, now: Millis, event: Event, out: &mut Vec<Output>) {
         let mut actions = Vec::new();
-        self.entry.on(now, event, &view, &mut actions);
+        self.with_view(|entry, view| entry.on(now, event, view, &mut actions));
         for action in actions {
             match action {
                 Action::Ask { to, group, stand_in, leaf } => {
--- a/crates/tgw-node/src/ordering.rs
+++ b/crates/tgw-node/src/ordering.rs
@@ -1,13 +1,9 @@
 use crate::{
     Intake, Node, Output,
-    node::Seen,
     orders::{self},
 };
 use tgw_clock::Millis;
-use tgw_query::{
-    View,
-    answer::{Cause, Refusal},
-};
+use tgw_query::answer::{Cause, Refusal};
 use tgw_topology::Group;
 
 /// What a caller whose order was refused is told to wait.
@@ -58,18 +54,9 @@
     /// Sends a claimed order to the owner of the group that promises it the earliest slot, leaving
     /// out groups that were tried.
     pub(crate) fn run_order(&mut self, now: Millis, run: orders::Run) -> Vec<orders::Step> {
-        let seen = Seen { map: &self.map, index: &self.index };
-        let view = View {
-            catalog: &self.catalog,
-            index: &self.index,
-            table: self.table.as_deref(),
-            owners: &seen,
-            here: self.place,
-            distance: self.distance,
-        };
         let groups = self.index.iter().map(|(group, _)| group);
         let own: Vec<Group> = groups.filter(|g| g.service == run.key.service).collect();
-        let best = self.entry.best_group(now, &own, &run.tried, &view);
+        let best = self.with_view(|entry, view| entry.best_group(now, &own, &run.tried, view));
         self.orders.send(now, run, best)
     }
 }
--- a/crates/tgw-node/src/placing.rs
+++ b/crates/tgw-node/src/placing.rs
@@ -181,13 +181,19 @@
         }
     }
 
-    pub(crate) fn take(&mut self, now: Millis, group: Group, out: &mut Vec<Output>) {
+    /// Hands a group's description and options to the dispatcher.
+    fn dispatch_to(&mut self, group: Group) {
         let options = self.options(group);
         let upstreams = self.upstreams(group);
         let catalog = self.catalog.clone();
         let nodes: Vec<&Described> =
             upstreams.iter().filter_map(|u| catalog.upstreams.get(u)).collect();
         self.owner.take(group, &nodes, &options);
+    }
+
+    pub(crate) fn take(&mut self, now: Millis, group: Group, out: &mut Vec<Output>) {
+        self.dispatch_to(group);
+        let upstreams = self.upstreams(group);
         let known: Vec<Upstream> =
             upstreams.iter().copied().filter(|u| self.leaving.contains_key(u)).collect();
         for upstream in known {
@@ -201,12 +207,7 @@
         let served: Vec<Group> =
             self.index.iter().map(|(group, _)| group).filter(|g| self.groups.serves(*g)).collect();
         for group in served {
-            let options = self.options(group);
-            let upstreams = self.upstreams(group);
-            let catalog = self.catalog.clone();
-            let nodes: Vec<&Described> =
-                upstreams.iter().filter_map(|u| catalog.upstreams.get(u)).collect();
-            self.owner.take(group, &nodes, &options);
+            self.dispatch_to(group);
         }
     }
 
