--- a/crates/tgw-demo/src/run.rs
+++ b/crates/tgw-demo/src/run.rs
@@ -17,6 +17,8 @@
 const ORDERS: u64 = 10;
 /// The tier's duties, as their threads are named.
 const DUTIES: [&str; 6] = ["callers", "queries", "upstreams", "peers", "config", "operators"];
+/// What the name of a replaced VM ends with.
+const REPLACED: &str = "-r";
 /// Pause between two faults.
 const PAUSE: Duration = Duration::from_millis(1500);
 
@@ -284,14 +286,16 @@
     Ok(())
 }
 
-/// Drains one VM after the balancer was told, and starts another in its place.
+/// Drains one VM that was not replaced before, after the balancer was told, and starts another in its
+/// place.
 fn replace(fleet: &mut Fleet, entries: &Entries) -> anyhow::Result<()> {
-    let Some(index) = fleet.vms.iter().position(|vm| vm.handle.is_some()) else { return Ok(()) };
+    let fresh = |vm: &crate::fleet::Vm| vm.handle.is_some() && !vm.name.ends_with(REPLACED);
+    let Some(index) = fleet.vms.iter().position(fresh) else { return Ok(()) };
     if let Some(handle) = fleet.vms[index].handle.take() {
         set_entries(fleet, entries);
         handle.drain(Duration::from_secs(10));
     }
-    let name = format!("{}-r", fleet.vms[index].name);
+    let name = format!("{}{REPLACED}", fleet.vms[index].name);
     fleet.vms[index] = fleet.start(index, name)?;
     fleet.wait_ready()?;
     set_entries(fleet, entries);
--- a/crates/tgw-demo/tests/fleet.rs
+++ b/crates/tgw-demo/tests/fleet.rs
@@ -169,6 +169,22 @@
     fleet.close();
 }
 
+// Operators replace every VM, one after another, during the day. Two owners and a stand-in of the same
+// group hold connections at once, the upstream refuses what is beyond its limit, and searches fail.
+#[test]
+fn all_vms_replaced_under_load_cut_nothing_and_stay_within_connections() {
+    let options = Options {
+        size: size(User::Aspen, 3),
+        queries: 700,
+        per_second: 60.0,
+        faults: vec![Fault::Replace; 3],
+    };
+    let report = tgw_demo::run(&options).expect("a report");
+    assert_eq!(report.broken_promises, []);
+    assert_eq!((report.failed, report.short, report.partial), (0, 0, 0), "{report}");
+    assert_eq!(report.connections_refused, 0, "{report}");
+}
+
 #[test]
 fn demo_keeps_all_promises_under_pairs_of_faults() {
     let options = Options {
