fix(query): a VM that turned a request away is not asked again

Ruled out: connections (0 refused) and upstreams (all well). Change: the VM named is asked, else the next in rank that has not turned the request away, and from the second time on in the owner's place; besides, an order's key with an immense time no longer overflows. The new test has 0 whole answers without the change.

--- a/crates/tgw-node/src/orders.rs
+++ b/crates/tgw-node/src/orders.rs
@@ -123,7 +123,8 @@
         self.bodies.entry(key).or_insert(body);
         let fresh = age_s.is_some_and(|age| {
             let since = self.since.get(&key.bucket());
-            since.is_some_and(|since| now - *since >= Millis::new(age * 1000) + MARGIN)
+            since
+                .is_some_and(|since| now - *since >= Millis::new(age.saturating_mul(1000)) + MARGIN)
         });
         self.clerk(now, Event::Ask { key, waiter, deadline: now + left, fresh })
     }
--- a/crates/tgw-order/src/key.rs
+++ b/crates/tgw-order/src/key.rs
@@ -54,10 +54,10 @@
         if !printable || rest.is_empty() {
             return Err(Error::Malformed);
         }
-        if made_s + KEPT_S <= now_s {
+        if made_s.saturating_add(KEPT_S) <= now_s {
             return Err(Error::Expired);
         }
-        if made_s > now_s + AHEAD_S {
+        if made_s > now_s.saturating_add(AHEAD_S) {
             return Err(Error::Ahead);
         }
         Ok(Self { service, hash: xxh3_128(text.as_bytes()), made_s })
--- a/crates/tgw-order/tests/orders.rs
+++ b/crates/tgw-order/tests/orders.rs
@@ -152,6 +152,7 @@
 #[test_case("1799913600-a", Err(Error::Expired); "older than it is kept")]
 #[test_case("1799913601-a", Ok(()); "just kept")]
 #[test_case("1800000301-a", Err(Error::Ahead); "from the future")]
+#[test_case("18446744073709551615-a", Err(Error::Ahead); "further than numbers go")]
 #[test_case("soon-a", Err(Error::Malformed); "without a time")]
 #[test_case("1800000000", Err(Error::Malformed); "without text")]
 fn key_is_checked_against_its_time(text: &str, expected: Result<(), Error>) {
--- a/crates/tgw-query/src/attempt.rs
+++ b/crates/tgw-query/src/attempt.rs
@@ -153,9 +153,25 @@
         Some(Route { group, to, stand_in, estimate, patience, passed })
     }
 
+    /// The VM to ask when another has said that it does not dispatch to the group.
+    fn vm_after_move(&self, owners: &[Vm], part: &Part) -> Option<(Vm, bool)> {
+        // A VM that leaves has handed its groups over before this one has heard of it. Asked again and
+        // again it turns the request away until none is left to try, though the VM that it names, or
+        // the second in rank, would serve it. From the second time on it is asked to in any case.
+        let usable = |vm: &Vm| !part.turned_away.contains(vm) && !self.paths.stalled(*vm);
+        let named = part.named.filter(usable);
+        let vm = named.or_else(|| owners.iter().copied().find(|vm| usable(vm)));
+        let vm = vm.or_else(|| owners.first().copied())?;
+        let insist = part.turned_away.len() > 1 || named.is_none();
+        Some((vm, insist))
+    }
+
     /// The VM to ask for a group: its owner, or a stand-in while the owner is silent.
     fn vm_for(&self, cx: &Cx<'_>, group: Group, part: &Part, why: Why) -> Option<(Vm, bool)> {
         let owners = cx.view.owners.owners(group);
+        if why == Why::Moved {
+            return self.vm_after_move(&owners, part);
+        }
         let asked = |vm: &Vm| part.attempts.iter().any(|a| a.to == *vm && a.group == group);
         let free = |vm: &&Vm| !self.paths.stalled(**vm) && (why != Why::Silent || !asked(vm));
         let usable = owners.iter().find(free)?;
--- a/crates/tgw-query/src/outcome.rs
+++ b/crates/tgw-query/src/outcome.rs
@@ -11,7 +11,7 @@
 use tgw_topology::{Group, Service, Vm};
 
 /// Times that one shard's request may be sent on to another owner.
-const MOVES: u8 = 4;
+const MOVES: usize = 4;
 /// The part of its time that a query must still have to begin again on another snapshot.
 const RESTART_SHARE: f64 = 0.3;
 const RESTARTS: usize = 2;
@@ -101,10 +101,8 @@
                 running.close(index, State::Done(items));
                 self.cancel_part(cx, running, index);
             }
-            Outcome::Moved(_) if running.parts[index].moved < MOVES => {
-                running.parts[index].moved += 1;
-                let attempts = &mut running.parts[index].attempts;
-                attempts.retain(|a| a.number != key.attempt);
+            Outcome::Moved(named) if running.parts[index].turned_away.len() < MOVES => {
+                running.parts[index].turn_away(key.attempt, named);
                 if !self.ask(cx, running, index, Why::Moved) {
                     self.miss(cx, running, index, Reason::Unreachable);
                 }
--- a/crates/tgw-query/src/running.rs
+++ b/crates/tgw-query/src/running.rs
@@ -37,7 +37,9 @@
     pub(crate) next: u8,
     pub(crate) late: bool,
     pub(crate) hedged: bool,
-    pub(crate) moved: u8,
+    /// VMs that do not dispatch to the group they were asked for, and whom the last of them named.
+    pub(crate) turned_away: SmallVec<[Vm; 2]>,
+    pub(crate) named: Option<Vm>,
     pub(crate) last: Option<Reason>,
 }
 
@@ -46,6 +48,14 @@
         matches!(self.state, State::Open)
     }
 
+    /// Notes that the VM of an attempt does not dispatch to the group, and whom it named instead.
+    pub(crate) fn turn_away(&mut self, number: u8, named: Option<Vm>) {
+        if let Some(at) = self.attempts.iter().position(|a| a.number == number) {
+            self.turned_away.push(self.attempts.remove(at).to);
+        }
+        self.named = named;
+    }
+
     /// Notes that an attempt was given back unsent.
     pub(crate) fn unsent(&mut self, number: u8) {
         if let Some(attempt) = self.attempts.iter_mut().find(|a| a.number == number) {
@@ -99,7 +109,8 @@
             next: first,
             late: false,
             hedged: false,
-            moved: 0,
+            turned_away: SmallVec::new(),
+            named: None,
             last: None,
         };
         self.parts = (0..shards).map(part).collect();
--- a/crates/tgw-query/tests/query.rs
+++ b/crates/tgw-query/tests/query.rs
@@ -70,6 +70,19 @@
     assert_eq!((world.whole, world.partial), (1, 0));
 }
 
+// All VMs are replaced one after another, and some searches miss shards that every upstream could have
+// served: the owner leaves and turns requests away before this VM has heard that it does, and is asked again
+// and again until the moves allowed are used up.
+#[test]
+fn vm_that_turned_a_request_away_is_not_asked_again() {
+    let mut world = World::new(1);
+    world.submit();
+    let leaving = world.asked_vms();
+    world.turn_away_or_answer(&leaving);
+    world.settle();
+    assert_eq!((world.whole, world.partial), (1, 0));
+}
+
 fn row(weight: u32, concurrency: u32, queue: u32) -> Row {
     Row { weight, concurrency, queue, ..Row::named("desk") }
 }
--- a/crates/tgw-query/tests/world/mod.rs
+++ b/crates/tgw-query/tests/world/mod.rs
@@ -224,6 +224,27 @@
         }
     }
 
+    /// These VMs turn each request away without naming another; all others answer.
+    pub(crate) fn turn_away_or_answer(&mut self, leaving: &BTreeSet<Vm>) {
+        while let Some(Asked { to, leaf, .. }) = self.asked.pop() {
+            let outcome = if leaving.contains(&to) {
+                Outcome::Moved(None)
+            } else {
+                Outcome::Items(items(&leaf.body, leaf.snapshot, leaf.key.shard.0))
+            };
+            self.now += Millis::new(1);
+            self.give(Event::Outcome {
+                from: to,
+                key: leaf.key,
+                outcome,
+                stock: None,
+                extra: 0,
+                waited: Millis::ZERO,
+                pressure: 0.0,
+            });
+        }
+    }
+
     /// The group asked first for each shard gives it back, all others fail, and the first one, asked
     /// again, answers.
     pub(crate) fn crowd_once_then_fail_elsewhere(&mut self) {
