--- a/crates/tgw-query/tests/world/mod.rs
+++ b/crates/tgw-query/tests/world/mod.rs
@@ -224,10 +224,13 @@
         }
     }
 
-    /// These VMs turn each request away without naming another; all others answer.
+    /// These VMs turn each request away without naming another; all others answer. None may be asked
+    /// for a shard that it has turned away.
     pub(crate) fn turn_away_or_answer(&mut self, leaving: &BTreeSet<Vm>) {
+        let mut turned = BTreeSet::new();
         while let Some(Asked { to, leaf, .. }) = self.asked.pop() {
             let outcome = if leaving.contains(&to) {
+                assert!(turned.insert((to, leaf.key.shard)), "{to} is asked again");
                 Outcome::Moved(None)
             } else {
                 Outcome::Items(items(&leaf.body, leaf.snapshot, leaf.key.shard.0))
