--- a/crates/tgw-query/tests/world/mod.rs
+++ b/crates/tgw-query/tests/world/mod.rs
@@ -212,18 +212,23 @@
     pub(crate) fn fail_all_but(&mut self, silent: &BTreeSet<Vm>) {
         while let Some(at) = self.asked.iter().position(|a| !silent.contains(&a.to)) {
             let Asked { to, leaf, .. } = self.asked.swap_remove(at);
-            self.give(Event::Outcome {
-                from: to,
-                key: leaf.key,
-                outcome: Outcome::Failed(Failure::Connect),
-                stock: None,
-                extra: 0,
-                waited: Millis::ZERO,
-                pressure: 0.0,
-            });
+            self.tell(to, &leaf, Outcome::Failed(Failure::Connect));
         }
     }
 
+    /// A VM answers a request, and says nothing else.
+    fn tell(&mut self, from: Vm, leaf: &Leaf, outcome: Outcome) {
+        self.give(Event::Outcome {
+            from,
+            key: leaf.key,
+            outcome,
+            stock: None,
+            extra: 0,
+            waited: Millis::ZERO,
+            pressure: 0.0,
+        });
+    }
+
     /// These VMs turn each request away without naming another; all others answer. None may be asked
     /// for a shard that it has turned away.
     pub(crate) fn turn_away_or_answer(&mut self, leaving: &BTreeSet<Vm>) {
@@ -236,15 +241,7 @@
                 Outcome::Items(items(&leaf.body, leaf.snapshot, leaf.key.shard.0))
             };
             self.now += Millis::new(1);
-            self.give(Event::Outcome {
-                from: to,
-                key: leaf.key,
-                outcome,
-                stock: None,
-                extra: 0,
-                waited: Millis::ZERO,
-                pressure: 0.0,
-            });
+            self.tell(to, &leaf, outcome);
         }
     }
 
@@ -264,15 +261,7 @@
             };
             first.entry(shard).or_insert(group);
             self.now += Millis::new(1);
-            self.give(Event::Outcome {
-                from: to,
-                key: leaf.key,
-                outcome,
-                stock: None,
-                extra: 0,
-                waited: Millis::ZERO,
-                pressure: 0.0,
-            });
+            self.tell(to, &leaf, outcome);
         }
     }
 
