--- a/crates/tanagergw/src/main.rs
+++ b/crates/tanagergw/src/main.rs
@@ -3,6 +3,7 @@
 mod access;
 mod bench;
 mod demo;
+mod gateway;
 mod logs;
 mod replay;
 mod serve;
@@ -32,6 +33,8 @@
 enum Command {
     /// Run one VM's process, all duties.
     Serve(serve::Args),
+    /// Serve on the users' platform, by its settings file.
+    Gateway(gateway::Args),
     /// Check a settings file.
     Settings(settings::Args),
     /// Show, check, compare and change the operators' table.
@@ -58,6 +61,7 @@
 fn main() -> ExitCode {
     let done = match Cli::parse().command {
         Command::Serve(args) => serve::run(&args),
+        Command::Gateway(args) => gateway::run(&args),
         Command::Settings(args) => settings::run(&args),
         Command::Table(args) => table::run(&args),
         Command::Status(args) => status::run(&args),
--- /dev/null
+++ b/crates/tgw-forward/src/core.rs
@@ -0,0 +1,97 @@
+use crate::{Fleet, Window, fleet::Place, upstream::Distance};
+use std::{collections::HashMap, rc::Rc};
+use tgw_clock::Millis;
+use tgw_route::{Config, Share};
+use tgw_tail::Hedge;
+
+/// The share of a route's sends that may become late enough for a second send: the tail beyond p92
+/// holds the pauses (200 ms in 4.5 s, 4.4 %), the slow upstreams and the long requests.
+const HEDGE_SHARE: f64 = 0.08;
+/// The part of the operators' budget that is used: requests that callers sent and that never
+/// arrived count on neither side, and a restarted VM forgets what it spent.
+const BUDGET_USED: f64 = 0.85;
+
+/// The operators' budget for extra sends, over all VMs.
+#[derive(Copy, Clone, Debug, Default)]
+pub struct Budget {
+    /// Extra sends to a service for each request for it.
+    pub share: f64,
+    /// Extra sends to a service beyond that, in a window.
+    pub constant: f64,
+}
+
+/// What one VM knows and decides with.
+#[derive(Debug, Default)]
+pub struct Core {
+    /// The upstreams.
+    pub fleet: Fleet,
+    budget: Budget,
+    vms: u32,
+    connections: HashMap<Rc<str>, u32>,
+    windows: HashMap<Rc<str>, Window>,
+    hedges: HashMap<Rc<str>, [Hedge; 3]>,
+    shares: HashMap<Rc<str>, Share>,
+}
+
+impl Core {
+    /// Knows nothing yet.
+    pub fn new(place: Place, budget: Budget) -> Self {
+        Self { fleet: Fleet::new(place), budget, vms: 1, ..Self::default() }
+    }
+
+    /// Takes over a version of the configuration.
+    pub fn configure(&mut self, config: &Config) {
+        self.connections =
+            config.services.iter().map(|(name, s)| (name.clone(), s.connections)).collect();
+        self.windows.retain(|name, _| config.services.contains_key(name));
+        self.hedges.retain(|name, _| config.routes.iter().any(|r| r.name == *name));
+        self.shares.retain(|name, _| config.routes.iter().any(|r| r.name == *name));
+    }
+
+    /// Sets the number of live VMs that share the connections and the budgets.
+    pub fn set_vms(&mut self, vms: u32) {
+        self.vms = vms.max(1);
+    }
+
+    /// The number of live VMs.
+    pub fn vms(&self) -> u32 {
+        self.vms
+    }
+
+    /// Sends that one upstream of a service may hold at once from this VM: its part of the
+    /// connections that the upstream accepts from all VMs.
+    pub fn most(&self, service: &str) -> u32 {
+        let all = self.connections.get(service).copied().unwrap_or(1);
+        (all / self.vms).max(1)
+    }
+
+    /// Counts a request for a service.
+    pub(crate) fn request(&mut self, now: Millis, service: &Rc<str>) {
+        self.windows.entry(service.clone()).or_default().request(now);
+    }
+
+    /// Takes one extra send to a service from the budget.
+    pub(crate) fn spend(&mut self, now: Millis, service: &Rc<str>) -> bool {
+        let share = self.budget.share * BUDGET_USED;
+        let constant = self.budget.constant * BUDGET_USED / f64::from(self.vms);
+        self.windows.entry(service.clone()).or_default().spend(now, share, constant)
+    }
+
+    /// The second sends of a route to upstreams at a distance.
+    pub(crate) fn hedge(&mut self, route: &Rc<str>, distance: Distance) -> &mut Hedge {
+        let hedges = self
+            .hedges
+            .entry(route.clone())
+            .or_insert_with(|| std::array::from_fn(|_| Hedge::new(HEDGE_SHARE)));
+        match distance {
+            Distance::Domain => &mut hedges[0],
+            Distance::Region => &mut hedges[1],
+            Distance::Far => &mut hedges[2],
+        }
+    }
+
+    /// The next service of a weighted route.
+    pub(crate) fn deal(&mut self, route: &Rc<str>, targets: &[(Rc<str>, f64)]) -> Option<Rc<str>> {
+        self.shares.entry(route.clone()).or_default().next(targets)
+    }
+}
--- /dev/null
+++ b/crates/tgw-forward/src/fleet.rs
@@ -0,0 +1,148 @@
+//! The upstreams and the choice among them.
+
+use crate::upstream::{Distance, Entry, Sign, Upstream};
+use derive_more::Display;
+use smallvec::SmallVec;
+use std::{
+    collections::{BTreeMap, HashMap},
+    rc::Rc,
+};
+use tgw_clock::Millis;
+
+/// Names an upstream's incarnation within this process.
+#[derive(Copy, Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[display("{_0}")]
+pub struct Key(u64);
+
+/// One send, to be given back when it ended.
+#[derive(Copy, Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Ticket {
+    /// The upstream.
+    pub upstream: Key,
+    number: u64,
+}
+
+/// Where this VM is.
+#[derive(Clone, Debug, Default)]
+pub struct Place {
+    /// Its failure domain.
+    pub domain: String,
+    /// The region of each failure domain.
+    pub regions: BTreeMap<String, String>,
+}
+
+impl Place {
+    fn distance(&self, domain: &str) -> Distance {
+        if domain == self.domain {
+            return Distance::Domain;
+        }
+        match (self.regions.get(domain), self.regions.get(&self.domain)) {
+            (Some(theirs), Some(ours)) if theirs == ours => Distance::Region,
+            _ => Distance::Far,
+        }
+    }
+}
+
+/// All upstreams that this VM knows.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    place: Place,
+    upstreams: HashMap<Key, Upstream>,
+    keys: HashMap<Rc<str>, Key>,
+    services: HashMap<Rc<str>, SmallVec<[Key; 4]>>,
+    next_key: u64,
+    next_send: u64,
+}
+
+impl Fleet {
+    /// No upstreams, seen from `place`.
+    pub fn new(place: Place) -> Self {
+        Self { place, ..Self::default() }
+    }
+
+    /// Adds an upstream or takes over its newer entry.
+    pub fn put(&mut self, now: Millis, entry: Entry) {
+        if let Some(upstream) = self.keys.get(&entry.id).and_then(|k| self.upstreams.get_mut(k)) {
+            if upstream.entry.service == entry.service && upstream.entry.addr == entry.addr {
+                upstream.renew(now, entry);
+                return;
+            }
+            self.remove(&entry.id);
+        }
+        let key = Key(self.next_key);
+        self.next_key += 1;
+        self.keys.insert(entry.id.clone(), key);
+        self.services.entry(entry.service.clone()).or_default().push(key);
+        let distance = self.place.distance(&entry.domain);
+        self.upstreams.insert(key, Upstream::new(now, entry, distance));
+    }
+
+    /// Forgets an upstream; its sends may still end.
+    pub fn remove(&mut self, id: &str) -> Option<Key> {
+        let key = self.keys.remove(id)?;
+        if let Some(upstream) = self.upstreams.remove(&key)
+            && let Some(keys) = self.services.get_mut(&upstream.entry.service)
+        {
+            keys.retain(|k| *k != key);
+            if keys.is_empty() {
+                self.services.remove(&upstream.entry.service);
+            }
+        }
+        Some(key)
+    }
+
+    /// The upstream of a key, unless it was removed.
+    pub fn get(&self, key: Key) -> Option<&Upstream> {
+        self.upstreams.get(&key)
+    }
+
+    /// The identities of all upstreams.
+    pub fn ids(&self) -> impl Iterator<Item = &Rc<str>> {
+        self.keys.keys()
+    }
+
+    /// The number of upstreams.
+    pub fn len(&self) -> usize {
+        self.upstreams.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.upstreams.is_empty()
+    }
+
+    /// The best upstream of a service that has room for one more of at most `most` sends at once and
+    /// is not among `tried`.
+    pub fn pick(&self, now: Millis, service: &str, most: u32, tried: &[Key]) -> Option<Key> {
+        let keys = self.services.get(service)?;
+        let usable = keys.iter().filter(|key| !tried.contains(key)).filter_map(|key| {
+            let upstream = self.upstreams.get(key)?;
+            let open = !upstream.entry.draining && upstream.running() < most;
+            open.then(|| (*key, upstream.cost(now)))
+        });
+        usable.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(key, _)| key)
+    }
+
+    /// Whether a service has an upstream that is not leaving.
+    pub fn serves(&self, service: &str) -> bool {
+        let keys = self.services.get(service).map(SmallVec::as_slice).unwrap_or_default();
+        keys.iter().any(|k| self.upstreams.get(k).is_some_and(|u| !u.entry.draining))
+    }
+
+    /// Counts a send.
+    pub fn send(&mut self, now: Millis, key: Key) -> Ticket {
+        let number = self.next_send;
+        self.next_send += 1;
+        if let Some(upstream) = self.upstreams.get_mut(&key) {
+            upstream.sent(now, number);
+        }
+        Ticket { upstream: key, number }
+    }
+
+    /// Counts the end of a send.
+    pub fn end(&mut self, now: Millis, ticket: Ticket, sign: Sign) {
+        if let Some(upstream) = self.upstreams.get_mut(&ticket.upstream) {
+            upstream.ended(now, ticket.number, sign);
+        }
+    }
+}
--- /dev/null
+++ b/crates/tgw-forward/src/lib.rs
@@ -0,0 +1,27 @@
+//! Decides where each request is sent, when it is sent again, and what its caller is answered.
+//!
+//! A [`Core`] is what one VM knows: the upstreams with what their replies told ([`Fleet`]), the
+//! budgets for extra sends, the delays of second sends. A [`Plan`] drives one request. Both are
+//! told the time and perform no I/O.
+
+/// Which upstreams exist, from a store that may be away.
+mod catalog;
+/// What one VM knows.
+pub mod core;
+/// The upstreams, their state, and the choice among them.
+pub mod fleet;
+/// The greatest records of several parts.
+pub mod merge;
+/// One request from its arrival to its answer.
+pub mod plan;
+/// One upstream: what the store says of it and what its replies told.
+pub mod upstream;
+/// Sliding budgets for extra sends.
+mod window;
+
+pub use catalog::Catalog;
+pub use core::Core;
+pub use fleet::Fleet;
+pub use plan::Plan;
+pub use upstream::Upstream;
+pub use window::Window;
--- /dev/null
+++ b/crates/tgw-forward/src/plan.rs
@@ -0,0 +1,471 @@
+//! One request from its arrival to its answer.
+
+use crate::{
+    Core,
+    fleet::{Key, Ticket},
+    merge,
+};
+use bytes::Bytes;
+use derive_more::Display;
+use http::{HeaderMap, HeaderValue, StatusCode};
+use smallvec::SmallVec;
+use std::rc::Rc;
+use tgw_clock::Millis;
+use tgw_route::{Route, Safety, Target, config::Shards};
+
+/// Time in ms before the aim at which an answer leaves without its last parts: the way to the caller
+/// (1 to 3 ms), the opening of its connection, and the wait for a turn on a quarter of a core.
+const MARGIN: Millis = Millis::new(14);
+/// Time in ms before the deadline at which the last answer leaves.
+const LAST: Millis = Millis::new(5);
+/// A second send is not made sooner, in ms; sooner ones were duplicates of what was on its way.
+const HEDGE_LEAST: Millis = Millis::new(8);
+/// The part of the aim after which a second send could no longer meet it.
+const HEDGE_MOST: f64 = 0.4;
+/// Upstreams to which a connection is tried for one part; none of these tries is a send.
+const TRIES: usize = 4;
+/// What a refused caller is told to wait, in ms; spread over one to three times this, so that those
+/// refused together do not return together.
+const RETRY_AFTER: Millis = Millis::new(60);
+
+/// A complete reply of an upstream.
+#[derive(Clone, Debug)]
+pub struct Response {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its end-to-end headers.
+    pub headers: HeaderMap,
+    /// The upstream's signature, if it bears one.
+    pub seal: Option<HeaderValue>,
+    /// Its whole body.
+    pub body: Bytes,
+}
+
+impl Response {
+    /// Whether it is a success that the upstream signed.
+    pub fn good(&self) -> bool {
+        self.status.is_success() && self.seal.is_some()
+    }
+}
+
+/// How one send ended.
+#[derive(Debug)]
+pub enum Ended {
+    /// With a complete reply.
+    Answered(Box<Response>),
+    /// The upstream stated that it did not run the request.
+    Declined,
+    /// No connection was made, so nothing was sent.
+    Unsent,
+    /// The reply was cut, spoiled or reset: the request may have run.
+    Broken,
+    /// No reply by the deadline: the request may have run.
+    Silent,
+}
+
+/// What a plan is told.
+#[derive(Debug)]
+pub enum Event {
+    /// The request arrived.
+    Start,
+    /// A send of the plan ended.
+    Ended {
+        /// The part it was for.
+        part: usize,
+        /// How.
+        ended: Ended,
+    },
+    /// The time of [`Plan::wake`] has come.
+    Tick,
+}
+
+/// Why a send is made.
+#[derive(Copy, Clone, Debug, Display, PartialEq, Eq)]
+pub enum Why {
+    /// The first of its part.
+    #[display("first")]
+    First,
+    /// The one before is late.
+    #[display("hedge")]
+    Hedge,
+    /// The one before failed.
+    #[display("retry")]
+    Retry,
+}
+
+/// A send to be made.
+#[derive(Clone, Debug)]
+pub struct Order {
+    /// The part of the request, from zero.
+    pub part: usize,
+    /// The upstream and the number of the send.
+    pub ticket: Ticket,
+    /// Why.
+    pub why: Why,
+}
+
+/// What the caller is answered.
+#[derive(Debug)]
+pub enum Answer {
+    /// The reply of an upstream, unchanged.
+    Forward(Box<Response>),
+    /// The greatest records of the parts that are in.
+    Merged {
+        /// The signatures of these parts.
+        seals: Vec<HeaderValue>,
+        /// The number of parts that are not in.
+        missing: usize,
+        /// The records.
+        body: Bytes,
+    },
+    /// Not run, and never will be.
+    Refused {
+        /// When to come back.
+        retry_after: Millis,
+        /// The reason.
+        cause: Cause,
+    },
+    /// Given up; it may have run.
+    Failed(Cause),
+    /// The time is over; it may have run.
+    TimedOut,
+}
+
+/// Why a request was not served.
+#[derive(Copy, Clone, Debug, Display, PartialEq, Eq)]
+pub enum Cause {
+    /// No upstream of a service is known that is not leaving.
+    #[display("no upstream")]
+    NoUpstream,
+    /// All upstreams hold as many sends as this VM may make, or turned it away.
+    #[display("all upstreams full")]
+    Full,
+    /// Upstreams failed it, and no further send was allowed.
+    #[display("upstreams failed")]
+    Upstreams,
+    /// Too few parts can still come.
+    #[display("too few parts")]
+    TooFew,
+}
+
+#[derive(Debug)]
+enum State {
+    Waiting,
+    Got { seal: HeaderValue, body: Bytes },
+    GivenUp,
+}
+
+#[derive(Debug)]
+struct Part {
+    service: Rc<str>,
+    state: State,
+    tried: SmallVec<[Key; 2]>,
+    sends: u32,
+    open: u32,
+    hedge_at: Option<Millis>,
+}
+
+impl Part {
+    fn new(service: Rc<str>) -> Self {
+        let (tried, state) = (SmallVec::new(), State::Waiting);
+        Self { service, state, tried, sends: 0, open: 0, hedge_at: None }
+    }
+
+    fn waiting(&self) -> bool {
+        matches!(self.state, State::Waiting)
+    }
+}
+
+/// What a plan is made from.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The route of the request.
+    pub route: Rc<Route>,
+    /// How long its caller waits, if it says so.
+    pub patience: Option<Millis>,
+    /// A number that differs from request to request; spreads the return of refused callers.
+    pub spread: u32,
+}
+
+/// Drives one request.
+#[derive(Debug)]
+pub struct Plan {
+    route: Rc<Route>,
+    started: Millis,
+    answer_by: Millis,
+    deadline: Millis,
+    spread: u32,
+    parts: SmallVec<[Part; 1]>,
+    /// An upstream may have run it.
+    ran: bool,
+    failure: Option<Box<Response>>,
+    finished: bool,
+}
+
+impl Plan {
+    /// A plan for a request that arrived at `now`.
+    pub fn new(now: Millis, options: &Options) -> Self {
+        let route = options.route.clone();
+        let patience = options.patience.unwrap_or(route.timeout).min(route.timeout);
+        Self {
+            started: now,
+            answer_by: now + (route.aim - MARGIN),
+            deadline: now + (patience - LAST),
+            spread: options.spread,
+            route,
+            parts: SmallVec::new(),
+            ran: false,
+            failure: None,
+            finished: false,
+        }
+    }
+
+    /// When the request is answered at the latest.
+    pub fn deadline(&self) -> Millis {
+        self.deadline
+    }
+
+    /// The service of a part.
+    pub fn service(&self, part: usize) -> Option<&Rc<str>> {
+        self.parts.get(part).map(|p| &p.service)
+    }
+
+    /// Sends so far, and how many parts are in, of how many.
+    pub fn progress(&self) -> (u32, usize, usize) {
+        let sends = self.parts.iter().map(|p| p.sends).sum();
+        (sends, self.count(|p| matches!(p.state, State::Got { .. })), self.parts.len())
+    }
+
+    /// When [`Event::Tick`] is due.
+    pub fn wake(&self, now: Millis) -> Millis {
+        let hedges = self.parts.iter().filter(|p| p.waiting()).filter_map(|p| p.hedge_at);
+        let answer = Some(self.answer_by).filter(|at| *at > now && self.parts.len() > 1);
+        hedges.chain(answer).min().unwrap_or(Millis::MAX).min(self.deadline)
+    }
+
+    /// Handles one event: appends the sends to be made, and returns the answer once there is one.
+    pub fn on(
+        &mut self,
+        now: Millis,
+        event: Event,
+        core: &mut Core,
+        out: &mut Vec<Order>,
+    ) -> Option<Answer> {
+        if self.finished {
+            return None;
+        }
+        match event {
+            Event::Start => self.start(now, core, out),
+            Event::Ended { part, ended } => self.ended(now, part, ended, core, out),
+            Event::Tick => self.hedge(now, core, out),
+        }
+        let answer = self.conclude(now, core);
+        self.finished = answer.is_some();
+        answer
+    }
+
+    fn start(&mut self, now: Millis, core: &mut Core, out: &mut Vec<Order>) {
+        let route = self.route.clone();
+        match &route.target {
+            Target::One(service) => self.parts.push(Part::new(service.clone())),
+            Target::Weighted(targets) => {
+                self.parts.extend(core.deal(&route.name, targets).map(Part::new));
+            }
+            Target::Shards(shards) => {
+                self.parts.extend(shards.services.iter().cloned().map(Part::new));
+            }
+        }
+        for index in 0..self.parts.len() {
+            core.request(now, &self.parts[index].service);
+            self.place(now, index, Why::First, core, out);
+        }
+    }
+
+    fn ended(
+        &mut self,
+        now: Millis,
+        index: usize,
+        ended: Ended,
+        core: &mut Core,
+        out: &mut Vec<Order>,
+    ) {
+        let idempotent = self.route.safety == Safety::Idempotent;
+        let Some(part) = self.parts.get_mut(index) else { return };
+        part.open = part.open.saturating_sub(1);
+        let mut again = idempotent;
+        match ended {
+            Ended::Answered(response) => {
+                self.ran = true;
+                if !part.waiting() || self.take(index, response) {
+                    return;
+                }
+            }
+            Ended::Declined => again = true,
+            Ended::Unsent => {
+                part.sends = part.sends.saturating_sub(1);
+                again = true;
+            }
+            Ended::Broken | Ended::Silent => self.ran = true,
+        }
+        if self.parts[index].waiting() && again {
+            self.place(now, index, Why::Retry, core, out);
+        }
+        self.give_up(index);
+    }
+
+    /// Takes a reply in; false if it serves the caller only if nothing better comes.
+    fn take(&mut self, index: usize, response: Box<Response>) -> bool {
+        let sharded = matches!(self.route.target, Target::Shards(_));
+        if !sharded {
+            // A failure of the upstream may be another's success; what it says of the request
+            // itself (4xx) would be the same elsewhere.
+            let done = response.good() || response.status.is_client_error();
+            self.failure = Some(response);
+            if done {
+                self.parts[index].state = State::GivenUp;
+            }
+            return done;
+        }
+        let Some(seal) = response.seal.filter(|_| response.status.is_success()) else {
+            return false;
+        };
+        let doubled =
+            self.parts.iter().any(|p| matches!(&p.state, State::Got { seal: s, .. } if *s == seal));
+        if !doubled {
+            self.parts[index].state = State::Got { seal, body: response.body };
+        }
+        !doubled
+    }
+
+    fn give_up(&mut self, index: usize) {
+        if let Some(part) = self.parts.get_mut(index)
+            && part.waiting()
+            && part.open == 0
+        {
+            part.state = State::GivenUp;
+        }
+    }
+
+    fn hedge(&mut self, now: Millis, core: &mut Core, out: &mut Vec<Order>) {
+        for index in 0..self.parts.len() {
+            let part = &mut self.parts[index];
+            if !part.waiting() || part.hedge_at.is_none_or(|at| now < at) {
+                continue;
+            }
+            part.hedge_at = None;
+            let slow = part.tried.last().and_then(|k| core.fleet.get(*k)).map(|u| u.distance);
+            if let Some(distance) = slow {
+                core.hedge(&self.route.name, distance).late();
+            }
+            self.place(now, index, Why::Hedge, core, out);
+        }
+    }
+
+    /// Orders one more send for a part, if an upstream, the route and the budget allow it.
+    fn place(
+        &mut self,
+        now: Millis,
+        index: usize,
+        why: Why,
+        core: &mut Core,
+        out: &mut Vec<Order>,
+    ) {
+        let route = self.route.clone();
+        let part = &mut self.parts[index];
+        if part.sends >= route.attempts.max(1) || part.tried.len() >= TRIES {
+            return;
+        }
+        let most = core.most(&part.service);
+        let picked = core.fleet.pick(now, &part.service, most, &part.tried);
+        let Some(key) = picked.filter(|_| part.sends == 0 || core.spend(now, &part.service)) else {
+            if why == Why::First {
+                part.state = State::GivenUp;
+            }
+            return;
+        };
+        part.tried.push(key);
+        part.sends += 1;
+        part.open += 1;
+        let ticket = core.fleet.send(now, key);
+        part.hedge_at = None;
+        if part.sends < route.attempts && route.safety == Safety::Idempotent {
+            let distance =
+                core.fleet.get(key).map_or(crate::upstream::Distance::Far, |u| u.distance);
+            let hedge = core.hedge(&route.name, distance);
+            if why == Why::First {
+                hedge.request();
+            }
+            let delay = hedge.delay().min(route.aim.scale(HEDGE_MOST)).max(HEDGE_LEAST);
+            part.hedge_at = Some(now + delay);
+        }
+        out.push(Order { part: index, ticket, why });
+    }
+
+    fn count(&self, what: impl Fn(&Part) -> bool) -> usize {
+        self.parts.iter().filter(|p| what(p)).count()
+    }
+
+    fn conclude(&mut self, now: Millis, core: &Core) -> Option<Answer> {
+        let route = self.route.clone();
+        let answer = match &route.target {
+            Target::Shards(shards) => self.merged(now, shards),
+            Target::One(_) | Target::Weighted(_) => self.single(),
+        };
+        answer.map_or_else(
+            || (now >= self.deadline).then_some(Answer::TimedOut),
+            |end| Some(end.unwrap_or_else(|| self.lost(core))),
+        )
+    }
+
+    /// `None` while it runs; `Some(None)` once it has failed.
+    fn single(&mut self) -> Option<Option<Answer>> {
+        match self.parts.first() {
+            Some(part) if part.waiting() => None,
+            _ => Some(self.failure.take().map(Answer::Forward)),
+        }
+    }
+
+    fn merged(&mut self, now: Millis, shards: &Shards) -> Option<Option<Answer>> {
+        let all = self.parts.len();
+        let got = self.count(|p| matches!(p.state, State::Got { .. }));
+        let waiting = self.count(Part::waiting);
+        let enough = |count: usize| count > 0 && count as f64 >= shards.least * all as f64 - 1e-9;
+        if !enough(got + waiting) {
+            return Some(None);
+        }
+        let due = waiting == 0 || now >= self.answer_by || now >= self.deadline;
+        (due && enough(got)).then(|| Some(self.merge(shards.limit, all - got)))
+    }
+
+    fn merge(&mut self, limit: usize, missing: usize) -> Answer {
+        let in_parts = || {
+            self.parts.iter().filter_map(|p| match &p.state {
+                State::Got { seal, body } => Some((seal, body)),
+                State::Waiting | State::GivenUp => None,
+            })
+        };
+        let body = merge::greatest(in_parts().map(|(_, body)| &body[..]), limit).into();
+        let seals = in_parts().map(|(seal, _)| seal.clone()).collect();
+        Answer::Merged { seals, missing, body }
+    }
+
+    fn lost(&self, core: &Core) -> Answer {
+        let sharded = self.parts.len() > 1;
+        if self.ran {
+            return Answer::Failed(if sharded { Cause::TooFew } else { Cause::Upstreams });
+        }
+        if self.parts.iter().any(|p| p.open > 0) {
+            // A send that still runs could run the request after a refusal that denies it.
+            return Answer::Failed(Cause::TooFew);
+        }
+        let served = self.parts.iter().all(|p| core.fleet.serves(&p.service));
+        let cause = if served { Cause::Full } else { Cause::NoUpstream };
+        let spread = 1.0 + 2.0 * f64::from(self.spread % 64) / 64.0;
+        Answer::Refused { retry_after: RETRY_AFTER.scale(spread), cause }
+    }
+
+    /// How long the request has been here.
+    pub fn age(&self, now: Millis) -> Millis {
+        now - self.started
+    }
+}
--- /dev/null
+++ b/crates/tgw-forward/src/upstream.rs
@@ -0,0 +1,226 @@
+//! One upstream.
+
+use smallvec::SmallVec;
+use std::{net::SocketAddr, rc::Rc};
+use tgw_clock::Millis;
+
+/// What the store says of an upstream's incarnation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// The identity of the incarnation; no other process ever bears it.
+    pub id: Rc<str>,
+    /// The service it belongs to.
+    pub service: Rc<str>,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Its failure domain.
+    pub domain: Rc<str>,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// It is leaving and takes nothing new.
+    pub draining: bool,
+    /// How much longer it is slow after its start, as of the entry's writing.
+    pub warmup: Millis,
+}
+
+/// How far an upstream is from this VM.
+#[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Distance {
+    /// In the same failure domain.
+    Domain = 0,
+    /// In another failure domain of the region.
+    Region = 1,
+    /// In another region.
+    Far = 2,
+}
+
+impl Distance {
+    /// The time of a first reply that is assumed before one was seen, in ms: some ms of work and
+    /// the way there and back, as on the users' networks (0.1, 1.4 and 12 to 20 ms one way).
+    fn expected(self) -> f64 {
+        match self {
+            Self::Domain => 10.0,
+            Self::Region => 14.0,
+            Self::Far => 45.0,
+        }
+    }
+}
+
+/// How one send ended, as far as the upstream's state goes.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub enum Sign {
+    /// A complete reply.
+    Reply,
+    /// A complete reply that reports a failure of the upstream.
+    Failure,
+    /// It turned the request away unexecuted.
+    Shed,
+    /// The reply was cut, spoiled or reset.
+    Broken,
+    /// No connection could be made.
+    Unreachable,
+    /// No reply in time.
+    Silent,
+    /// Given up on this side; tells nothing.
+    Dropped,
+}
+
+/// A time constant in ms after which an old average counts for a third: a straggler that recovered
+/// is tried again within seconds.
+const FORGET_MS: f64 = 4_000.0;
+/// Weight of a new sample in the average latency.
+const WEIGHT: f64 = 0.2;
+/// Weight of a new sample in the share of failures.
+const FAILURE_WEIGHT: f64 = 0.25;
+/// What a failure costs in ms: the second send that it takes.
+const FAILURE_COST_MS: f64 = 120.0;
+/// A send older than this many times the expected latency, and `LATE_MS` more, is overdue.
+const LATE_FACTOR: f64 = 2.0;
+/// See `LATE_FACTOR`; in ms, above the jitter of a VM with a quarter of a core.
+const LATE_MS: f64 = 18.0;
+/// What an overdue send costs in ms beyond its age: the rest of a pause of 200 ms, on average.
+const OVERDUE_COST_MS: f64 = 100.0;
+/// How much slower an upstream is taken for while it warms up.
+const COLD_FACTOR: f64 = 2.5;
+/// First time in ms for which an upstream that refused or fell silent is passed over; doubles.
+const AVOID_MS: u64 = 150;
+/// Longest time in ms for which it is passed over.
+const AVOID_MOST_MS: u64 = 2_400;
+/// What being passed over costs in ms: more than any other reason, so that it is the last choice.
+const AVOID_COST_MS: f64 = 2_000.0;
+
+/// One upstream with what its replies told.
+#[derive(Clone, Debug)]
+pub struct Upstream {
+    /// What the store says.
+    pub entry: Entry,
+    /// How far it is.
+    pub distance: Distance,
+    warm_at: Millis,
+    running: SmallVec<[(u64, Millis); 4]>,
+    latency: f64,
+    sampled: Option<Millis>,
+    failing: f64,
+    avoid_until: Millis,
+    strikes: u32,
+}
+
+impl Upstream {
+    /// An upstream of which nothing but its entry is known.
+    pub fn new(now: Millis, entry: Entry, distance: Distance) -> Self {
+        let warm_at = now + entry.warmup;
+        Self {
+            entry,
+            distance,
+            warm_at,
+            running: SmallVec::new(),
+            latency: distance.expected(),
+            sampled: None,
+            failing: 0.0,
+            avoid_until: Millis::ZERO,
+            strikes: 0,
+        }
+    }
+
+    /// Takes over a newer entry of the same incarnation.
+    pub fn renew(&mut self, now: Millis, entry: Entry) {
+        self.warm_at = now + entry.warmup;
+        self.entry = entry;
+    }
+
+    /// Sends that have not ended.
+    pub fn running(&self) -> u32 {
+        u32::try_from(self.running.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Counts a send.
+    pub fn sent(&mut self, now: Millis, number: u64) {
+        self.running.push((number, now));
+    }
+
+    /// Counts the end of a send.
+    pub fn ended(&mut self, now: Millis, number: u64, sign: Sign) {
+        let Some(at) = self.running.iter().position(|(n, _)| *n == number) else { return };
+        let (_, sent) = self.running.remove(at);
+        match sign {
+            Sign::Reply => {
+                self.sample(now, (now - sent).as_f64());
+                self.fail(0.0);
+                self.strikes = 0;
+                self.avoid_until = Millis::ZERO;
+            }
+            Sign::Failure | Sign::Broken => {
+                self.fail(1.0);
+                self.strikes = 0;
+            }
+            Sign::Shed => {
+                self.fail(1.0);
+                self.avoid_until = now + Millis::new(AVOID_MS / 4);
+            }
+            Sign::Unreachable | Sign::Silent => {
+                self.fail(1.0);
+                self.strike(now);
+            }
+            Sign::Dropped => {}
+        }
+    }
+
+    fn fail(&mut self, sample: f64) {
+        self.failing += FAILURE_WEIGHT * (sample - self.failing);
+    }
+
+    fn strike(&mut self, now: Millis) {
+        let span = (AVOID_MS << self.strikes.min(8)).min(AVOID_MOST_MS);
+        self.strikes += 1;
+        self.avoid_until = now + Millis::new(span);
+    }
+
+    fn sample(&mut self, now: Millis, ms: f64) {
+        self.latency = if self.sampled.is_none() {
+            ms
+        } else {
+            let known = self.expected(now);
+            known + WEIGHT * (ms - known)
+        };
+        self.sampled = Some(now);
+    }
+
+    /// The expected time in ms from a send to its reply with nothing else running.
+    pub fn expected(&self, now: Millis) -> f64 {
+        let prior = self.distance.expected();
+        match self.sampled {
+            // A quick upstream stays known as quick; a slow one is forgotten, so that it is tried
+            // again: without that an upstream once slow would never be asked and never recover.
+            Some(at) if self.latency > prior => {
+                let kept = (-(now - at).as_f64() / FORGET_MS).exp();
+                prior + (self.latency - prior) * kept
+            }
+            _ => self.latency,
+        }
+    }
+
+    /// Whether its oldest send is overdue: it is paused, dark or far slower than known.
+    pub fn overdue(&self, now: Millis) -> Option<Millis> {
+        let oldest = self.running.iter().map(|(_, sent)| *sent).min()?;
+        let age = now - oldest;
+        (age.as_f64() > self.expected(now) * LATE_FACTOR + LATE_MS).then_some(age)
+    }
+
+    /// What a send at `now` is expected to cost, in ms; the least is the best choice.
+    pub fn cost(&self, now: Millis) -> f64 {
+        let expected = self.expected(now);
+        let slots = f64::from(self.entry.slots.max(1));
+        let waiting = (f64::from(self.running()) + 1.0 - slots).max(0.0) / slots;
+        let mut cost = expected * (1.0 + waiting) + self.failing * FAILURE_COST_MS;
+        if let Some(age) = self.overdue(now) {
+            cost += age.as_f64() + OVERDUE_COST_MS;
+        }
+        if now < self.warm_at {
+            cost *= COLD_FACTOR;
+        }
+        if now < self.avoid_until {
+            cost += AVOID_COST_MS;
+        }
+        cost
+    }
+}
--- /dev/null
+++ b/crates/tgw-forward/src/window.rs
@@ -0,0 +1,61 @@
+use tgw_clock::Millis;
+
+/// Length of a bucket, in ms: a tenth of the window that the operators' budget is set for.
+const BUCKET_MS: u64 = 1_000;
+/// Buckets that count as useful requests: one whole window.
+const USEFUL: usize = 10;
+/// Buckets that count as extra sends: the window and the bucket that it began in, so that no span of
+/// the window's length holds more than is counted.
+const EXTRA: usize = 11;
+
+/// A budget for sends beyond the first, over a sliding window.
+///
+/// A token bucket would let a full bucket and its refill fall into one window. Counting what was
+/// sent in the window itself holds for every span of that length.
+#[derive(Clone, Debug, Default)]
+pub struct Window {
+    newest: u64,
+    useful: [u32; USEFUL],
+    extra: [u32; EXTRA],
+}
+
+impl Window {
+    /// Counts a request that a caller sent.
+    pub fn request(&mut self, now: Millis) {
+        self.turn(now);
+        if let Some(bucket) = self.useful.first_mut() {
+            *bucket += 1;
+        }
+    }
+
+    /// Takes one extra send if the window holds fewer than `share` of its requests and `constant`.
+    pub fn spend(&mut self, now: Millis, share: f64, constant: f64) -> bool {
+        self.turn(now);
+        let allowed = f64::from(self.useful.iter().sum::<u32>()) * share + constant;
+        let spent = f64::from(self.extra.iter().sum::<u32>());
+        if spent + 1.0 > allowed {
+            return false;
+        }
+        if let Some(bucket) = self.extra.first_mut() {
+            *bucket += 1;
+        }
+        true
+    }
+
+    /// Extra sends in the window.
+    pub fn spent(&self) -> u32 {
+        self.extra.iter().sum()
+    }
+
+    fn turn(&mut self, now: Millis) {
+        let current = now.whole() / BUCKET_MS;
+        let steps = current.saturating_sub(self.newest).min(EXTRA as u64);
+        for _ in 0..steps {
+            self.useful.rotate_right(1);
+            self.extra.rotate_right(1);
+            self.useful[0] = 0;
+            self.extra[0] = 0;
+        }
+        self.newest = self.newest.max(current);
+    }
+}
--- /dev/null
+++ b/crates/tgw-gateway/src/exchange.rs
@@ -0,0 +1,182 @@
+use crate::{
+    headers,
+    pool::{self, Connection},
+    shared::Shared,
+};
+use bytes::Bytes;
+use http::{HeaderValue, Method, Request, Response, StatusCode, Uri, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use std::{rc::Rc, time::Duration};
+use tgw_clock::Millis;
+use tgw_forward::{
+    fleet::Ticket,
+    plan::{self, Ended},
+    upstream::Sign,
+};
+use tokio::time::timeout;
+
+/// Largest reply that is held, in bytes; parts are a few kilobytes.
+const REPLY_LIMIT: usize = 1 << 20;
+
+/// A request as its caller sent it, ready to be sent any number of times.
+pub(crate) struct Outgoing {
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    /// End-to-end headers.
+    pub(crate) headers: http::HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) identity: HeaderValue,
+    pub(crate) deadline: Millis,
+}
+
+/// Gives a send back to the core when it ended, also when its task was dropped.
+struct Sent {
+    shared: Rc<Shared>,
+    ticket: Ticket,
+    sign: Sign,
+}
+
+impl Drop for Sent {
+    fn drop(&mut self) {
+        let now = self.shared.now();
+        self.shared.core.borrow_mut().fleet.end(now, self.ticket, self.sign);
+    }
+}
+
+/// Why an exchange brought no reply.
+enum Fault {
+    /// No connection.
+    Unsent,
+    /// The connection broke, or the reply was cut or spoiled.
+    Broken,
+}
+
+/// Sends a request to the upstream of `ticket` and reads its reply.
+pub(crate) async fn run(shared: Rc<Shared>, ticket: Ticket, request: Rc<Outgoing>) -> Ended {
+    let mut sent = Sent { shared: shared.clone(), ticket, sign: Sign::Dropped };
+    let left = request.deadline - shared.now();
+    let Ok(result) = timeout(Duration::from(left), attempt(&shared, ticket, &request)).await else {
+        sent.sign = Sign::Silent;
+        return Ended::Silent;
+    };
+    let (sign, ended) = match result {
+        Ok(response) => classify(&shared, ticket, response),
+        Err(Fault::Unsent) => (Sign::Unreachable, Ended::Unsent),
+        Err(Fault::Broken) => (Sign::Broken, Ended::Broken),
+    };
+    sent.sign = sign;
+    ended
+}
+
+async fn attempt(
+    shared: &Shared,
+    ticket: Ticket,
+    request: &Outgoing,
+) -> Result<Response<Bytes>, Fault> {
+    let (id, addr) = {
+        let core = shared.core.borrow();
+        let upstream = core.fleet.get(ticket.upstream).ok_or(Fault::Unsent)?;
+        (upstream.entry.id.clone(), upstream.entry.addr)
+    };
+    let expected = HeaderValue::from_str(&id).map_err(|_| Fault::Unsent)?;
+    let mut kept = shared.pools.take(shared.now(), ticket.upstream);
+    loop {
+        let mut connection = match kept.take() {
+            Some(connection) => connection,
+            None => match pool::connect(addr, request.deadline - shared.now()).await {
+                Ok(connection) => connection,
+                Err(error) => {
+                    tracing::debug!(upstream = %id, %addr, %error, "no connection");
+                    return Err(Fault::Unsent);
+                }
+            },
+        };
+        if connection.sender.ready().await.is_err() {
+            if connection.used {
+                continue;
+            }
+            return Err(Fault::Unsent);
+        }
+        let message = message(shared, request, &expected).map_err(|_| Fault::Unsent)?;
+        match connection.sender.try_send_request(message).await {
+            Ok(response) => return read(shared, ticket, connection, response, request).await,
+            // The library hands the message back only if no byte of it was written, so that a new
+            // connection may carry it without running it twice.
+            Err(mut error) => {
+                if error.take_message().is_none() {
+                    return Err(Fault::Broken);
+                }
+                if !connection.used {
+                    return Err(Fault::Unsent);
+                }
+            }
+        }
+    }
+}
+
+fn message(
+    shared: &Shared,
+    request: &Outgoing,
+    expected: &HeaderValue,
+) -> http::Result<Request<Full<Bytes>>> {
+    let names = shared.dialect.headers();
+    let mut message = Request::builder()
+        .method(request.method.clone())
+        .uri(request.uri.clone())
+        .body(Full::new(request.body.clone()))?;
+    let left = (request.deadline - shared.now()).whole().max(1);
+    let head = message.headers_mut();
+    head.clone_from(&request.headers);
+    head.insert(names.deadline.clone(), HeaderValue::from(left));
+    head.insert(names.expected.clone(), expected.clone());
+    Ok(message)
+}
+
+async fn read(
+    shared: &Shared,
+    ticket: Ticket,
+    connection: Connection,
+    response: Response<Incoming>,
+    request: &Outgoing,
+) -> Result<Response<Bytes>, Fault> {
+    let (head, body) = response.into_parts();
+    let names = shared.dialect.headers();
+    // An upstream may send a second reply late, where the next one is due. The request's identity
+    // tells it apart; the connection is closed, as what follows on it belongs to nothing.
+    if head.headers.get(&names.request).is_some_and(|echo| *echo != request.identity) {
+        return Err(Fault::Broken);
+    }
+    let limited = Limited::new(body, REPLY_LIMIT).collect().await;
+    let body = limited.map_err(|_| Fault::Broken)?.to_bytes();
+    if head.headers.contains_key(header::CONTENT_ENCODING) {
+        return Err(Fault::Broken);
+    }
+    let stated = headers::keep_alive_seconds(&head.headers);
+    shared.pools.put(shared.now(), ticket.upstream, connection, stated);
+    Ok(Response::from_parts(head, body))
+}
+
+fn classify(shared: &Shared, ticket: Ticket, response: Response<Bytes>) -> (Sign, Ended) {
+    let names = shared.dialect.headers();
+    let (mut head, body) = response.into_parts();
+    if head.status == StatusCode::MISDIRECTED_REQUEST {
+        // Another process has the address: the incarnation that was meant has ended.
+        let mut core = shared.core.borrow_mut();
+        let id = core.fleet.get(ticket.upstream).map(|u| u.entry.id.clone());
+        if let Some(id) = id {
+            core.fleet.remove(&id);
+            tracing::info!(upstream = %id, cause = "another incarnation answered", "upstream removed");
+        }
+        return (Sign::Shed, Ended::Declined);
+    }
+    if head.headers.contains_key(&names.declined) {
+        return (Sign::Shed, Ended::Declined);
+    }
+    let seal = head.headers.get(&names.seal).cloned();
+    headers::strip(&mut head.headers);
+    let response = plan::Response { status: head.status, headers: head.headers, seal, body };
+    let failed = response.status.is_server_error() || !response.good();
+    let sign = if failed { Sign::Failure } else { Sign::Reply };
+    (sign, Ended::Answered(Box::new(response)))
+}
--- /dev/null
+++ b/crates/tgw-gateway/src/handle.rs
@@ -0,0 +1,309 @@
+use crate::{
+    exchange::{self, Outgoing},
+    headers,
+    shared::{Phase, Shared},
+};
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use std::{rc::Rc, time::Duration};
+use tgw_clock::Millis;
+use tgw_forward::{
+    Plan,
+    plan::{self, Answer, Ended, Event, Order, Response as Reply, Why},
+};
+use tgw_route::Route;
+use tokio::{
+    sync::mpsc::{self, UnboundedReceiver, UnboundedSender},
+    task::AbortHandle,
+    time::{sleep, timeout},
+};
+
+/// What a caller is told to wait, in ms, while this VM knows no configuration.
+const UNCONFIGURED_RETRY: Millis = Millis::new(300);
+
+/// Answers one request.
+pub(crate) async fn handle(
+    shared: Rc<Shared>,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    shared.running.set(shared.running.get() + 1);
+    let _running = Running(shared.clone());
+    let mut response = match accept(&shared, request).await {
+        Ok(accepted) => forward(&shared, accepted).await,
+        Err(refusal) => *refusal,
+    };
+    if shared.phase() != Phase::Serving {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+/// Counts a request for as long as it runs.
+struct Running(Rc<Shared>);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.running.set(self.0.running.get().saturating_sub(1));
+    }
+}
+
+struct Accepted {
+    route: Rc<Route>,
+    version: u64,
+    arrived: Millis,
+    patience: Option<Millis>,
+    outgoing: Outgoing,
+}
+
+type Refusal = Box<Response<Full<Bytes>>>;
+
+async fn accept(shared: &Shared, request: Request<Incoming>) -> Result<Accepted, Refusal> {
+    let arrived = shared.now();
+    let (head, body) = request.into_parts();
+    let names = shared.dialect.headers();
+    let host = head
+        .uri
+        .authority()
+        .map(http::uri::Authority::as_str)
+        .or_else(|| text(&head.headers, &header::HOST));
+    let (route, version, limits) = {
+        let config = shared.config.borrow();
+        let Some(version) = config.version else {
+            return Err(refuse(StatusCode::SERVICE_UNAVAILABLE, Some(UNCONFIGURED_RETRY)));
+        };
+        let route = host.and_then(|h| config.table.find(h, head.uri.path())).cloned();
+        (route, version, config.limits)
+    };
+    let Some(route) = route else {
+        if shared.governor.notable(arrived) {
+            let path = head.uri.path();
+            tracing::info!(host, path, config = version, outcome = "no route", "request");
+        }
+        return Err(refuse(StatusCode::NOT_FOUND, None));
+    };
+    let Some(identity) = head.headers.get(&names.request).cloned() else {
+        return Err(refuse(StatusCode::BAD_REQUEST, None));
+    };
+    let patience =
+        text(&head.headers, &names.deadline).and_then(|t| t.parse().ok()).map(Millis::new);
+    let body = if body.is_end_stream() {
+        Bytes::new()
+    } else {
+        read(body, limits.body, patience.unwrap_or(route.timeout)).await?
+    };
+    let mut headers = head.headers;
+    headers::strip(&mut headers);
+    let outgoing = Outgoing {
+        method: head.method,
+        uri: head.uri,
+        headers,
+        body,
+        identity,
+        deadline: Millis::ZERO,
+    };
+    Ok(Accepted { route, version, arrived, patience, outgoing })
+}
+
+async fn read(body: Incoming, limit: usize, within: Millis) -> Result<Bytes, Refusal> {
+    match timeout(Duration::from(within), Limited::new(body, limit).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            Err(refuse(StatusCode::PAYLOAD_TOO_LARGE, None))
+        }
+        Ok(Err(_)) => Err(refuse(StatusCode::BAD_REQUEST, None)),
+        Err(_) => Err(refuse(StatusCode::REQUEST_TIMEOUT, None)),
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &header::HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// The sends of one request. Dropped before its answer, as when the caller has left, it ends them:
+/// upstreams would otherwise work on what nobody waits for.
+struct Sends {
+    shared: Rc<Shared>,
+    request: Rc<Outgoing>,
+    ended: UnboundedSender<(usize, Ended)>,
+    tasks: Vec<AbortHandle>,
+}
+
+impl Sends {
+    fn open(
+        shared: Rc<Shared>,
+        request: Rc<Outgoing>,
+    ) -> (Self, UnboundedReceiver<(usize, Ended)>) {
+        // Holds at most one value for each send, which the route's attempts bound.
+        let (ended, results) = mpsc::unbounded_channel();
+        (Self { shared, request, ended, tasks: Vec::new() }, results)
+    }
+
+    fn start(&mut self, order: &Order) {
+        let (shared, request) = (self.shared.clone(), self.request.clone());
+        let (part, ticket, ended) = (order.part, order.ticket, self.ended.clone());
+        let task = tokio::task::spawn_local(async move {
+            let result = exchange::run(shared, ticket, request).await;
+            // Nobody listens once the answer has left.
+            let _ = ended.send((part, result));
+        });
+        self.tasks.push(task.abort_handle());
+    }
+
+    /// Lets the sends that still run finish: closing their connections would cost new ones.
+    fn release(mut self) {
+        self.tasks.clear();
+    }
+}
+
+impl Drop for Sends {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+async fn forward(shared: &Rc<Shared>, accepted: Accepted) -> Response<Full<Bytes>> {
+    let Accepted { route, version, arrived, patience, mut outgoing } = accepted;
+    let options = plan::Options { route: route.clone(), patience, spread: shared.number() };
+    let mut plan = Plan::new(arrived, &options);
+    outgoing.deadline = plan.deadline();
+    let outgoing = Rc::new(outgoing);
+    let (mut sends, mut results) = Sends::open(shared.clone(), outgoing.clone());
+    let mut orders = Vec::new();
+    let mut event = Event::Start;
+    let answer = loop {
+        let now = shared.now();
+        let answer = plan.on(now, event, &mut shared.core.borrow_mut(), &mut orders);
+        for order in orders.drain(..) {
+            note_send(shared, now, &outgoing, &plan, &order);
+            sends.start(&order);
+        }
+        if let Some(answer) = answer {
+            break answer;
+        }
+        let rest = Duration::from(plan.wake(now) - now);
+        event = tokio::select! {
+            biased;
+            result = results.recv() => match result {
+                Some((part, ended)) => Event::Ended { part, ended },
+                None => Event::Tick,
+            },
+            () = sleep(rest) => Event::Tick,
+        };
+    };
+    sends.release();
+    note_answer(shared, &outgoing, &route, version, &plan, &answer);
+    respond(shared, answer)
+}
+
+fn note_send(shared: &Shared, now: Millis, request: &Outgoing, plan: &Plan, order: &Order) {
+    if order.why == Why::First || !shared.governor.notable(now) {
+        return;
+    }
+    let core = shared.core.borrow();
+    let upstream = core.fleet.get(order.ticket.upstream);
+    let cost = upstream.map_or(0.0, |u| u.cost(now).round());
+    tracing::info!(
+        request = request.identity.to_str().unwrap_or_default(),
+        part = order.part,
+        service = plan.service(order.part).map(|s| &**s),
+        upstream = upstream.map(|u| &*u.entry.id),
+        why = %order.why,
+        cost_ms = cost,
+        age_ms = plan.age(now).whole(),
+        "send"
+    );
+}
+
+fn note_answer(
+    shared: &Shared,
+    request: &Outgoing,
+    route: &Route,
+    version: u64,
+    plan: &Plan,
+    answer: &Answer,
+) {
+    let now = shared.now();
+    let (outcome, cause, plain) = match answer {
+        Answer::Forward(reply) => ("forwarded", None, reply.good()),
+        Answer::Merged { missing, .. } => ("merged", None, *missing == 0),
+        Answer::Refused { cause, .. } => ("refused", Some(cause), false),
+        Answer::Failed(cause) => ("failed", Some(cause), false),
+        Answer::TimedOut => ("timed out", None, false),
+    };
+    let late = plan.age(now) > route.aim;
+    let logged =
+        if plain && !late { shared.governor.ordinary(now) } else { shared.governor.notable(now) };
+    if !logged {
+        return;
+    }
+    let (sends, got, parts) = plan.progress();
+    tracing::info!(
+        request = request.identity.to_str().unwrap_or_default(),
+        route = &*route.name,
+        config = version,
+        outcome,
+        cause = cause.map(tracing::field::display),
+        sends,
+        got,
+        parts,
+        age_ms = plan.age(now).whole(),
+        "request"
+    );
+}
+
+fn respond(shared: &Shared, answer: Answer) -> Response<Full<Bytes>> {
+    match answer {
+        Answer::Forward(reply) => reply_of(*reply),
+        Answer::Merged { seals, missing, body } => {
+            let names = shared.dialect.headers();
+            let mut response = Response::new(Full::new(body));
+            let head = response.headers_mut();
+            let seals: Vec<&[u8]> = seals.iter().map(HeaderValue::as_bytes).collect();
+            if let Ok(list) = HeaderValue::from_bytes(&seals.join(&b", "[..])) {
+                head.insert(names.parts.clone(), list);
+            }
+            head.insert(names.missing.clone(), HeaderValue::from(missing));
+            response
+        }
+        Answer::Refused { retry_after, .. } => {
+            *refuse(StatusCode::SERVICE_UNAVAILABLE, Some(retry_after))
+        }
+        Answer::Failed(_) => *refuse(StatusCode::BAD_GATEWAY, None),
+        Answer::TimedOut => *refuse(StatusCode::GATEWAY_TIMEOUT, None),
+    }
+}
+
+/// An upstream's reply as the caller gets it.
+fn reply_of(reply: Reply) -> Response<Full<Bytes>> {
+    // These statuses promise the caller that its request has not run and never will. An upstream
+    // that sends one without stating so may have run it, and the caller would repeat it.
+    let promise = matches!(
+        reply.status,
+        StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+    );
+    // A success counts only with its signature; without one it is not known to be whole.
+    if promise || (reply.status.is_success() && reply.seal.is_none()) {
+        return *refuse(StatusCode::BAD_GATEWAY, None);
+    }
+    let mut response = Response::new(Full::new(reply.body));
+    *response.status_mut() = reply.status;
+    *response.headers_mut() = reply.headers;
+    response
+}
+
+fn refuse(status: StatusCode, retry_after: Option<Millis>) -> Refusal {
+    let mut response = Response::new(Full::new(Bytes::new()));
+    *response.status_mut() = status;
+    let seconds = retry_after.map(|after| format!("{:.3}", after.as_f64() / 1_000.0));
+    if let Some(value) = seconds.and_then(|s| HeaderValue::from_str(&s).ok()) {
+        response.headers_mut().insert(header::RETRY_AFTER, value);
+    }
+    Box::new(response)
+}
--- /dev/null
+++ b/crates/tgw-gateway/src/headers.rs
@@ -0,0 +1,38 @@
+use http::{HeaderMap, HeaderName, header};
+
+/// Headers that concern one connection only and are never forwarded.
+const HOP: [HeaderName; 7] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+const KEEP_ALIVE: &str = "keep-alive";
+const PROXY_CONNECTION: &str = "proxy-connection";
+
+/// Removes what concerns one connection only, and the framing, which the HTTP library sets anew.
+pub(crate) fn strip(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP) {
+        headers.remove(name);
+    }
+    headers.remove(KEEP_ALIVE);
+    headers.remove(PROXY_CONNECTION);
+    headers.remove(header::CONTENT_LENGTH);
+    headers.remove(header::EXPECT);
+}
+
+/// The idle time in whole seconds that a peer states for its connection.
+pub(crate) fn keep_alive_seconds(headers: &HeaderMap) -> Option<u64> {
+    let text = headers.get(KEEP_ALIVE)?.to_str().ok()?;
+    text.split(',').find_map(|part| part.trim().strip_prefix("timeout=")?.trim().parse().ok())
+}
--- /dev/null
+++ b/crates/tgw-gateway/src/lib.rs
@@ -0,0 +1,39 @@
+//! Serves callers by forwarding: takes requests in, asks the decision core where each goes, makes
+//! the calls to the upstreams, and answers.
+//!
+//! One thread holds callers, decisions and upstreams, so that a request pays for no hop between
+//! threads. What the platform calls things is hidden behind [`Dialect`] and
+//! [`tgw_platform::Store`].
+
+/// Callers' connections.
+mod callers;
+/// What the platform calls things.
+pub mod dialect;
+/// One send to one upstream.
+mod exchange;
+/// Which lines are logged when there are too many.
+mod governor;
+/// One request.
+mod handle;
+/// Headers that are forwarded.
+mod headers;
+/// Connections to the upstreams.
+mod pool;
+/// The VMs that share connections and budgets.
+mod presence;
+/// Readiness.
+mod ready;
+/// Starting and stopping.
+pub mod serve;
+/// What one process is told at its start.
+pub mod settings;
+/// What the tasks of the serving thread share.
+mod shared;
+/// Sockets that notice a silent peer.
+mod socket;
+/// The configuration and the list of upstreams, from the store.
+mod watch;
+
+pub use dialect::Dialect;
+pub use serve::{Handle, Options, spawn};
+pub use settings::Settings;
--- /dev/null
+++ b/crates/tgw-gateway/src/pool.rs
@@ -0,0 +1,88 @@
+use crate::socket;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use std::{cell::RefCell, collections::HashMap, io, net::SocketAddr, time::Duration};
+use tgw_clock::Millis;
+use tgw_forward::fleet::Key;
+use tokio::{net::TcpStream, time::timeout};
+
+/// Longest time in ms for a connection to be made: above the longest way there and back (40 ms) and
+/// the 6 ms that an upstream takes.
+const CONNECT_MS: u64 = 250;
+/// Idle time in ms after which a connection is not used again where the upstream states none.
+const IDLE_MS: u64 = 4_000;
+/// Time in ms before the stated idle time at which a connection is not used any more: the
+/// upstream's close may be on its way, and a request that crosses it would be lost.
+const IDLE_MARGIN_MS: u64 = 800;
+
+/// One connection to an upstream.
+pub(crate) struct Connection {
+    pub(crate) sender: SendRequest<Full<Bytes>>,
+    /// It carried a request before.
+    pub(crate) used: bool,
+}
+
+struct Idle {
+    connection: Connection,
+    until: Millis,
+}
+
+/// The idle connections to all upstreams.
+#[derive(Default)]
+pub(crate) struct Pools(RefCell<HashMap<Key, Vec<Idle>>>);
+
+impl Pools {
+    /// The connection used last that is still usable.
+    pub(crate) fn take(&self, now: Millis, key: Key) -> Option<Connection> {
+        let mut pools = self.0.borrow_mut();
+        let idle = pools.get_mut(&key)?;
+        while let Some(last) = idle.pop() {
+            if now < last.until && !last.connection.sender.is_closed() {
+                return Some(last.connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection after a complete reply; `stated` is the upstream's idle time in s.
+    pub(crate) fn put(
+        &self,
+        now: Millis,
+        key: Key,
+        mut connection: Connection,
+        stated: Option<u64>,
+    ) {
+        let idle = stated.map_or(IDLE_MS, |s| (s * 1_000).saturating_sub(IDLE_MARGIN_MS));
+        if idle == 0 || connection.sender.is_closed() {
+            return;
+        }
+        connection.used = true;
+        let until = now + Millis::new(idle);
+        self.0.borrow_mut().entry(key).or_default().push(Idle { connection, until });
+    }
+
+    /// Closes what is past its idle time.
+    pub(crate) fn sweep(&self, now: Millis, known: impl Fn(Key) -> bool) {
+        self.0.borrow_mut().retain(|key, idle| {
+            idle.retain(|i| now < i.until && !i.connection.sender.is_closed());
+            known(*key) && !idle.is_empty()
+        });
+    }
+}
+
+/// Makes a connection within `left`.
+pub(crate) async fn connect(addr: SocketAddr, left: Millis) -> io::Result<Connection> {
+    let limit: Duration = left.min(Millis::new(CONNECT_MS)).into();
+    let stream = timeout(limit, TcpStream::connect(addr)).await??;
+    socket::guard(&stream)?;
+    let (sender, driver) =
+        http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+    tokio::task::spawn_local(async move {
+        if let Err(error) = driver.await {
+            tracing::debug!(%addr, %error, "connection to an upstream ended");
+        }
+    });
+    Ok(Connection { sender, used: false })
+}
--- /dev/null
+++ b/crates/tgw-gateway/src/ready.rs
@@ -0,0 +1,50 @@
+use crate::shared::Shared;
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::{convert::Infallible, rc::Rc, time::Duration};
+use tokio::net::TcpListener;
+
+/// Time in ms for the head of a question.
+const HEAD_TIMEOUT: Duration = Duration::from_millis(5_000);
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Answers the balancer's questions for as long as the process runs.
+pub(crate) async fn serve(shared: Rc<Shared>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        };
+        let shared = shared.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(|request| {
+                let response = answer(&shared, &request);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let serving = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEAD_TIMEOUT)
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = serving.await {
+                tracing::debug!(%error, "connection to the balancer ended");
+            }
+        });
+    }
+}
+
+fn answer(shared: &Shared, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let path = request.uri().path();
+    let status = if path != shared.dialect.ready_path() {
+        StatusCode::NOT_FOUND
+    } else if shared.ready() {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
+    let mut response = Response::new(Full::new(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/tgw-gateway/src/serve.rs
@@ -0,0 +1,95 @@
+//! Starting and stopping.
+
+use crate::{
+    Dialect, Settings, callers, presence, ready,
+    shared::{Phase, Shared},
+    watch,
+};
+use anyhow::Context;
+use std::{rc::Rc, time::Duration};
+use tgw_clock::Millis;
+use tgw_platform::Store;
+use tokio::{
+    net::TcpListener,
+    task::JoinHandle,
+    time::{sleep, timeout},
+};
+
+/// Time in ms after SIGTERM for which callers are still accepted: the balancer asks once a second
+/// and takes a VM out after two misses.
+const NOTICE: Millis = Millis::new(2_500);
+/// Time in ms that is left before the process is killed when it gives up what still runs.
+const RESERVE: Millis = Millis::new(500);
+/// Time in ms between looks for idle connections and lapsed entries.
+const SWEEP: Duration = Duration::from_millis(1_000);
+
+/// What a process serves with.
+pub struct Options {
+    /// What it was told.
+    pub settings: Settings,
+    /// What the platform calls things.
+    pub dialect: Box<dyn Dialect>,
+    /// The platform's store.
+    pub store: Rc<dyn Store>,
+}
+
+/// A running process.
+pub struct Handle {
+    shared: Rc<Shared>,
+    store: Rc<dyn Store>,
+    callers: JoinHandle<()>,
+}
+
+/// Binds the sockets and starts serving on the current thread. Must run within a local task set.
+/// Errors: an address is in use or not this machine's.
+pub async fn spawn(options: Options) -> anyhow::Result<Handle> {
+    let Options { settings, dialect, store } = options;
+    let callers = bind(settings.callers, "callers").await?;
+    let readiness = bind(settings.ready, "readiness").await?;
+    let shared = Shared::new(settings, dialect);
+    tracing::info!(vm = shared.settings.vm, callers = %shared.settings.callers, "start");
+    tokio::task::spawn_local(watch::configuration(shared.clone(), store.clone()));
+    tokio::task::spawn_local(watch::upstreams(shared.clone(), store.clone()));
+    tokio::task::spawn_local(presence::announce(shared.clone(), store.clone()));
+    tokio::task::spawn_local(ready::serve(shared.clone(), readiness));
+    tokio::task::spawn_local(sweep(shared.clone()));
+    let callers = tokio::task::spawn_local(callers::serve(shared.clone(), callers));
+    Ok(Handle { shared, store, callers })
+}
+
+async fn bind(addr: std::net::SocketAddr, what: &str) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(addr).await.with_context(|| format!("cannot listen for {what} at {addr}"))
+}
+
+async fn sweep(shared: Rc<Shared>) {
+    loop {
+        sleep(SWEEP).await;
+        let now = shared.now();
+        let core = shared.core.borrow();
+        shared.pools.sweep(now, |key| core.fleet.get(key).is_some());
+    }
+}
+
+impl Handle {
+    /// Leaves: stops being ready, accepts until the balancer has noticed, finishes what runs.
+    /// Returns the number of requests that were still running when the time was over.
+    pub async fn drain(self) -> u32 {
+        let Self { shared, store, callers } = self;
+        tracing::info!(running = shared.running.get(), "leaving: not ready, still accepting");
+        shared.phase.send_replace(Phase::Leaving);
+        let withdrawal = async {
+            let limit = Duration::from(NOTICE);
+            // Without it the announcement lapses by itself.
+            if timeout(limit, presence::withdraw(&shared, &*store)).await.is_err() {
+                tracing::info!("announcement left behind: the store does not answer");
+            }
+        };
+        tokio::join!(withdrawal, sleep(Duration::from(NOTICE)));
+        shared.phase.send_replace(Phase::Closing);
+        let rest = Duration::from(shared.settings.grace - NOTICE - RESERVE);
+        let finished = timeout(rest, callers).await.is_ok();
+        let running = shared.running.get();
+        tracing::info!(running, finished, "stop");
+        running
+    }
+}
