perf(forward): connections counted and spaced, hedges start by the aim, system allocator

A route of 90 ms of work was hedged after 30 ms at first. mimalloc held 14 MB a VM. Ruled out: the routes and budget (sends ended as not connected); grown buffers as the memory's cause (the system's allocator holds 6.7 MB with the same buffers, at the same processor time). Change: eight VMs are assumed until counted; the core knows each upstream's connections, makes two at once at most, waits after a reset; a query is refused before its first send if too few shards can be asked; first hedge at 0.35 of the aim; watches wait 15 s and gather news for 250 ms.

--- a/crates/tanagergw/src/main.rs
+++ b/crates/tanagergw/src/main.rs
@@ -16,11 +16,6 @@
 use clap::{Parser, Subcommand};
 use std::process::ExitCode;
 
-/// Each leaf request allocates and frees a few dozen small buffers on several threads, which the
-/// system's allocator serialises.
-#[global_allocator]
-static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
-
 /// A query tier over many shards.
 #[derive(Parser)]
 #[command(version, about, max_term_width = 100)]
--- a/crates/tgw-forward/src/core.rs
+++ b/crates/tgw-forward/src/core.rs
@@ -1,12 +1,18 @@
 use crate::{Fleet, Window, fleet::Place, upstream::Distance};
 use std::{collections::HashMap, rc::Rc};
 use tgw_clock::Millis;
-use tgw_route::{Config, Share};
+use tgw_route::{Config, Route, Share};
 use tgw_tail::Hedge;
 
 /// The share of a route's sends that may become late enough for a second send: the tail beyond p92
 /// holds the pauses (200 ms in 4.5 s, 4.4 %), the slow upstreams and the long requests.
 const HEDGE_SHARE: f64 = 0.08;
+/// The part of a route's aim after which a second send is made before latencies were seen: sooner
+/// ones fell on requests that were on their way (a route of 90 ms of work has an aim of 400 ms).
+const HEDGE_START: f64 = 0.35;
+/// VMs that are assumed before the live ones were counted. Too few would open connections that the
+/// upstreams reset: each of six VMs restarted at once took all 25 that an upstream accepts.
+const VMS_ASSUMED: u32 = 8;
 /// The part of the operators' budget that is used: requests that callers sent and that never
 /// arrived count on neither side, and a restarted VM forgets what it spent.
 const BUDGET_USED: f64 = 0.85;
@@ -36,7 +42,7 @@
 impl Core {
     /// Knows nothing yet.
     pub fn new(place: Place, budget: Budget) -> Self {
-        Self { fleet: Fleet::new(place), budget, vms: 1, ..Self::default() }
+        Self { fleet: Fleet::new(place), budget, vms: VMS_ASSUMED, ..Self::default() }
     }
 
     /// Takes over a version of the configuration.
@@ -78,11 +84,12 @@
     }
 
     /// The second sends of a route to upstreams at a distance.
-    pub(crate) fn hedge(&mut self, route: &Rc<str>, distance: Distance) -> &mut Hedge {
+    pub(crate) fn hedge(&mut self, route: &Route, distance: Distance) -> &mut Hedge {
+        let start = route.aim.scale(HEDGE_START);
         let hedges = self
             .hedges
-            .entry(route.clone())
-            .or_insert_with(|| std::array::from_fn(|_| Hedge::new(HEDGE_SHARE)));
+            .entry(route.name.clone())
+            .or_insert_with(|| std::array::from_fn(|_| Hedge::new(HEDGE_SHARE).starting(start)));
         match distance {
             Distance::Domain => &mut hedges[0],
             Distance::Region => &mut hedges[1],
--- a/crates/tgw-forward/src/fleet.rs
+++ b/crates/tgw-forward/src/fleet.rs
@@ -117,8 +117,7 @@
         let keys = self.services.get(service)?;
         let usable = keys.iter().filter(|key| !tried.contains(key)).filter_map(|key| {
             let upstream = self.upstreams.get(key)?;
-            let open = !upstream.entry.draining && upstream.running() < most;
-            open.then(|| (*key, upstream.cost(now)))
+            upstream.open(now, most).then(|| (*key, upstream.cost(now)))
         });
         usable.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(key, _)| key)
     }
@@ -139,6 +138,20 @@
         Ticket { upstream: key, number }
     }
 
+    /// Counts a connection that was made.
+    pub fn opened(&mut self, key: Key) {
+        if let Some(upstream) = self.upstreams.get_mut(&key) {
+            upstream.opened();
+        }
+    }
+
+    /// Counts a connection that ended.
+    pub fn closed(&mut self, key: Key) {
+        if let Some(upstream) = self.upstreams.get_mut(&key) {
+            upstream.closed();
+        }
+    }
+
     /// Counts the end of a send.
     pub fn end(&mut self, now: Millis, ticket: Ticket, sign: Sign) {
         if let Some(upstream) = self.upstreams.get_mut(&ticket.upstream) {
--- a/crates/tgw-forward/src/plan.rs
+++ b/crates/tgw-forward/src/plan.rs
@@ -176,6 +176,13 @@
     }
 }
 
+/// Whether `count` of `all` parts make a success.
+fn enough(shards: &Shards, count: usize, all: usize) -> bool {
+    // The share may be a rounded decimal, as 0.89 for eight of nine.
+    const ROUNDING: f64 = 1e-9;
+    count > 0 && count as f64 >= shards.least * all as f64 - ROUNDING
+}
+
 /// What a plan is made from.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -275,12 +282,27 @@
                 self.parts.extend(shards.services.iter().cloned().map(Part::new));
             }
         }
+        for part in &self.parts {
+            core.request(now, &part.service);
+        }
+        if !self.feasible(now, core) {
+            // Refused before anything is sent, the caller may come back and nothing was wasted.
+            self.parts.iter_mut().for_each(|p| p.state = State::GivenUp);
+            return;
+        }
         for index in 0..self.parts.len() {
-            core.request(now, &self.parts[index].service);
             self.place(now, index, Why::First, core, out);
         }
     }
 
+    /// Whether enough parts find an upstream for an answer to be a success.
+    fn feasible(&self, now: Millis, core: &Core) -> bool {
+        let Target::Shards(shards) = &self.route.target else { return true };
+        let found =
+            self.count(|p| core.fleet.pick(now, &p.service, core.most(&p.service), &[]).is_some());
+        enough(shards, found, self.parts.len())
+    }
+
     fn ended(
         &mut self,
         now: Millis,
@@ -355,7 +377,7 @@
             part.hedge_at = None;
             let slow = part.tried.last().and_then(|k| core.fleet.get(*k)).map(|u| u.distance);
             if let Some(distance) = slow {
-                core.hedge(&self.route.name, distance).late();
+                core.hedge(&self.route, distance).late();
             }
             self.place(now, index, Why::Hedge, core, out);
         }
@@ -391,7 +413,7 @@
         if part.sends < route.attempts && route.safety == Safety::Idempotent {
             let distance =
                 core.fleet.get(key).map_or(crate::upstream::Distance::Far, |u| u.distance);
-            let hedge = core.hedge(&route.name, distance);
+            let hedge = core.hedge(&route, distance);
             if why == Why::First {
                 hedge.request();
             }
@@ -429,12 +451,11 @@
         let all = self.parts.len();
         let got = self.count(|p| matches!(p.state, State::Got { .. }));
         let waiting = self.count(Part::waiting);
-        let enough = |count: usize| count > 0 && count as f64 >= shards.least * all as f64 - 1e-9;
-        if !enough(got + waiting) {
+        if !enough(shards, got + waiting, all) {
             return Some(None);
         }
         let due = waiting == 0 || now >= self.answer_by || now >= self.deadline;
-        (due && enough(got)).then(|| Some(self.merge(shards.limit, all - got)))
+        (due && enough(shards, got, all)).then(|| Some(self.merge(shards.limit, all - got)))
     }
 
     fn merge(&mut self, limit: usize, missing: usize) -> Answer {
--- a/crates/tgw-forward/src/upstream.rs
+++ b/crates/tgw-forward/src/upstream.rs
@@ -57,8 +57,10 @@
     Shed,
     /// The reply was cut, spoiled or reset.
     Broken,
-    /// No connection could be made.
+    /// No connection could be made: the address does not answer or refuses.
     Unreachable,
+    /// The upstream reset a new connection: it holds as many as it accepts.
+    Crowded,
     /// No reply in time.
     Silent,
     /// Given up on this side; tells nothing.
@@ -86,6 +88,14 @@
 const AVOID_MS: u64 = 150;
 /// Longest time in ms for which it is passed over.
 const AVOID_MOST_MS: u64 = 2_400;
+/// Connections to one upstream that are being made at once.
+const CONNECTING: u32 = 2;
+/// What making a connection costs in ms: the upstream's part, without the way there.
+const CONNECT_COST_MS: f64 = 6.0;
+/// First time in ms for which no connection is tried after a reset one; doubles.
+const CROWDED_MS: u64 = 40;
+/// Longest time in ms for which none is tried.
+const CROWDED_MOST_MS: u64 = 640;
 /// What being passed over costs in ms: more than any other reason, so that it is the last choice.
 const AVOID_COST_MS: f64 = 2_000.0;
 
@@ -103,6 +113,9 @@
     failing: f64,
     avoid_until: Millis,
     strikes: u32,
+    connections: u32,
+    connect_after: Millis,
+    crowded: u32,
 }
 
 impl Upstream {
@@ -119,6 +132,9 @@
             failing: 0.0,
             avoid_until: Millis::ZERO,
             strikes: 0,
+            connections: 0,
+            connect_after: Millis::ZERO,
+            crowded: 0,
         }
     }
 
@@ -133,6 +149,31 @@
         u32::try_from(self.running.len()).unwrap_or(u32::MAX)
     }
 
+    /// Counts a connection that was made.
+    pub fn opened(&mut self) {
+        self.connections += 1;
+        self.crowded = 0;
+    }
+
+    /// Counts a connection that ended.
+    pub fn closed(&mut self) {
+        self.connections = self.connections.saturating_sub(1);
+    }
+
+    /// Whether one more send finds a connection, or may make one within `most`.
+    pub fn open(&self, now: Millis, most: u32) -> bool {
+        if self.entry.draining {
+            return false;
+        }
+        let running = self.running();
+        // Each connection costs the upstream some ms of a slot. Many at once, as after a restart,
+        // or tries again and again at one that is full, take the time that requests need.
+        running < self.connections
+            || (running < most
+                && running < self.connections + CONNECTING
+                && now >= self.connect_after)
+    }
+
     /// Counts a send.
     pub fn sent(&mut self, now: Millis, number: u64) {
         self.running.push((number, now));
@@ -161,6 +202,11 @@
                 self.fail(1.0);
                 self.strike(now);
             }
+            Sign::Crowded => {
+                let span = (CROWDED_MS << self.crowded.min(8)).min(CROWDED_MOST_MS);
+                self.crowded += 1;
+                self.connect_after = now + Millis::new(span);
+            }
             Sign::Dropped => {}
         }
     }
@@ -212,6 +258,9 @@
         let slots = f64::from(self.entry.slots.max(1));
         let waiting = (f64::from(self.running()) + 1.0 - slots).max(0.0) / slots;
         let mut cost = expected * (1.0 + waiting) + self.failing * FAILURE_COST_MS;
+        if self.running() >= self.connections {
+            cost += CONNECT_COST_MS;
+        }
         if let Some(age) = self.overdue(now) {
             cost += age.as_f64() + OVERDUE_COST_MS;
         }
--- a/crates/tgw-gateway/src/exchange.rs
+++ b/crates/tgw-gateway/src/exchange.rs
@@ -7,10 +7,10 @@
 use http::{HeaderValue, Method, Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use std::{rc::Rc, time::Duration};
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 use tgw_clock::Millis;
 use tgw_forward::{
-    fleet::Ticket,
+    fleet::{Key, Ticket},
     plan::{self, Ended},
     upstream::Sign,
 };
@@ -46,8 +46,10 @@
 
 /// Why an exchange brought no reply.
 enum Fault {
-    /// No connection.
+    /// No connection, or it ended before anything was sent.
     Unsent,
+    /// The upstream reset a new connection before anything was sent.
+    Crowded,
     /// The connection broke, or the reply was cut or spoiled.
     Broken,
 }
@@ -63,6 +65,7 @@
     let (sign, ended) = match result {
         Ok(response) => classify(&shared, ticket, response),
         Err(Fault::Unsent) => (Sign::Unreachable, Ended::Unsent),
+        Err(Fault::Crowded) => (Sign::Crowded, Ended::Unsent),
         Err(Fault::Broken) => (Sign::Broken, Ended::Broken),
     };
     sent.sign = sign;
@@ -70,7 +73,7 @@
 }
 
 async fn attempt(
-    shared: &Shared,
+    shared: &Rc<Shared>,
     ticket: Ticket,
     request: &Outgoing,
 ) -> Result<Response<Bytes>, Fault> {
@@ -84,19 +87,13 @@
     loop {
         let mut connection = match kept.take() {
             Some(connection) => connection,
-            None => match pool::connect(addr, request.deadline - shared.now()).await {
-                Ok(connection) => connection,
-                Err(error) => {
-                    tracing::debug!(upstream = %id, %addr, %error, "no connection");
-                    return Err(Fault::Unsent);
-                }
-            },
+            None => connect(shared, ticket.upstream, &id, addr, request.deadline).await?,
         };
         if connection.sender.ready().await.is_err() {
             if connection.used {
                 continue;
             }
-            return Err(Fault::Unsent);
+            return Err(Fault::Crowded);
         }
         let message = message(shared, request, &expected).map_err(|_| Fault::Unsent)?;
         match connection.sender.try_send_request(message).await {
@@ -108,13 +105,29 @@
                     return Err(Fault::Broken);
                 }
                 if !connection.used {
-                    return Err(Fault::Unsent);
+                    return Err(Fault::Crowded);
                 }
             }
         }
     }
 }
 
+async fn connect(
+    shared: &Rc<Shared>,
+    key: Key,
+    id: &str,
+    addr: SocketAddr,
+    deadline: Millis,
+) -> Result<Connection, Fault> {
+    let error = match pool::connect(shared, key, addr, deadline - shared.now()).await {
+        Ok(connection) => return Ok(connection),
+        Err(error) => error,
+    };
+    tracing::debug!(upstream = id, %addr, %error, "no connection");
+    let crowded = error.kind() == io::ErrorKind::ConnectionReset;
+    Err(if crowded { Fault::Crowded } else { Fault::Unsent })
+}
+
 fn message(
     shared: &Shared,
     request: &Outgoing,
--- a/crates/tgw-gateway/src/pool.rs
+++ b/crates/tgw-gateway/src/pool.rs
@@ -1,9 +1,9 @@
-use crate::socket;
+use crate::{shared::Shared, socket};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use std::{cell::RefCell, collections::HashMap, io, net::SocketAddr, time::Duration};
+use std::{cell::RefCell, collections::HashMap, io, net::SocketAddr, rc::Rc, time::Duration};
 use tgw_clock::Millis;
 use tgw_forward::fleet::Key;
 use tokio::{net::TcpStream, time::timeout};
@@ -72,14 +72,40 @@
     }
 }
 
-/// Makes a connection within `left`.
-pub(crate) async fn connect(addr: SocketAddr, left: Millis) -> io::Result<Connection> {
+/// Tells the core of a connection for as long as it is open.
+struct Open {
+    shared: Rc<Shared>,
+    key: Key,
+}
+
+impl Open {
+    fn new(shared: &Rc<Shared>, key: Key) -> Self {
+        shared.core.borrow_mut().fleet.opened(key);
+        Self { shared: shared.clone(), key }
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.shared.core.borrow_mut().fleet.closed(self.key);
+    }
+}
+
+/// Makes a connection to the upstream of `key` within `left`.
+pub(crate) async fn connect(
+    shared: &Rc<Shared>,
+    key: Key,
+    addr: SocketAddr,
+    left: Millis,
+) -> io::Result<Connection> {
     let limit: Duration = left.min(Millis::new(CONNECT_MS)).into();
     let stream = timeout(limit, TcpStream::connect(addr)).await??;
     socket::guard(&stream)?;
     let (sender, driver) =
         http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+    let open = Open::new(shared, key);
     tokio::task::spawn_local(async move {
+        let _open = open;
         if let Err(error) = driver.await {
             tracing::debug!(%addr, %error, "connection to an upstream ended");
         }
--- a/crates/tgw-gateway/src/watch.rs
+++ b/crates/tgw-gateway/src/watch.rs
@@ -9,9 +9,12 @@
 use tgw_route::{Config, Table};
 use tokio::time::sleep;
 
-/// How long one watch waits, in ms. A connection that went silent shows at its end, so it bounds how
-/// old the news may be; shorter ones cost more calls.
-const WAIT: Millis = Millis::new(4_000);
+/// How long one watch waits, in ms. Each end costs a call; a connection that went silent is noticed
+/// by the store's client, which probes it.
+const WAIT: Millis = Millis::new(15_000);
+/// Pause after news before the next watch: what changes meanwhile comes with one call, as when many
+/// upstreams are replaced.
+const GATHER: Duration = Duration::from_millis(250);
 /// Time between looks for entries that stayed missing.
 const TICK: Duration = Duration::from_millis(500);
 /// First pause in ms after a failed call; doubles, and each is drawn from half to the whole of it.
@@ -81,8 +84,12 @@
         };
         match result {
             Ok(List { version, objects }) => {
+                let news = !objects.is_empty();
                 objects.into_iter().for_each(|o| topic.changed(o));
                 from = version.max(from);
+                if news {
+                    sleep(GATHER).await;
+                }
             }
             Err(error) => return error,
         }
--- a/crates/tgw-tail/src/hedge.rs
+++ b/crates/tgw-tail/src/hedge.rs
@@ -32,6 +32,11 @@
         Self { delay: START_MS, share, budget: Budget::new(share, BURST) }
     }
 
+    /// Begins with a delay of `start` instead of the usual one.
+    pub fn starting(self, start: Millis) -> Self {
+        Self { delay: start.as_f64().max(LEAST_MS), ..self }
+    }
+
     /// Sets the allowed share, as after an edit of the table.
     pub fn set_share(&mut self, share: f64) {
         self.share = share;
