perf(forward): an outlier does not make a near upstream look far; metrics; retries before hedges

Where replies were lost in numbers, hedges had used the budget and a request failed with its first lost reply. Ruled out: waiting at busy slots (the load is a third of them); connections (free ones were there). Change: a sample counts as at most twice the expected latency and 10 ms; hedges use at most 0.8 of the budget; counters, gauges and latency histograms by opentelemetry at the readiness address.

--- a/crates/tgw-forward/src/core.rs
+++ b/crates/tgw-forward/src/core.rs
@@ -1,4 +1,4 @@
-use crate::{Fleet, Window, fleet::Place, upstream::Distance};
+use crate::{Fleet, Window, fleet::Place, plan::Why, upstream::Distance};
 use std::{collections::HashMap, rc::Rc};
 use tgw_clock::Millis;
 use tgw_route::{Config, Route, Share};
@@ -15,7 +15,10 @@
 const VMS_ASSUMED: u32 = 8;
 /// The part of the operators' budget that is used: requests that callers sent and that never
 /// arrived count on neither side, and a restarted VM forgets what it spent.
-const BUDGET_USED: f64 = 0.85;
+const BUDGET_USED: f64 = 0.92;
+/// The part of it that hedges may use: a hedge makes a late answer timely, a retry makes a failed one
+/// whole, and where replies are lost in numbers hedges had left nothing for retries.
+const BUDGET_HEDGES: f64 = 0.8;
 
 /// The operators' budget for extra sends, over all VMs.
 #[derive(Copy, Clone, Debug, Default)]
@@ -77,9 +80,10 @@
     }
 
     /// Takes one extra send to a service from the budget.
-    pub(crate) fn spend(&mut self, now: Millis, service: &Rc<str>) -> bool {
-        let share = self.budget.share * BUDGET_USED;
-        let constant = self.budget.constant * BUDGET_USED / f64::from(self.vms);
+    pub(crate) fn spend(&mut self, now: Millis, service: &Rc<str>, why: Why) -> bool {
+        let part = if why == Why::Hedge { BUDGET_USED * BUDGET_HEDGES } else { BUDGET_USED };
+        let share = self.budget.share * part;
+        let constant = self.budget.constant * part / f64::from(self.vms);
         self.windows.entry(service.clone()).or_default().spend(now, share, constant)
     }
 
--- a/crates/tgw-forward/src/plan.rs
+++ b/crates/tgw-forward/src/plan.rs
@@ -132,22 +132,30 @@
 }
 
 /// Why a request was not served.
-#[derive(Copy, Clone, Debug, Display, PartialEq, Eq)]
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
 pub enum Cause {
     /// No upstream of a service is known that is not leaving.
-    #[display("no upstream")]
     NoUpstream,
     /// All upstreams hold as many sends as this VM may make, or turned it away.
-    #[display("all upstreams full")]
     Full,
     /// Upstreams failed it, and no further send was allowed.
-    #[display("upstreams failed")]
     Upstreams,
     /// Too few parts can still come.
-    #[display("too few parts")]
     TooFew,
 }
 
+impl Cause {
+    /// Its name in logs and metrics.
+    pub fn text(self) -> &'static str {
+        match self {
+            Self::NoUpstream => "no upstream",
+            Self::Full => "all upstreams full",
+            Self::Upstreams => "upstreams failed",
+            Self::TooFew => "too few parts",
+        }
+    }
+}
+
 #[derive(Debug)]
 enum State {
     Waiting,
@@ -399,7 +407,8 @@
         }
         let most = core.most(&part.service);
         let picked = core.fleet.pick(now, &part.service, most, &part.tried);
-        let Some(key) = picked.filter(|_| part.sends == 0 || core.spend(now, &part.service)) else {
+        let Some(key) = picked.filter(|_| part.sends == 0 || core.spend(now, &part.service, why))
+        else {
             if why == Why::First {
                 part.state = State::GivenUp;
             }
--- a/crates/tgw-forward/src/upstream.rs
+++ b/crates/tgw-forward/src/upstream.rs
@@ -72,6 +72,10 @@
 const FORGET_MS: f64 = 4_000.0;
 /// Weight of a new sample in the average latency.
 const WEIGHT: f64 = 0.2;
+/// A sample counts as at most this many times the expected latency, and `OUTLIER_MS` more.
+const OUTLIER_FACTOR: f64 = 2.0;
+/// See `OUTLIER_FACTOR`; in ms, a request's own spread of work.
+const OUTLIER_MS: f64 = 10.0;
 /// Weight of a new sample in the share of failures.
 const FAILURE_WEIGHT: f64 = 0.25;
 /// What a failure costs in ms: the second send that it takes.
@@ -226,7 +230,11 @@
             ms
         } else {
             let known = self.expected(now);
-            known + WEIGHT * (ms - known)
+            // One request behind a pause of 200 ms would make an upstream 10 ms away look further
+            // than another region for seconds. Pauses show as overdue sends while they last; an
+            // upstream that stays slow is known after a few replies all the same.
+            let most = known * OUTLIER_FACTOR + OUTLIER_MS;
+            known + WEIGHT * (ms.min(most) - known)
         };
         self.sampled = Some(now);
     }
--- a/crates/tgw-gateway/src/exchange.rs
+++ b/crates/tgw-gateway/src/exchange.rs
@@ -40,6 +40,7 @@
 impl Drop for Sent {
     fn drop(&mut self) {
         let now = self.shared.now();
+        self.shared.meters.end(self.sign);
         self.shared.core.borrow_mut().fleet.end(now, self.ticket, self.sign);
     }
 }
--- a/crates/tgw-gateway/src/governor.rs
+++ b/crates/tgw-gateway/src/governor.rs
@@ -17,6 +17,7 @@
     ordinary: Cell<u32>,
     notable: Cell<u32>,
     left_out: Cell<u32>,
+    total: Cell<u64>,
 }
 
 impl Governor {
@@ -30,6 +31,11 @@
         self.take(now, &self.notable, NOTABLE, true)
     }
 
+    /// Lines left out since the start.
+    pub(crate) fn left_out(&self) -> u64 {
+        self.total.get()
+    }
+
     fn take(&self, now: Millis, counter: &Cell<u32>, limit: u32, count: bool) -> bool {
         let interval = now.whole() / INTERVAL_MS;
         if interval != self.interval.replace(interval) {
@@ -44,6 +50,7 @@
         if taken >= limit {
             if count {
                 self.left_out.set(self.left_out.get() + 1);
+                self.total.set(self.total.get() + 1);
             }
             return false;
         }
--- a/crates/tgw-gateway/src/handle.rs
+++ b/crates/tgw-gateway/src/handle.rs
@@ -12,6 +12,7 @@
 use tgw_forward::{
     Plan,
     plan::{self, Answer, Ended, Event, Order, Response as Reply, Why},
+    upstream::Distance,
 };
 use tgw_route::Route;
 use tokio::{
@@ -178,6 +179,9 @@
         let now = shared.now();
         let answer = plan.on(now, event, &mut shared.core.borrow_mut(), &mut orders);
         for order in orders.drain(..) {
+            let distance =
+                shared.core.borrow().fleet.get(order.ticket.upstream).map(|u| u.distance);
+            shared.meters.send(order.why, distance.unwrap_or(Distance::Far));
             note_send(shared, now, &outgoing, &plan, &order);
             sends.start(&order);
         }
@@ -228,12 +232,13 @@
 ) {
     let now = shared.now();
     let (outcome, cause, plain) = match answer {
-        Answer::Forward(reply) => ("forwarded", None, reply.good()),
-        Answer::Merged { missing, .. } => ("merged", None, *missing == 0),
-        Answer::Refused { cause, .. } => ("refused", Some(cause), false),
-        Answer::Failed(cause) => ("failed", Some(cause), false),
-        Answer::TimedOut => ("timed out", None, false),
+        Answer::Forward(reply) => ("forwarded", "", reply.good()),
+        Answer::Merged { missing, .. } => ("merged", "", *missing == 0),
+        Answer::Refused { cause, .. } => ("refused", cause.text(), false),
+        Answer::Failed(cause) => ("failed", cause.text(), false),
+        Answer::TimedOut => ("timed out", "", false),
     };
+    shared.meters.request(&route.name, outcome, cause, plan.age(now));
     let late = plan.age(now) > route.aim;
     let logged =
         if plain && !late { shared.governor.ordinary(now) } else { shared.governor.notable(now) };
@@ -246,7 +251,7 @@
         route = &*route.name,
         config = version,
         outcome,
-        cause = cause.map(tracing::field::display),
+        cause,
         sends,
         got,
         parts,
--- a/crates/tgw-gateway/src/lib.rs
+++ b/crates/tgw-gateway/src/lib.rs
@@ -17,6 +17,8 @@
 mod handle;
 /// Headers that are forwarded.
 mod headers;
+/// Counters and histograms.
+mod meters;
 /// Connections to the upstreams.
 mod pool;
 /// The VMs that share connections and budgets.
--- /dev/null
+++ b/crates/tgw-gateway/src/meters.rs
@@ -0,0 +1,155 @@
+use anyhow::Context;
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Histogram, Meter, MeterProvider},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+use std::sync::{
+    Arc,
+    atomic::{AtomicU64, Ordering},
+};
+use tgw_clock::Millis;
+use tgw_forward::{
+    plan::Why,
+    upstream::{Distance, Sign},
+};
+use tgw_platform::Error;
+
+/// Upper bounds of the latency histogram, in ms: around the users' aims (100 to 400 ms).
+const BOUNDS: [f64; 12] =
+    [10.0, 20.0, 40.0, 60.0, 80.0, 100.0, 150.0, 200.0, 300.0, 400.0, 800.0, 2_000.0];
+
+/// Values that are read when the metrics are.
+#[derive(Debug, Default)]
+pub(crate) struct Gauges {
+    pub(crate) config: AtomicU64,
+    pub(crate) config_since: AtomicU64,
+    pub(crate) upstreams: AtomicU64,
+    pub(crate) vms: AtomicU64,
+    pub(crate) running: AtomicU64,
+    pub(crate) idle: AtomicU64,
+    pub(crate) lines_left_out: AtomicU64,
+    pub(crate) ready: AtomicU64,
+}
+
+type Reading = (&'static str, &'static str, fn(&Gauges) -> &AtomicU64);
+
+const READINGS: [Reading; 8] = [
+    ("tgw_config_version", "version of the configuration in force", |g| &g.config),
+    ("tgw_config_since_ms", "when it came into force, in ms since the start", |g| &g.config_since),
+    ("tgw_upstreams", "upstreams known", |g| &g.upstreams),
+    ("tgw_vms", "live VMs that share connections and budgets", |g| &g.vms),
+    ("tgw_requests_running", "requests that run", |g| &g.running),
+    ("tgw_connections_idle", "idle connections to upstreams", |g| &g.idle),
+    ("tgw_log_lines_left_out", "log lines left out since the start", |g| &g.lines_left_out),
+    ("tgw_ready", "1 while the balancer may send callers", |g| &g.ready),
+];
+
+/// The metrics of one process.
+pub(crate) struct Meters {
+    pub(crate) gauges: Arc<Gauges>,
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    took: Histogram<f64>,
+    requests: Counter<u64>,
+    sends: Counter<u64>,
+    ends: Counter<u64>,
+    store: Counter<u64>,
+}
+
+impl Meters {
+    /// Errors: the exporter cannot be set up.
+    pub(crate) fn open() -> anyhow::Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .context("cannot set up metrics")?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("tanagergw");
+        let gauges = Arc::new(Gauges::default());
+        for reading in READINGS {
+            observe(&meter, reading, gauges.clone());
+        }
+        Ok(Self {
+            took: meter.f64_histogram("tgw_request_ms").with_boundaries(BOUNDS.into()).build(),
+            requests: meter.u64_counter("tgw_requests").build(),
+            sends: meter.u64_counter("tgw_sends").build(),
+            ends: meter.u64_counter("tgw_sends_ended").build(),
+            store: meter.u64_counter("tgw_store_calls").build(),
+            gauges,
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Counts an answered request; `cause` says why it was not served.
+    pub(crate) fn request(
+        &self,
+        route: &str,
+        outcome: &'static str,
+        cause: &'static str,
+        age: Millis,
+    ) {
+        let route = KeyValue::new("route", route.to_owned());
+        self.took.record(age.as_f64(), std::slice::from_ref(&route));
+        self.requests
+            .add(1, &[route, KeyValue::new("outcome", outcome), KeyValue::new("cause", cause)]);
+    }
+
+    /// Counts a send.
+    pub(crate) fn send(&self, why: Why, distance: Distance) {
+        let why = match why {
+            Why::First => "first",
+            Why::Hedge => "hedge",
+            Why::Retry => "retry",
+        };
+        let distance = match distance {
+            Distance::Domain => "domain",
+            Distance::Region => "region",
+            Distance::Far => "far",
+        };
+        self.sends.add(1, &[KeyValue::new("why", why), KeyValue::new("distance", distance)]);
+    }
+
+    /// Counts the end of a send.
+    pub(crate) fn end(&self, sign: Sign) {
+        let sign = match sign {
+            Sign::Reply => "reply",
+            Sign::Failure => "failure",
+            Sign::Shed => "shed",
+            Sign::Broken => "broken",
+            Sign::Unreachable => "unreachable",
+            Sign::Crowded => "crowded",
+            Sign::Silent => "silent",
+            Sign::Dropped => "dropped",
+        };
+        self.ends.add(1, &[KeyValue::new("sign", sign)]);
+    }
+
+    /// Counts a call of the store by what came of it.
+    pub(crate) fn store<T>(&self, call: &'static str, result: &Result<T, Error>) {
+        let outcome = match result {
+            Ok(_) => "done",
+            Err(Error::Conflict { .. }) => "conflict",
+            Err(Error::Gone) => "gone",
+            Err(Error::Unavailable { .. }) => "unavailable",
+            Err(Error::Unknown { .. }) => "unknown",
+        };
+        self.store.add(1, &[KeyValue::new("call", call), KeyValue::new("outcome", outcome)]);
+    }
+
+    /// The Prometheus text.
+    pub(crate) fn text(&self) -> anyhow::Result<String> {
+        Ok(TextEncoder::new().encode_to_string(&self.registry.gather())?)
+    }
+}
+
+fn observe(meter: &Meter, (name, help, read): Reading, gauges: Arc<Gauges>) {
+    meter
+        .u64_observable_gauge(name)
+        .with_description(help)
+        .with_callback(move |o| o.observe(read(&gauges).load(Ordering::Relaxed), &[]))
+        .build();
+}
--- a/crates/tgw-gateway/src/pool.rs
+++ b/crates/tgw-gateway/src/pool.rs
@@ -63,6 +63,11 @@
         self.0.borrow_mut().entry(key).or_default().push(Idle { connection, until });
     }
 
+    /// The number of idle connections.
+    pub(crate) fn len(&self) -> usize {
+        self.0.borrow().values().map(Vec::len).sum()
+    }
+
     /// Closes what is past its idle time.
     pub(crate) fn sweep(&self, now: Millis, known: impl Fn(Key) -> bool) {
         self.0.borrow_mut().retain(|key, idle| {
--- a/crates/tgw-gateway/src/presence.rs
+++ b/crates/tgw-gateway/src/presence.rs
@@ -56,18 +56,23 @@
         self.beats += 1;
         let value = json!({ "beats": self.beats });
         let expect = self.version.map_or(Expect::Absent, Expect::At);
-        match store.put(kind, name, expect, &value).await {
+        let written = store.put(kind, name, expect, &value).await;
+        shared.meters.store("put", &written);
+        match written {
             Ok(version) => self.version = Some(version),
             // This VM's earlier process left it, or a write whose reply was lost took effect.
             Err(Error::Conflict { current }) => {
                 self.version = (current > 0).then_some(current);
                 let expect = self.version.map_or(Expect::Absent, Expect::At);
-                self.version = Some(store.put(kind, name, expect, &value).await?);
+                let written = store.put(kind, name, expect, &value).await;
+                shared.meters.store("put", &written);
+                self.version = Some(written?);
             }
             Err(error) => return Err(error),
         }
-        let list = store.list(kind).await?;
-        self.count(shared, list.objects.into_iter().map(|o| (o.name, o.version)));
+        let list = store.list(kind).await;
+        shared.meters.store("list", &list);
+        self.count(shared, list?.objects.into_iter().map(|o| (o.name, o.version)));
         Ok(())
     }
 
--- a/crates/tgw-gateway/src/ready.rs
+++ b/crates/tgw-gateway/src/ready.rs
@@ -35,8 +35,23 @@
     }
 }
 
+/// Where metrics are read.
+const METRICS: &str = "/metrics";
+
+fn metrics(shared: &Shared) -> Response<Full<Bytes>> {
+    shared.measure();
+    let text = shared.meters.text().unwrap_or_else(|error| {
+        tracing::warn!(%error, "metrics cannot be written");
+        String::new()
+    });
+    Response::new(Full::new(text.into()))
+}
+
 fn answer(shared: &Shared, request: &Request<Incoming>) -> Response<Full<Bytes>> {
     let path = request.uri().path();
+    if path == METRICS {
+        return metrics(shared);
+    }
     let status = if path != shared.dialect.ready_path() {
         StatusCode::NOT_FOUND
     } else if shared.ready() {
--- a/crates/tgw-gateway/src/serve.rs
+++ b/crates/tgw-gateway/src/serve.rs
@@ -46,7 +46,7 @@
     let Options { settings, dialect, store } = options;
     let callers = bind(settings.callers, "callers").await?;
     let readiness = bind(settings.ready, "readiness").await?;
-    let shared = Shared::new(settings, dialect);
+    let shared = Shared::new(settings, dialect)?;
     tracing::info!(vm = shared.settings.vm, callers = %shared.settings.callers, "start");
     tokio::task::spawn_local(watch::configuration(shared.clone(), store.clone()));
     tokio::task::spawn_local(watch::upstreams(shared.clone(), store.clone()));
--- a/crates/tgw-gateway/src/shared.rs
+++ b/crates/tgw-gateway/src/shared.rs
@@ -1,7 +1,8 @@
-use crate::{Dialect, Settings, governor::Governor, pool::Pools};
+use crate::{Dialect, Settings, governor::Governor, meters::Meters, pool::Pools};
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
+    sync::atomic::{AtomicU64, Ordering},
 };
 use tgw_clock::{Clock, Millis, Monotonic};
 use tgw_forward::Core;
@@ -26,6 +27,8 @@
     pub(crate) version: Option<u64>,
     pub(crate) table: Table,
     pub(crate) limits: Limits,
+    /// When it was taken over.
+    pub(crate) since: Millis,
 }
 
 /// What the tasks of the serving thread share. Borrows never span an await.
@@ -40,14 +43,15 @@
     pub(crate) listed: Cell<bool>,
     pub(crate) phase: watch::Sender<Phase>,
     pub(crate) governor: Governor,
+    pub(crate) meters: Meters,
     pub(crate) running: Cell<u32>,
     requests: Cell<u32>,
 }
 
 impl Shared {
-    pub(crate) fn new(settings: Settings, dialect: Box<dyn Dialect>) -> Rc<Self> {
+    pub(crate) fn new(settings: Settings, dialect: Box<dyn Dialect>) -> anyhow::Result<Rc<Self>> {
         let core = Core::new(settings.place.clone(), settings.budget);
-        Rc::new(Self {
+        Ok(Rc::new(Self {
             core: RefCell::new(core),
             settings,
             dialect,
@@ -59,7 +63,8 @@
             governor: Governor::default(),
             running: Cell::new(0),
             requests: Cell::new(rand::random()),
-        })
+            meters: Meters::open()?,
+        }))
     }
 
     pub(crate) fn now(&self) -> Millis {
@@ -77,6 +82,22 @@
             && self.config.borrow().version.is_some()
     }
 
+    /// Sets the metrics that are read, not counted.
+    pub(crate) fn measure(&self) {
+        let gauges = &self.meters.gauges;
+        let set = |gauge: &AtomicU64, value: u64| gauge.store(value, Ordering::Relaxed);
+        let config = self.config.borrow();
+        set(&gauges.config, config.version.unwrap_or_default());
+        set(&gauges.config_since, config.since.whole());
+        let core = self.core.borrow();
+        set(&gauges.upstreams, core.fleet.len() as u64);
+        set(&gauges.vms, u64::from(core.vms()));
+        set(&gauges.running, u64::from(self.running.get()));
+        set(&gauges.idle, self.pools.len() as u64);
+        set(&gauges.lines_left_out, self.governor.left_out());
+        set(&gauges.ready, u64::from(self.ready()));
+    }
+
     /// A number that differs from request to request.
     pub(crate) fn number(&self) -> u32 {
         let number = self.requests.get().wrapping_add(1);
--- a/crates/tgw-gateway/src/watch.rs
+++ b/crates/tgw-gateway/src/watch.rs
@@ -38,25 +38,28 @@
 /// Follows the configuration for as long as the process runs.
 pub(crate) async fn configuration(shared: Rc<Shared>, store: Rc<dyn Store>) {
     let kind = shared.dialect.kinds().config.clone();
-    follow(&*store, &mut Configuration { shared, kind }).await;
+    follow(&shared.clone(), &*store, &mut Configuration { shared, kind }).await;
 }
 
 /// Follows the list of upstreams for as long as the process runs.
 pub(crate) async fn upstreams(shared: Rc<Shared>, store: Rc<dyn Store>) {
     let kind = shared.dialect.kinds().upstreams.clone();
-    follow(&*store, &mut Upstreams { shared, kind, catalog: Catalog::default() }).await;
+    let catalog = Catalog::default();
+    follow(&shared.clone(), &*store, &mut Upstreams { shared, kind, catalog }).await;
 }
 
-async fn follow(store: &dyn Store, topic: &mut dyn Topic) {
+async fn follow(shared: &Shared, store: &dyn Store, topic: &mut dyn Topic) {
     let mut failures = 0;
     loop {
-        match store.list(topic.kind()).await {
+        let listed = store.list(topic.kind()).await;
+        shared.meters.store("list", &listed);
+        match listed {
             Ok(list) => {
                 if std::mem::take(&mut failures) > 0 {
                     tracing::info!(kind = topic.kind(), version = list.version, "store regained");
                 }
                 topic.listed(list.objects);
-                let error = events(store, topic, list.version).await;
+                let error = events(shared, store, topic, list.version).await;
                 tracing::info!(kind = topic.kind(), %error, "watch ended");
             }
             Err(error) => {
@@ -72,7 +75,12 @@
 }
 
 /// Watches until a call fails.
-async fn events(store: &dyn Store, topic: &mut dyn Topic, mut from: Version) -> Error {
+async fn events(
+    shared: &Shared,
+    store: &dyn Store,
+    topic: &mut dyn Topic,
+    mut from: Version,
+) -> Error {
     let kind = topic.kind().to_owned();
     loop {
         let mut watch = store.watch(&kind, from, WAIT);
@@ -82,6 +90,7 @@
                 () = sleep(TICK) => topic.tick(),
             }
         };
+        shared.meters.store("watch", &result);
         match result {
             Ok(List { version, objects }) => {
                 let news = !objects.is_empty();
@@ -145,6 +154,7 @@
             version: Some(config.version),
             table: Table::new(config),
             limits: config.limits,
+            since: self.shared.now(),
         };
     }
 }
