--- /dev/null
+++ b/crates/tgw-forward/tests/world/mod.rs
@@ -0,0 +1,145 @@
+//! A core, its upstreams and one plan at a time, with a clock that the test moves.
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, StatusCode};
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    rc::Rc,
+};
+use tgw_clock::Millis;
+use tgw_forward::{
+    Core, Plan,
+    core::Budget,
+    fleet::{Key, Place},
+    plan::{Answer, Ended, Event, Options, Order, Response},
+    upstream::{Entry, Sign},
+};
+use tgw_route::{Config, Route, Safety, Service, Target, config::Shards};
+
+pub(crate) const NEAR: &str = "near";
+pub(crate) const FAR: &str = "far";
+
+pub(crate) fn entry(id: &str, service: &str, domain: &str) -> Entry {
+    Entry {
+        id: id.into(),
+        service: service.into(),
+        addr: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+        domain: domain.into(),
+        slots: 2,
+        draining: false,
+        warmup: Millis::ZERO,
+    }
+}
+
+pub(crate) fn shards(count: usize) -> Target {
+    let services = (0..count).map(|i| format!("s{i}").into()).collect();
+    Target::Shards(Shards { services, limit: 3, least: 0.75 })
+}
+
+pub(crate) fn route(target: Target, safety: Safety) -> Rc<Route> {
+    Rc::new(Route {
+        name: "route".into(),
+        host: "a.example".into(),
+        prefix: "/".into(),
+        target,
+        safety,
+        timeout: Millis::new(800),
+        aim: Millis::new(150),
+        attempts: 2,
+        priority: 1,
+    })
+}
+
+pub(crate) struct World {
+    pub(crate) core: Core,
+    pub(crate) now: Millis,
+    pub(crate) orders: Vec<Order>,
+    plan: Option<Plan>,
+}
+
+impl World {
+    /// `services` services with one near and one far upstream each, and a generous budget.
+    pub(crate) fn new(services: usize) -> Self {
+        Self::with_budget(services, Budget { share: 1.0, constant: 1_000.0 })
+    }
+
+    pub(crate) fn with_budget(services: usize, budget: Budget) -> Self {
+        let regions = [(NEAR.into(), "r1".into()), (FAR.into(), "r2".into())].into();
+        let mut core = Core::new(Place { domain: NEAR.into(), regions }, budget);
+        let mut config = Config::default();
+        for index in 0..services {
+            let service = format!("s{index}");
+            config.services.insert(service.as_str().into(), Service { connections: 32 });
+            for domain in [NEAR, FAR] {
+                let id = format!("{service}-{domain}");
+                core.fleet.put(Millis::ZERO, entry(&id, &service, domain));
+            }
+        }
+        core.configure(&config);
+        Self { core, now: Millis::new(1_000), orders: Vec::new(), plan: None }
+    }
+
+    pub(crate) fn pass(&mut self, ms: u64) {
+        self.now += Millis::new(ms);
+    }
+
+    pub(crate) fn start(&mut self, route: &Rc<Route>) -> Option<Answer> {
+        let options = Options { route: route.clone(), patience: None, spread: 0 };
+        self.plan = Some(Plan::new(self.now, &options));
+        self.orders.clear();
+        self.on(Event::Start)
+    }
+
+    pub(crate) fn tick(&mut self) -> Option<Answer> {
+        self.on(Event::Tick)
+    }
+
+    /// Moves the clock to when the plan wants to be woken.
+    pub(crate) fn wake(&mut self) -> Option<Answer> {
+        self.now = self.plan.as_ref().unwrap().wake(self.now);
+        self.tick()
+    }
+
+    /// Ends the order at `index` of all so far.
+    pub(crate) fn end(&mut self, index: usize, ended: Ended, sign: Sign) -> Option<Answer> {
+        let order = self.orders[index].clone();
+        self.core.fleet.end(self.now, order.ticket, sign);
+        self.on(Event::Ended { part: order.part, ended })
+    }
+
+    pub(crate) fn reply(&mut self, index: usize, records: &[u8]) -> Option<Answer> {
+        let seal = format!("seal-{index}");
+        self.end(index, answered(200, Some(&seal), records), Sign::Reply)
+    }
+
+    pub(crate) fn on(&mut self, event: Event) -> Option<Answer> {
+        let mut orders = Vec::new();
+        let answer = self.plan.as_mut().unwrap().on(self.now, event, &mut self.core, &mut orders);
+        self.orders.extend(orders);
+        answer
+    }
+
+    pub(crate) fn upstream(&self, index: usize) -> Rc<str> {
+        self.id(self.orders[index].ticket.upstream)
+    }
+
+    pub(crate) fn id(&self, key: Key) -> Rc<str> {
+        self.core.fleet.get(key).unwrap().entry.id.clone()
+    }
+}
+
+pub(crate) fn answered(status: u16, seal: Option<&str>, body: &[u8]) -> Ended {
+    Ended::Answered(Box::new(Response {
+        status: StatusCode::from_u16(status).unwrap(),
+        headers: HeaderMap::new(),
+        seal: seal.map(|s| HeaderValue::from_str(s).unwrap()),
+        body: Bytes::copy_from_slice(body),
+    }))
+}
+
+/// A record that begins with `first`.
+pub(crate) fn record(first: u8) -> [u8; 16] {
+    let mut record = [0; 16];
+    record[0] = first;
+    record
+}
