feat(spread, gateway): a few VMs of each failure domain watch the store, all others learn from peers

Ruled out: fewer or longer watches on every VM (each change wakes them all); announcing VMs in the store (presence objects cost three calls a VM each 15 s, and count killed VMs for 40 s). Change: membership (tgw-member) runs on the first internal port; two relays a domain watch, a relay that the store turns away says so and another takes over; tgw-spread keeps values with versions and tells what changed since one; connections and budgets follow the live VMs; seeds and settings are read again when the file changes.

--- a/crates/tanagergw/src/gateway.rs
+++ b/crates/tanagergw/src/gateway.rs
@@ -1,14 +1,17 @@
 //! `tanagergw gateway`: serves on the users' platform.
 
 use anyhow::Context;
-use std::{io, process::ExitCode, rc::Rc};
+use std::{io, process::ExitCode, rc::Rc, time::Duration};
 use tgw_gateway::Options;
 use tgw_site::{Objects, Settings, Site, settings};
-use tokio::{runtime, signal::unix, task::LocalSet};
+use tokio::{runtime, signal::unix, task::LocalSet, time::sleep};
 
 /// Log lines that wait for the writer's thread; further ones are dropped and counted.
 const LOG_RING: usize = 2_048;
 
+/// Time between looks at the settings file.
+const LOOK: Duration = Duration::from_millis(1_000);
+
 #[derive(clap::Args)]
 pub(crate) struct Args {
     /// The platform's settings file.
@@ -39,7 +42,7 @@
         }
     };
     let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, serve(settings))
+    LocalSet::new().block_on(&runtime, serve(&args.settings, settings))
 }
 
 fn read(path: &str) -> anyhow::Result<Settings> {
@@ -50,16 +53,32 @@
     })
 }
 
-async fn serve(settings: Settings) -> anyhow::Result<ExitCode> {
+async fn serve(path: &str, settings: Settings) -> anyhow::Result<ExitCode> {
     let mut term = unix::signal(unix::SignalKind::terminate())?;
     let mut hup = unix::signal(unix::SignalKind::hangup())?;
     let store = Rc::new(Objects::open(settings.store));
-    let options = Options { settings: settings.gateway, dialect: Box::new(Site::default()), store };
-    let handle = tgw_gateway::spawn(options).await?;
+    let options = Options {
+        settings: settings.gateway.clone(),
+        dialect: Box::new(Site::default()),
+        store: store.clone(),
+    };
+    let mut handle = tgw_gateway::spawn(options).await?;
+    let mut known = settings;
     loop {
+        // The file may change without a signal.
         tokio::select! {
             _ = term.recv() => break,
-            _ = hup.recv() => tracing::info!("reload: settings are read again at the next start"),
+            _ = hup.recv() => {}
+            () = sleep(LOOK) => {}
+        }
+        match read(path) {
+            Ok(settings) if settings == known => {}
+            Ok(settings) => {
+                store.move_to(settings.store);
+                handle.reload(&settings.gateway);
+                known = settings;
+            }
+            Err(error) => tracing::warn!(%error, "settings not taken, the earlier ones hold"),
         }
     }
     let left = handle.drain().await;
--- a/crates/tgw-bench/src/sim.rs
+++ b/crates/tgw-bench/src/sim.rs
@@ -329,6 +329,7 @@
                 place: state.place,
                 addr,
                 state: State::Alive,
+                blind: false,
             };
             directory.members.insert(state.vm, member);
         }
--- a/crates/tgw-bench/src/slopes.rs
+++ b/crates/tgw-bench/src/slopes.rs
@@ -112,7 +112,8 @@
     let place = Place { region: Region(0), domain: Domain(0) };
     let member = |index: usize| {
         let name = format!("vm-{index}");
-        let entry = Member { name, incarnation: 1, place, addr: addr(), state: State::Alive };
+        let entry =
+            Member { name, incarnation: 1, place, addr: addr(), state: State::Alive, blind: false };
         (Vm::named(&format!("vm-{index}")), entry)
     };
     Directory { members: (0..vms).map(member).collect(), ..Directory::default() }
--- a/crates/tgw-forward/src/catalog.rs
+++ b/crates/tgw-forward/src/catalog.rs
@@ -57,15 +57,19 @@
         }
     }
 
-    /// Gives up the entries that stayed missing; when to be called next, if any are left.
-    pub fn tick(&mut self, now: Millis, fleet: &mut Fleet) -> Option<Millis> {
-        self.doubted.retain(|id, until| {
-            let keep = now < *until;
-            if !keep {
-                fleet.remove(id);
-            }
-            keep
-        });
-        self.doubted.values().min().copied()
+    /// Whether entries are kept that the store no longer holds.
+    pub fn doubts(&self) -> bool {
+        !self.doubted.is_empty()
+    }
+
+    /// Gives up the entries that stayed missing, and names them.
+    pub fn tick(&mut self, now: Millis, fleet: &mut Fleet) -> Vec<Rc<str>> {
+        let over = self.doubted.iter().filter(|(_, until)| now >= **until);
+        let gone: Vec<Rc<str>> = over.map(|(id, _)| id.clone()).collect();
+        for id in &gone {
+            self.doubted.remove(id);
+            fleet.remove(id);
+        }
+        gone
     }
 }
--- a/crates/tgw-forward/src/core.rs
+++ b/crates/tgw-forward/src/core.rs
@@ -13,6 +13,9 @@
 /// VMs that are assumed before the live ones were counted. Too few would open connections that the
 /// upstreams reset: each of six VMs restarted at once took all 25 that an upstream accepts.
 const VMS_ASSUMED: u32 = 8;
+/// The part of an upstream's connections that is dealt out evenly to all VMs. What is left goes to
+/// those of its region: they send it most, and the others hedges and what a pause diverts.
+const FAR_PART: f64 = 0.75;
 /// The part of the operators' budget that is used: requests that callers sent and that never
 /// arrived count on neither side, and a restarted VM forgets what it spent.
 const BUDGET_USED: f64 = 0.92;
@@ -21,7 +24,7 @@
 const BUDGET_HEDGES: f64 = 0.8;
 
 /// The operators' budget for extra sends, over all VMs.
-#[derive(Copy, Clone, Debug, Default)]
+#[derive(Copy, Clone, Debug, Default, PartialEq)]
 pub struct Budget {
     /// Extra sends to a service for each request for it.
     pub share: f64,
@@ -29,13 +32,31 @@
     pub constant: f64,
 }
 
+/// Live VMs, this one included.
+#[derive(Copy, Clone, Debug, Default, PartialEq, Eq)]
+pub struct Vms {
+    /// Everywhere.
+    pub all: u32,
+    /// In this VM's region.
+    pub near: u32,
+}
+
+/// Sends that an upstream may hold at once from this VM.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub struct Most {
+    /// Where it is in this VM's region.
+    pub near: u32,
+    /// Where it is elsewhere.
+    pub far: u32,
+}
+
 /// What one VM knows and decides with.
 #[derive(Debug, Default)]
 pub struct Core {
     /// The upstreams.
     pub fleet: Fleet,
     budget: Budget,
-    vms: u32,
+    vms: Vms,
     connections: HashMap<Rc<str>, u32>,
     windows: HashMap<Rc<str>, Window>,
     hedges: HashMap<Rc<str>, [Hedge; 3]>,
@@ -45,7 +66,12 @@
 impl Core {
     /// Knows nothing yet.
     pub fn new(place: Place, budget: Budget) -> Self {
-        Self { fleet: Fleet::new(place), budget, vms: VMS_ASSUMED, ..Self::default() }
+        Self {
+            fleet: Fleet::new(place),
+            budget,
+            vms: Vms { all: VMS_ASSUMED, near: 1 },
+            ..Self::default()
+        }
     }
 
     /// Takes over a version of the configuration.
@@ -57,21 +83,30 @@
         self.shares.retain(|name, _| config.routes.iter().any(|r| r.name == *name));
     }
 
-    /// Sets the number of live VMs that share the connections and the budgets.
-    pub fn set_vms(&mut self, vms: u32) {
-        self.vms = vms.max(1);
+    /// Sets the operators' budget.
+    pub fn set_budget(&mut self, budget: Budget) {
+        self.budget = budget;
+    }
+
+    /// Sets the live VMs that share the connections and the budgets.
+    pub fn set_vms(&mut self, vms: Vms) {
+        let near = vms.near.max(1);
+        self.vms = Vms { all: vms.all.max(near), near };
     }
 
-    /// The number of live VMs.
-    pub fn vms(&self) -> u32 {
+    /// The live VMs.
+    pub fn vms(&self) -> Vms {
         self.vms
     }
 
     /// Sends that one upstream of a service may hold at once from this VM: its part of the
     /// connections that the upstream accepts from all VMs.
-    pub fn most(&self, service: &str) -> u32 {
-        let all = self.connections.get(service).copied().unwrap_or(1);
-        (all / self.vms).max(1)
+    pub fn most(&self, service: &str) -> Most {
+        let connections = self.connections.get(service).copied().unwrap_or(1);
+        let Vms { all, near } = self.vms;
+        let far = (f64::from(connections) * FAR_PART) as u32 / all;
+        let rest = connections.saturating_sub(far * (all - near));
+        Most { near: (rest / near).max(1), far: far.max(1) }
     }
 
     /// Counts a request for a service.
@@ -83,7 +118,7 @@
     pub(crate) fn spend(&mut self, now: Millis, service: &Rc<str>, why: Why) -> bool {
         let part = if why == Why::Hedge { BUDGET_USED * BUDGET_HEDGES } else { BUDGET_USED };
         let share = self.budget.share * part;
-        let constant = self.budget.constant * part / f64::from(self.vms);
+        let constant = self.budget.constant * part / f64::from(self.vms.all);
         self.windows.entry(service.clone()).or_default().spend(now, share, constant)
     }
 
--- a/crates/tgw-forward/src/fleet.rs
+++ b/crates/tgw-forward/src/fleet.rs
@@ -1,6 +1,9 @@
 //! The upstreams and the choice among them.
 
-use crate::upstream::{Distance, Entry, Sign, Upstream};
+use crate::{
+    core::Most,
+    upstream::{Distance, Entry, Sign, Upstream},
+};
 use derive_more::Display;
 use smallvec::SmallVec;
 use std::{
@@ -23,7 +26,7 @@
 }
 
 /// Where this VM is.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Place {
     /// Its failure domain.
     pub domain: String,
@@ -113,10 +116,11 @@
 
     /// The best upstream of a service that has room for one more of at most `most` sends at once and
     /// is not among `tried`.
-    pub fn pick(&self, now: Millis, service: &str, most: u32, tried: &[Key]) -> Option<Key> {
+    pub fn pick(&self, now: Millis, service: &str, most: Most, tried: &[Key]) -> Option<Key> {
         let keys = self.services.get(service)?;
         let usable = keys.iter().filter(|key| !tried.contains(key)).filter_map(|key| {
             let upstream = self.upstreams.get(key)?;
+            let most = if upstream.distance == Distance::Far { most.far } else { most.near };
             upstream.open(now, most).then(|| (*key, upstream.cost(now)))
         });
         usable.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(key, _)| key)
--- a/crates/tgw-forward/src/upstream.rs
+++ b/crates/tgw-forward/src/upstream.rs
@@ -1,11 +1,12 @@
 //! One upstream.
 
+use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use std::{net::SocketAddr, rc::Rc};
 use tgw_clock::Millis;
 
 /// What the store says of an upstream's incarnation.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
     /// The identity of the incarnation; no other process ever bears it.
     pub id: Rc<str>,
--- a/crates/tgw-gateway/src/lib.rs
+++ b/crates/tgw-gateway/src/lib.rs
@@ -17,12 +17,14 @@
 mod handle;
 /// Headers that are forwarded.
 mod headers;
+/// Meeting other VMs through the store.
+mod meeting;
 /// Counters and histograms.
 mod meters;
+/// Membership and the spread of news among VMs.
+mod peers;
 /// Connections to the upstreams.
 mod pool;
-/// The VMs that share connections and budgets.
-mod presence;
 /// Readiness.
 mod ready;
 /// Starting and stopping.
--- a/crates/tgw-gateway/src/serve.rs
+++ b/crates/tgw-gateway/src/serve.rs
@@ -1,7 +1,9 @@
 //! Starting and stopping.
 
 use crate::{
-    Dialect, Settings, callers, presence, ready,
+    Dialect, Settings, callers, meeting,
+    peers::Peers,
+    ready,
     shared::{Phase, Shared},
     watch,
 };
@@ -36,8 +38,9 @@
 /// A running process.
 pub struct Handle {
     shared: Rc<Shared>,
-    store: Rc<dyn Store>,
+    peers: Rc<Peers>,
     callers: JoinHandle<()>,
+    grace: Millis,
 }
 
 /// Binds the sockets and starts serving on the current thread. Must run within a local task set.
@@ -47,14 +50,17 @@
     let callers = bind(settings.callers, "callers").await?;
     let readiness = bind(settings.ready, "readiness").await?;
     let shared = Shared::new(settings, dialect)?;
-    tracing::info!(vm = shared.settings.vm, callers = %shared.settings.callers, "start");
+    tracing::info!(vm = shared.settings.vm, callers = %shared.settings.callers,
+        seeds = ?shared.settings.peer.seeds, "start");
     tokio::task::spawn_local(watch::configuration(shared.clone(), store.clone()));
     tokio::task::spawn_local(watch::upstreams(shared.clone(), store.clone()));
-    tokio::task::spawn_local(presence::announce(shared.clone(), store.clone()));
+    let peers = Peers::bind(shared.clone(), &shared.settings.peer).await?;
+    tokio::task::spawn_local(meeting::run(shared.clone(), store, peers.clone()));
     tokio::task::spawn_local(ready::serve(shared.clone(), readiness));
     tokio::task::spawn_local(sweep(shared.clone()));
     let callers = tokio::task::spawn_local(callers::serve(shared.clone(), callers));
-    Ok(Handle { shared, store, callers })
+    let grace = shared.settings.grace;
+    Ok(Handle { shared, peers, callers, grace })
 }
 
 async fn bind(addr: std::net::SocketAddr, what: &str) -> anyhow::Result<TcpListener> {
@@ -71,22 +77,24 @@
 }
 
 impl Handle {
+    /// Takes over settings that may change while the process runs: seeds, budgets and grace.
+    pub fn reload(&mut self, settings: &Settings) {
+        tracing::info!(seeds = ?settings.peer.seeds, grace_ms = settings.grace.whole(), "reload");
+        self.peers.seeds(settings.peer.seeds.clone());
+        self.shared.core.borrow_mut().set_budget(settings.budget);
+        self.grace = settings.grace;
+    }
+
     /// Leaves: stops being ready, accepts until the balancer has noticed, finishes what runs.
     /// Returns the number of requests that were still running when the time was over.
     pub async fn drain(self) -> u32 {
-        let Self { shared, store, callers } = self;
+        let Self { shared, peers, callers, grace } = self;
         tracing::info!(running = shared.running.get(), "leaving: not ready, still accepting");
         shared.phase.send_replace(Phase::Leaving);
-        let withdrawal = async {
-            let limit = Duration::from(NOTICE);
-            // Without it the announcement lapses by itself.
-            if timeout(limit, presence::withdraw(&shared, &*store)).await.is_err() {
-                tracing::info!("announcement left behind: the store does not answer");
-            }
-        };
-        tokio::join!(withdrawal, sleep(Duration::from(NOTICE)));
+        peers.leave();
+        sleep(Duration::from(NOTICE)).await;
         shared.phase.send_replace(Phase::Closing);
-        let rest = Duration::from(shared.settings.grace - NOTICE - RESERVE);
+        let rest = Duration::from(grace - NOTICE - RESERVE);
         let finished = timeout(rest, callers).await.is_ok();
         let running = shared.running.get();
         tracing::info!(running, finished, "stop");
--- a/crates/tgw-gateway/src/settings.rs
+++ b/crates/tgw-gateway/src/settings.rs
@@ -1,9 +1,10 @@
 use std::net::SocketAddr;
 use tgw_clock::Millis;
 use tgw_forward::{core::Budget, fleet::Place};
+use tgw_topology::Place as Numbered;
 
 /// What one process is told at its start.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// The VM's name, unique in the fleet.
     pub vm: String,
@@ -15,6 +16,21 @@
     pub ready: SocketAddr,
     /// Extra sends that all VMs together may make.
     pub budget: Budget,
+    /// How other VMs are reached.
+    pub peer: Peer,
     /// Time from SIGTERM until the process is killed.
     pub grace: Millis,
 }
+
+/// How other VMs are reached, and this one by them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Peer {
+    /// Where this VM listens for its peers, UDP and TCP.
+    pub listen: SocketAddr,
+    /// Whom to ask first.
+    pub seeds: Vec<SocketAddr>,
+    /// This VM's place, by numbers that are the same on all VMs.
+    pub place: Numbered,
+    /// The key that frames are signed with.
+    pub key: [u8; 32],
+}
--- a/crates/tgw-gateway/src/shared.rs
+++ b/crates/tgw-gateway/src/shared.rs
@@ -5,9 +5,10 @@
     sync::atomic::{AtomicU64, Ordering},
 };
 use tgw_clock::{Clock, Millis, Monotonic};
-use tgw_forward::Core;
-use tgw_route::{Limits, Table};
-use tokio::sync::watch;
+use tgw_forward::{Catalog, Core};
+use tgw_route::{Config, Limits, Table};
+use tgw_spread::World;
+use tokio::sync::{Notify, watch};
 
 /// How far the process is in leaving.
 #[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -39,8 +40,17 @@
     pub(crate) core: RefCell<Core>,
     pub(crate) pools: Pools,
     pub(crate) config: RefCell<Configured>,
+    /// What is told to other VMs.
+    pub(crate) world: RefCell<World>,
+    pub(crate) catalog: RefCell<Catalog>,
     /// The list of upstreams was read once.
     pub(crate) listed: Cell<bool>,
+    /// This VM watches the store for its failure domain; `None` until that is known.
+    pub(crate) relay: watch::Sender<Option<bool>>,
+    /// The store does not answer this VM.
+    pub(crate) blind: Cell<bool>,
+    /// Something is to be told to other VMs.
+    pub(crate) news: Notify,
     pub(crate) phase: watch::Sender<Phase>,
     pub(crate) governor: Governor,
     pub(crate) meters: Meters,
@@ -58,7 +68,12 @@
             clock: Monotonic::default(),
             pools: Pools::default(),
             config: RefCell::default(),
+            world: RefCell::default(),
+            catalog: RefCell::default(),
             listed: Cell::new(false),
+            relay: watch::Sender::new(None),
+            blind: Cell::new(false),
+            news: Notify::new(),
             phase: watch::Sender::new(Phase::Serving),
             governor: Governor::default(),
             running: Cell::new(0),
@@ -82,6 +97,27 @@
             && self.config.borrow().version.is_some()
     }
 
+    /// Puts a configuration in force that the world has taken over.
+    pub(crate) fn adopt(&self, config: &Config, source: &str) {
+        let mut configured = self.config.borrow_mut();
+        tracing::info!(
+            config = config.version,
+            before = configured.version,
+            routes = config.routes.len(),
+            services = config.services.len(),
+            source,
+            "configuration in force"
+        );
+        self.core.borrow_mut().configure(config);
+        *configured = Configured {
+            version: Some(config.version),
+            table: Table::new(config),
+            limits: config.limits,
+            since: self.now(),
+        };
+        self.news.notify_one();
+    }
+
     /// Sets the metrics that are read, not counted.
     pub(crate) fn measure(&self) {
         let gauges = &self.meters.gauges;
@@ -91,7 +127,7 @@
         set(&gauges.config_since, config.since.whole());
         let core = self.core.borrow();
         set(&gauges.upstreams, core.fleet.len() as u64);
-        set(&gauges.vms, u64::from(core.vms()));
+        set(&gauges.vms, u64::from(core.vms().all));
         set(&gauges.running, u64::from(self.running.get()));
         set(&gauges.idle, self.pools.len() as u64);
         set(&gauges.lines_left_out, self.governor.left_out());
--- a/crates/tgw-gateway/src/watch.rs
+++ b/crates/tgw-gateway/src/watch.rs
@@ -1,13 +1,9 @@
-use crate::{
-    dialect::Decoded,
-    shared::{Configured, Shared},
-};
+use crate::{dialect::Decoded, shared::Shared};
 use std::{rc::Rc, time::Duration};
 use tgw_clock::Millis;
-use tgw_forward::{Catalog, upstream::Entry};
+use tgw_forward::upstream::Entry;
 use tgw_platform::{Error, Object, Store, Version, object::List};
-use tgw_route::{Config, Table};
-use tokio::time::sleep;
+use tokio::{sync::watch, time::sleep};
 
 /// How long one watch waits, in ms. Each end costs a call; a connection that went silent is noticed
 /// by the store's client, which probes it.
@@ -17,6 +13,8 @@
 const GATHER: Duration = Duration::from_millis(250);
 /// Time between looks for entries that stayed missing.
 const TICK: Duration = Duration::from_millis(500);
+/// Failed calls in a row after which the store counts as lost to this VM alone or to all.
+const SEEN: u32 = 2;
 /// First pause in ms after a failed call; doubles, and each is drawn from half to the whole of it.
 const PAUSE_MS: u64 = 100;
 /// Longest pause in ms.
@@ -25,14 +23,16 @@
 /// What a watched kind does with its objects.
 trait Topic {
     fn kind(&self) -> &str;
-    /// All objects, read at once.
-    fn listed(&mut self, objects: Vec<Object>);
-    /// One object was written, or removed (a null value).
-    fn changed(&mut self, object: Object);
+    /// All objects as of a version.
+    fn listed(&mut self, version: Version, objects: Vec<Object>);
+    /// One object was written, or removed (a null value), by a version.
+    fn changed(&mut self, version: Version, object: Object);
     /// The store does not answer.
     fn lost(&mut self);
     /// Time has passed.
     fn tick(&mut self);
+    /// Whether anything was read yet.
+    fn known(&self) -> bool;
 }
 
 /// Follows the configuration for as long as the process runs.
@@ -44,11 +44,12 @@
 /// Follows the list of upstreams for as long as the process runs.
 pub(crate) async fn upstreams(shared: Rc<Shared>, store: Rc<dyn Store>) {
     let kind = shared.dialect.kinds().upstreams.clone();
-    let catalog = Catalog::default();
-    follow(&shared.clone(), &*store, &mut Upstreams { shared, kind, catalog }).await;
+    follow(&shared.clone(), &*store, &mut Upstreams { shared, kind }).await;
 }
 
+/// Reads a kind once, and again and again while this VM is a relay; others learn from peers.
 async fn follow(shared: &Shared, store: &dyn Store, topic: &mut dyn Topic) {
+    let mut relay = shared.relay.subscribe();
     let mut failures = 0;
     loop {
         let listed = store.list(topic.kind()).await;
@@ -58,22 +59,61 @@
                 if std::mem::take(&mut failures) > 0 {
                     tracing::info!(kind = topic.kind(), version = list.version, "store regained");
                 }
-                topic.listed(list.objects);
-                let error = events(shared, store, topic, list.version).await;
-                tracing::info!(kind = topic.kind(), %error, "watch ended");
+                see(shared, false);
+                topic.listed(list.version, list.objects);
+                // At the very first start there may be nothing yet that peers could tell.
+                if topic.known() {
+                    wait(&mut relay, true, topic).await;
+                }
+                let mut other = relay.clone();
+                let watch = events(shared, store, topic, list.version);
+                tokio::select! {
+                    error = watch => tracing::info!(kind = topic.kind(), %error, "watch ended"),
+                    () = wait_for(&mut other, false) => {
+                        tracing::info!(kind = topic.kind(), "watch given up to other VMs");
+                    }
+                }
+                if topic.known() {
+                    wait(&mut relay, true, topic).await;
+                } else {
+                    sleep(GATHER).await;
+                }
             }
             Err(error) => {
                 if failures == 0 {
                     tracing::warn!(kind = topic.kind(), %error, "store lost");
                 }
                 topic.lost();
-                sleep(pause(failures)).await;
                 failures += 1;
+                see(shared, failures > SEEN);
+                sleep(pause(failures)).await;
             }
         }
     }
 }
 
+/// Says whether the store answers this VM.
+fn see(shared: &Shared, blind: bool) {
+    if shared.blind.replace(blind) != blind {
+        tracing::info!(blind, "whether the store answers this VM");
+        shared.news.notify_one();
+    }
+}
+
+async fn wait_for(relay: &mut watch::Receiver<Option<bool>>, state: bool) {
+    // The sender lives as long as the process.
+    let _ = relay.wait_for(|r| *r == Some(state)).await;
+}
+
+async fn wait(relay: &mut watch::Receiver<Option<bool>>, state: bool, topic: &mut dyn Topic) {
+    loop {
+        tokio::select! {
+            () = wait_for(relay, state) => return,
+            () = sleep(TICK) => topic.tick(),
+        }
+    }
+}
+
 /// Watches until a call fails.
 async fn events(
     shared: &Shared,
@@ -94,9 +134,10 @@
         match result {
             Ok(List { version, objects }) => {
                 let news = !objects.is_empty();
-                objects.into_iter().for_each(|o| topic.changed(o));
+                objects.into_iter().for_each(|o| topic.changed(version, o));
                 from = version.max(from);
                 if news {
+                    shared.news.notify_one();
                     sleep(GATHER).await;
                 }
             }
@@ -125,7 +166,9 @@
                 for finding in findings {
                     tracing::warn!(%finding, revision = object.version, "configuration");
                 }
-                self.adopt(&value);
+                if self.shared.world.borrow_mut().configure(&value) {
+                    self.shared.adopt(&value, "store");
+                }
             }
             Err(findings) => {
                 for finding in findings {
@@ -134,29 +177,6 @@
             }
         }
     }
-
-    fn adopt(&self, config: &Config) {
-        let mut configured = self.shared.config.borrow_mut();
-        // A list read before a watch's event, or answered from a replica that lags, may be older
-        // than what is in force; going back would serve routes that the operators have dropped.
-        if configured.version.is_some_and(|known| known >= config.version) {
-            return;
-        }
-        tracing::info!(
-            config = config.version,
-            before = configured.version,
-            routes = config.routes.len(),
-            services = config.services.len(),
-            "configuration in force"
-        );
-        self.shared.core.borrow_mut().configure(config);
-        *configured = Configured {
-            version: Some(config.version),
-            table: Table::new(config),
-            limits: config.limits,
-            since: self.shared.now(),
-        };
-    }
 }
 
 impl Topic for Configuration {
@@ -164,23 +184,26 @@
         &self.kind
     }
 
-    fn listed(&mut self, objects: Vec<Object>) {
+    fn listed(&mut self, _version: Version, objects: Vec<Object>) {
         objects.iter().for_each(|o| self.take(o));
     }
 
-    fn changed(&mut self, object: Object) {
+    fn changed(&mut self, _version: Version, object: Object) {
         self.take(&object);
     }
 
     fn lost(&mut self) {}
 
     fn tick(&mut self) {}
+
+    fn known(&self) -> bool {
+        self.shared.world.borrow().config() > 0
+    }
 }
 
 struct Upstreams {
     shared: Rc<Shared>,
     kind: String,
-    catalog: Catalog,
 }
 
 impl Upstreams {
@@ -202,35 +225,68 @@
         &self.kind
     }
 
-    fn listed(&mut self, objects: Vec<Object>) {
-        let entries: Vec<Entry> = objects.iter().filter_map(|o| self.decode(o)).collect();
-        let now = self.shared.now();
+    fn listed(&mut self, version: Version, objects: Vec<Object>) {
+        let entries: Vec<(Version, Entry)> =
+            objects.iter().filter_map(|o| Some((o.version, self.decode(o)?))).collect();
         tracing::info!(upstreams = entries.len(), "upstreams listed");
-        let shared = self.shared.clone();
-        self.catalog.listed(now, entries, &mut shared.core.borrow_mut().fleet);
+        let now = self.shared.now();
+        let list = entries.iter().map(|(_, e)| e.clone()).collect();
+        let mut core = self.shared.core.borrow_mut();
+        let mut catalog = self.shared.catalog.borrow_mut();
+        catalog.listed(now, list, &mut core.fleet);
+        let kept = core.fleet.ids().cloned().collect();
+        let values = entries.into_iter().map(|(v, e)| (e.id.clone(), v, e)).collect();
+        let mut world = self.shared.world.borrow_mut();
+        world.upstreams().hold(catalog.doubts());
+        world.upstreams().replace(version, values, &kept);
         self.shared.listed.set(true);
+        self.shared.news.notify_one();
     }
 
-    fn changed(&mut self, object: Object) {
-        let shared = self.shared.clone();
-        let now = shared.now();
+    fn changed(&mut self, version: Version, object: Object) {
+        let now = self.shared.now();
+        let mut core = self.shared.core.borrow_mut();
+        let mut catalog = self.shared.catalog.borrow_mut();
+        let mut world = self.shared.world.borrow_mut();
         if object.value.is_null() {
             tracing::info!(upstream = object.name, revision = object.version, "upstream removed");
-            let id = object.name.into();
-            self.catalog.removed(now, &id, &mut shared.core.borrow_mut().fleet);
+            let id: Rc<str> = object.name.into();
+            catalog.removed(now, &id, &mut core.fleet);
+            world.upstreams().hold(catalog.doubts());
+            if !core.fleet.ids().any(|known| *known == id) {
+                world.upstreams().remove(version, &id);
+            }
         } else if let Some(entry) = self.decode(&object) {
             tracing::info!(upstream = object.name, service = &*entry.service, addr = %entry.addr,
                 draining = entry.draining, revision = object.version, "upstream changed");
-            self.catalog.changed(now, entry, &mut shared.core.borrow_mut().fleet);
+            world.upstreams().put(object.version, entry.id.clone(), entry.clone());
+            catalog.changed(now, entry, &mut core.fleet);
         }
     }
 
     fn lost(&mut self) {
-        self.catalog.lost();
+        self.shared.catalog.borrow_mut().lost();
+    }
+
+    fn known(&self) -> bool {
+        !self.shared.core.borrow().fleet.is_empty()
     }
 
     fn tick(&mut self) {
         let now = self.shared.now();
-        self.catalog.tick(now, &mut self.shared.core.borrow_mut().fleet);
+        let mut core = self.shared.core.borrow_mut();
+        let mut catalog = self.shared.catalog.borrow_mut();
+        let gone = catalog.tick(now, &mut core.fleet);
+        let mut world = self.shared.world.borrow_mut();
+        world.upstreams().hold(catalog.doubts());
+        if gone.is_empty() {
+            return;
+        }
+        let version = world.upstreams().complete();
+        for id in gone {
+            tracing::info!(upstream = &*id, "upstream given up: its entry did not come back");
+            world.upstreams().remove(version, &id);
+        }
+        self.shared.news.notify_one();
     }
 }
--- a/crates/tgw-member/src/member.rs
+++ b/crates/tgw-member/src/member.rs
@@ -68,6 +68,8 @@
     Edit(u64),
     /// The catalog of this version is in use here now.
     World(u64),
+    /// This VM cannot reach the platform, or can again.
+    Blind(bool),
     /// This VM leaves.
     Leave,
     /// Time has passed.
@@ -122,6 +124,7 @@
     pub(crate) options: Options,
     pub(crate) incarnation: u64,
     pub(crate) leaving: bool,
+    pub(crate) blind: bool,
     pub(crate) edit: u64,
     pub(crate) world: u64,
     pub(crate) records: BTreeMap<Vm, Record>,
@@ -153,6 +156,7 @@
             incarnation: options.incarnation,
             options,
             leaving: false,
+            blind: false,
             edit: 0,
             world: 0,
             records: BTreeMap::new(),
@@ -224,6 +228,7 @@
                 self.world = self.world.max(world);
                 self.push_edit(out);
             }
+            Event::Blind(blind) => self.set_blind(blind, out),
             Event::Leave => self.leave(now, out),
             Event::Tick => self.tick(now, out),
         }
@@ -240,14 +245,35 @@
         let state = if self.leaving { State::Leaving } else { State::Alive };
         let Options { name, place, addr, vm, .. } = &self.options;
         let (name, incarnation) = (name.clone(), self.incarnation);
-        let member = Entry { name, incarnation, place: *place, addr: *addr, state };
+        let (place, addr, blind) = (*place, *addr, self.blind);
+        let member = Entry { name, incarnation, place, addr, state, blind };
         Record { vm: *vm, member }
     }
 
-    /// The live VMs of a domain that keep contact with others: the lowest of them.
+    /// The live VMs of a domain that keep contact with others and watch the platform: the lowest of
+    /// those that reach it.
     pub(crate) fn relays(&self, domain: Domain) -> SmallVec<[Vm; 2]> {
-        let live = self.records.values().filter(|r| r.member.place.domain == domain);
-        live.filter(|r| r.member.state.owns()).map(|r| r.vm).take(RELAYS).collect()
+        let live = || {
+            let here = self.records.values().filter(move |r| r.member.place.domain == domain);
+            here.filter(|r| r.member.state.owns())
+        };
+        // The platform may turn away some VMs and serve the others. If the relays are among the
+        // first, their whole domain would learn of changes late, though its other VMs reach it.
+        let sighted = live().filter(|r| !r.member.blind);
+        let blind = live().filter(|r| r.member.blind);
+        sighted.chain(blind).map(|r| r.vm).take(RELAYS).collect()
+    }
+
+    fn set_blind(&mut self, blind: bool, out: &mut Out) {
+        if self.blind == blind {
+            return;
+        }
+        self.blind = blind;
+        self.incarnation += 1;
+        let own = self.own_record();
+        self.records.insert(own.vm, own.clone());
+        self.changed = true;
+        self.spread(News::Record(own), out);
     }
 
     /// Whether this VM sums up what its domain has in force.
--- a/crates/tgw-owner/src/directory.rs
+++ b/crates/tgw-owner/src/directory.rs
@@ -49,6 +49,8 @@
     pub addr: SocketAddr,
     /// What is believed of it.
     pub state: State,
+    /// It cannot reach the platform, and says so.
+    pub blind: bool,
 }
 
 /// All VMs that are known.
--- a/crates/tgw-route/src/config.rs
+++ b/crates/tgw-route/src/config.rs
@@ -1,6 +1,7 @@
 //! One version of the configuration.
 
 use derive_more::Display;
+use serde::{Deserialize, Serialize};
 use std::{collections::BTreeMap, rc::Rc};
 use tgw_clock::Millis;
 
@@ -18,7 +19,7 @@
 }
 
 /// Where a request goes and what may be done with it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Route {
     /// The route's name.
     pub name: Rc<str>,
@@ -41,7 +42,7 @@
 }
 
 /// Whether a request may run more than once.
-#[derive(Copy, Clone, Debug, Display, PartialEq, Eq)]
+#[derive(Copy, Clone, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Safety {
     /// It may be repeated and hedged.
     #[display("idempotent")]
@@ -52,7 +53,7 @@
 }
 
 /// Where the requests of a route go.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Target {
     /// To one service.
     One(Rc<str>),
@@ -63,7 +64,7 @@
 }
 
 /// The shards of a route, each a service, and how their parts become one answer.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Shards {
     /// The services.
     pub services: Vec<Rc<str>>,
@@ -74,14 +75,14 @@
 }
 
 /// What the operators say of a service.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// Connections that one of its upstreams accepts from all callers together.
     pub connections: u32,
 }
 
 /// What callers may send.
-#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+#[derive(Copy, Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Limits {
     /// Largest request head, in bytes.
     pub head: usize,
--- /dev/null
+++ b/crates/tgw-spread/src/ledger.rs
@@ -0,0 +1,198 @@
+use serde::{Deserialize, Serialize};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+};
+
+/// Removals that are remembered; a VM that is further behind gets everything.
+const REMOVALS: usize = 4_096;
+
+/// Values by name, each with the version of its last change.
+///
+/// Versions come from the platform's store and rise with each change. Two VMs that are at one
+/// version hold the same values.
+#[derive(Clone, Debug)]
+pub struct Ledger<T> {
+    version: u64,
+    /// Up to this version the store itself told everything.
+    complete: u64,
+    /// Removals up to this version may be forgotten.
+    floor: u64,
+    /// The version that was told before values were held back.
+    held: Option<u64>,
+    values: BTreeMap<Rc<str>, (u64, T)>,
+    removed: BTreeMap<Rc<str>, u64>,
+}
+
+/// What changed after a version.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Delta<T> {
+    /// The version that it starts from; `None` for everything.
+    pub from: Option<u64>,
+    /// The version that it leads to.
+    pub to: u64,
+    /// Values that were written, with their versions.
+    pub changed: Vec<(Rc<str>, u64, T)>,
+    /// Names that were removed, with the version of the removal.
+    pub removed: Vec<(Rc<str>, u64)>,
+}
+
+/// What took effect of a delta.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Applied<T> {
+    /// Values as they are now.
+    pub changed: Vec<T>,
+    /// Names that are gone.
+    pub removed: Vec<Rc<str>>,
+}
+
+impl<T> Default for Applied<T> {
+    fn default() -> Self {
+        Self { changed: Vec::new(), removed: Vec::new() }
+    }
+}
+
+impl<T> Default for Ledger<T> {
+    fn default() -> Self {
+        let (values, removed) = (BTreeMap::new(), BTreeMap::new());
+        Self { version: 0, complete: 0, floor: 0, held: None, values, removed }
+    }
+}
+
+impl<T: Clone + PartialEq> Ledger<T> {
+    /// The version that this VM may claim to be at.
+    pub fn version(&self) -> u64 {
+        self.held.unwrap_or(self.version)
+    }
+
+    /// While `hold` is set, some removals are known and not yet believed.
+    pub fn hold(&mut self, hold: bool) {
+        // A VM that keeps an entry for its upstream's sake and claims the store's version makes
+        // others believe that they are complete: they would keep the entry for good, and send to an
+        // upstream that has left.
+        match (hold, self.held) {
+            (true, None) => self.held = Some(self.version),
+            (false, Some(_)) => self.held = None,
+            _ => {}
+        }
+    }
+
+    /// All values.
+    pub fn values(&self) -> impl Iterator<Item = (&Rc<str>, &T)> {
+        self.values.iter().map(|(name, (_, value))| (name, value))
+    }
+
+    /// Up to this version the store itself told everything.
+    pub fn complete(&self) -> u64 {
+        self.complete
+    }
+
+    /// Takes over everything that the store holds as of `complete`, each value with its version.
+    /// Names in `kept` are not removed though they are missing.
+    pub fn replace(
+        &mut self,
+        complete: u64,
+        values: Vec<(Rc<str>, u64, T)>,
+        kept: &BTreeSet<Rc<str>>,
+    ) {
+        let names: BTreeSet<Rc<str>> = values.iter().map(|v| v.0.clone()).collect();
+        let missing = self.values.keys().filter(|n| !names.contains(*n) && !kept.contains(*n));
+        let gone: Vec<Rc<str>> = missing.cloned().collect();
+        if self.version == 0 {
+            self.begin(complete);
+        }
+        for name in gone {
+            self.remove(complete, &name);
+        }
+        for (name, version, value) in values {
+            self.put(version, name, value);
+        }
+        self.complete = self.complete.max(complete);
+    }
+
+    /// Says that nothing is known of removals up to `version`.
+    pub fn begin(&mut self, version: u64) {
+        self.floor = self.floor.max(version);
+    }
+
+    /// Takes over a value that was written at `version`; false if something newer is known.
+    pub fn put(&mut self, version: u64, name: Rc<str>, value: T) -> bool {
+        let known = self.values.get(&name).map_or(0, |(v, _)| *v);
+        let removed = self.removed.get(&name).copied().unwrap_or(0);
+        if version <= known.max(removed) {
+            return false;
+        }
+        self.removed.remove(&name);
+        self.values.insert(name, (version, value));
+        self.version = self.version.max(version);
+        true
+    }
+
+    /// Takes over a removal at `version`; false if there is no such value or a newer one.
+    pub fn remove(&mut self, version: u64, name: &Rc<str>) -> bool {
+        let known = self.values.get(name).map_or(0, |(known, _)| *known);
+        let told = self.removed.get(name).copied().unwrap_or(0);
+        if version <= known.max(told) {
+            return false;
+        }
+        // Also of a name that this VM never held: others that did may ask it.
+        self.removed.insert(name.clone(), version);
+        let held = self.values.remove(name).is_some();
+        self.version = self.version.max(version);
+        self.trim();
+        held
+    }
+
+    fn trim(&mut self) {
+        while self.removed.len() > REMOVALS {
+            let oldest = self.removed.iter().min_by_key(|(_, v)| **v);
+            let Some((name, version)) = oldest.map(|(n, v)| (n.clone(), *v)) else { return };
+            self.removed.remove(&name);
+            self.floor = self.floor.max(version);
+        }
+    }
+
+    /// What changed after `version`.
+    pub fn since(&self, version: u64) -> Delta<T> {
+        if self.held.is_some() {
+            let to = self.version();
+            return Delta { from: Some(version), to, changed: Vec::new(), removed: Vec::new() };
+        }
+        let from = (version > 0 && version >= self.floor).then_some(version);
+        let after = from.unwrap_or(0);
+        let changed = self.values.iter().filter(|(_, (v, _))| *v > after);
+        let changed = changed.map(|(name, (v, value))| (name.clone(), *v, value.clone())).collect();
+        let removed = self.removed.iter().filter(|(_, v)| from.is_some() && **v > after);
+        let removed = removed.map(|(name, v)| (name.clone(), *v)).collect();
+        Delta { from, to: self.version, changed, removed }
+    }
+
+    /// Takes over what another VM tells; what took effect.
+    pub fn apply(&mut self, delta: Delta<T>) -> Applied<T> {
+        let mut applied = Applied::default();
+        // A VM that was cut off for long may hold what has been removed since. What the store has
+        // told up to a version counts more than any peer's word about that time.
+        let known = self.complete;
+        if delta.to <= self.version.max(known) {
+            return applied;
+        }
+        if delta.from.is_none() {
+            let named = |name: &Rc<str>| delta.changed.iter().any(|c| c.0 == *name);
+            let gone: Vec<Rc<str>> = self.values.keys().filter(|n| !named(n)).cloned().collect();
+            applied.removed.extend(gone.into_iter().filter(|name| self.remove(delta.to, name)));
+            self.floor = self.floor.max(delta.to);
+        }
+        for (name, version) in delta.removed {
+            if self.remove(version, &name) {
+                applied.removed.push(name);
+            }
+        }
+        for (name, version, value) in delta.changed {
+            if version > known && self.put(version, name, value.clone()) {
+                applied.changed.push(value);
+            }
+        }
+        self.version = self.version.max(delta.to);
+        applied
+    }
+}
--- /dev/null
+++ b/crates/tgw-spread/src/lib.rs
@@ -0,0 +1,16 @@
+//! Spreads the configuration and the list of upstreams among VMs, so that a few of each failure
+//! domain read them from the platform's store and all others learn of changes from their peers.
+//!
+//! A [`Ledger`] keeps values with the version of their last change and tells what changed since a
+//! version. No I/O.
+
+/// Values with versions, and what changed since one.
+mod ledger;
+/// What VMs ask one another.
+pub mod message;
+/// The configuration and the list of upstreams as this VM has them.
+mod world;
+
+pub use ledger::{Applied, Delta, Ledger};
+pub use message::Message;
+pub use world::{Update, World};
--- /dev/null
+++ b/crates/tgw-spread/src/message.rs
@@ -0,0 +1,43 @@
+//! What VMs ask one another over TCP.
+
+use crate::Delta;
+use serde::{Deserialize, Serialize};
+use tgw_forward::upstream::Entry;
+use tgw_member::Record;
+use tgw_route::{Limits, Route, Service};
+
+/// One message.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// Records of VMs, for comparison; not answered.
+    Records(Vec<Record>),
+    /// Asks for what changed after these versions; answered by [`Message::News`].
+    Ask {
+        /// The version of the asker's configuration.
+        config: u64,
+        /// The version of the asker's list of upstreams.
+        upstreams: u64,
+    },
+    /// What changed.
+    News(Box<News>),
+}
+
+/// What changed, where the answering VM is further.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct News {
+    /// The configuration.
+    pub config: Option<ConfigNews>,
+    /// The list of upstreams.
+    pub upstreams: Option<Delta<Entry>>,
+}
+
+/// What changed in the configuration.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ConfigNews {
+    /// Routes by name.
+    pub routes: Delta<Route>,
+    /// Services by name.
+    pub services: Delta<Service>,
+    /// What callers may send.
+    pub limits: Limits,
+}
--- /dev/null
+++ b/crates/tgw-spread/tests/spread.rs
@@ -0,0 +1,121 @@
+//! Tests of the spread of news.
+
+#![allow(clippy::expect_used, clippy::unwrap_used, clippy::panic)] // A test fails by panic.
+
+use proptest::prelude::*;
+use std::{collections::BTreeSet, rc::Rc};
+use tgw_spread::{Delta, Ledger};
+
+type Values = Vec<(Rc<str>, u32)>;
+
+fn values(ledger: &Ledger<u32>) -> Values {
+    ledger.values().map(|(name, value)| (name.clone(), *value)).collect()
+}
+
+fn nothing_kept() -> BTreeSet<Rc<str>> {
+    BTreeSet::new()
+}
+
+fn ledger(complete: u64, values: &[(&str, u64, u32)]) -> Ledger<u32> {
+    let mut ledger = Ledger::default();
+    let values = values.iter().map(|(n, v, x)| ((*n).into(), *v, *x)).collect();
+    ledger.replace(complete, values, &nothing_kept());
+    ledger
+}
+
+#[test]
+fn a_vm_that_is_behind_gets_what_changed() {
+    let mut ahead = ledger(5, &[("a", 3, 1), ("b", 5, 1)]);
+    let mut behind = ahead.clone();
+    ahead.put(7, "a".into(), 2);
+    ahead.remove(8, &"b".into());
+    let delta = ahead.since(behind.version());
+    assert_eq!((delta.from, delta.to, delta.changed.len()), (Some(5), 8, 1));
+    behind.apply(delta);
+    assert_eq!(values(&behind), values(&ahead));
+}
+
+#[test]
+fn one_that_is_too_far_behind_gets_everything() {
+    let ahead = ledger(9, &[("a", 3, 1)]);
+    let mut behind = ledger(2, &[("gone", 2, 1)]);
+    let delta = ahead.since(2);
+    assert_eq!(delta.from, None);
+    let applied = behind.apply(Delta { to: 9, ..delta });
+    assert_eq!(applied.removed, ["gone".into()]);
+    assert_eq!(values(&behind), values(&ahead));
+}
+
+// A VM was cut off while an upstream left. Back again, it tells a VM that has just read the store of
+// an older change of that upstream. The entry must not come to life again.
+#[test]
+fn a_peers_old_word_does_not_count_against_the_store() {
+    let mut fresh = ledger(20, &[("a", 5, 1)]);
+    let mut stale = ledger(10, &[("a", 5, 1), ("left", 7, 1)]);
+    stale.put(16, "left".into(), 2);
+    fresh.apply(stale.since(fresh.version()));
+    assert_eq!(values(&fresh), [("a".into(), 1)]);
+}
+
+// The store was away and a VM keeps entries that lapsed meanwhile, though it has read newer changes.
+// Another VM asks it and later hears of the removal from nobody, as all are at one version: it sent
+// to the upstream long after that had left.
+#[test]
+fn who_keeps_lapsed_entries_claims_no_newer_version() {
+    let before = ledger(10, &[("a", 3, 1), ("lapsed", 4, 1)]);
+    let (mut keeping, mut asking, mut other) = (before.clone(), before.clone(), before);
+    keeping.hold(true);
+    let listed = vec![("a".into(), 12, 2)];
+    keeping.replace(13, listed, &["lapsed".into()].into());
+    assert_eq!(keeping.version(), 4);
+    asking.apply(keeping.since(asking.version()));
+    other.put(12, "a".into(), 2);
+    other.remove(13, &"lapsed".into());
+    asking.apply(other.since(asking.version()));
+    assert_eq!(values(&asking), [("a".into(), 2)]);
+    keeping.remove(13, &"lapsed".into());
+    keeping.hold(false);
+    assert_eq!((keeping.version(), values(&keeping)), (13, values(&other)));
+}
+
+proptest! {
+    // Changes reach VMs through the store or through one another, in any order of asking. Whoever
+    // is at the store's version holds what the store holds.
+    #[test]
+    fn who_is_at_the_stores_version_holds_what_the_store_holds(
+        steps in proptest::collection::vec((0..4_u8, 0..5_usize, 0..5_usize), 1..120)
+    ) {
+        let mut store: Ledger<u32> = ledger(1, &[("n0", 1, 0)]);
+        let mut version = 1;
+        let mut vms: Vec<Ledger<u32>> = vec![store.clone(); 5];
+        for (kind, one, two) in steps {
+            let name: Rc<str> = format!("n{two}").into();
+            match kind {
+                0 => {
+                    version += 1;
+                    store.put(version, name, u32::try_from(version).unwrap());
+                }
+                1 => {
+                    let held = store.values().any(|(n, _)| *n == name);
+                    if held {
+                        version += 1;
+                        store.remove(version, &name);
+                    }
+                }
+                2 => {
+                    let delta = vms[two].since(vms[one].version());
+                    vms[one].apply(delta);
+                }
+                _ => {
+                    let delta = store.since(vms[one].version());
+                    vms[one].apply(delta);
+                }
+            }
+            for vm in &vms {
+                if vm.version() == store.version() {
+                    prop_assert_eq!(values(vm), values(&store));
+                }
+            }
+        }
+    }
+}
