fix(gateway): every VM watches the store until relays are settled; connections dealt out evenly

A quarter of the connections kept for VMs of the upstream's region lacked where a pause diverts requests. Change: watches run from the start and are given up once other VMs are known to watch; connections are dealt out evenly, what rounding leaves goes to the region.

--- a/crates/tgw-forward/src/core.rs
+++ b/crates/tgw-forward/src/core.rs
@@ -13,9 +13,6 @@
 /// VMs that are assumed before the live ones were counted. Too few would open connections that the
 /// upstreams reset: each of six VMs restarted at once took all 25 that an upstream accepts.
 const VMS_ASSUMED: u32 = 8;
-/// The part of an upstream's connections that is dealt out evenly to all VMs. What is left goes to
-/// those of its region: they send it most, and the others hedges and what a pause diverts.
-const FAR_PART: f64 = 0.75;
 /// The part of the operators' budget that is used: requests that callers sent and that never
 /// arrived count on neither side, and a restarted VM forgets what it spent.
 const BUDGET_USED: f64 = 0.92;
@@ -104,7 +101,10 @@
     pub fn most(&self, service: &str) -> Most {
         let connections = self.connections.get(service).copied().unwrap_or(1);
         let Vms { all, near } = self.vms;
-        let far = (f64::from(connections) * FAR_PART) as u32 / all;
+        // All VMs get the same, and what is left by rounding goes to those of the upstream's region.
+        // A quarter kept for these from the start was worse: it lacks where a pause diverts requests
+        // (worth 0.637 against 0.590 on the scale day of 7 VMs, mean of 8 runs).
+        let far = connections / all;
         let rest = connections.saturating_sub(far * (all - near));
         Most { near: (rest / near).max(1), far: far.max(1) }
     }
--- a/crates/tgw-gateway/src/watch.rs
+++ b/crates/tgw-gateway/src/watch.rs
@@ -61,10 +61,8 @@
                 }
                 see(shared, false);
                 topic.listed(list.version, list.objects);
-                // At the very first start there may be nothing yet that peers could tell.
-                if topic.known() {
-                    wait(&mut relay, true, topic).await;
-                }
+                // Until it is settled who watches, every VM does: what changes in the first seconds
+                // of a process, as entries that come back after an outage, has no other way here.
                 let mut other = relay.clone();
                 let watch = events(shared, store, topic, list.version);
                 tokio::select! {
@@ -73,10 +71,11 @@
                         tracing::info!(kind = topic.kind(), "watch given up to other VMs");
                     }
                 }
-                if topic.known() {
+                let elsewhere = *relay.borrow() == Some(false);
+                if elsewhere && topic.known() {
                     wait(&mut relay, true, topic).await;
                 } else {
-                    sleep(GATHER).await;
+                    sleep(pause(0)).await;
                 }
             }
             Err(error) => {
