--- a/crates/tgw-gateway/src/meeting.rs
+++ b/crates/tgw-gateway/src/meeting.rs
@@ -21,7 +21,7 @@
     loop {
         let relay = *shared.relay.borrow() == Some(true);
         if relay && !left {
-            left = done("address not left", &leave(&shared, &*store).await);
+            left = done("address not left", &leave(&shared, &*store, &peers).await);
         }
         let alone = peers.alone();
         if alone {
@@ -38,9 +38,9 @@
     result.is_ok()
 }
 
-async fn leave(shared: &Shared, store: &dyn Store) -> Result<(), Error> {
+async fn leave(shared: &Shared, store: &dyn Store, peers: &Peers) -> Result<(), Error> {
     let (kind, name) = (&shared.dialect.kinds().vms, &shared.settings.vm);
-    let value = json!({ ADDRESS: shared.settings.peer.listen.to_string() });
+    let value = json!({ ADDRESS: peers.addr().to_string() });
     let written = store.put(kind, name, Expect::Absent, &value).await;
     shared.meters.store("put", &written);
     match written {
@@ -55,7 +55,7 @@
     shared.meters.store("list", &listed);
     let addresses = listed?.objects.into_iter().filter_map(|o| {
         let addr: Option<SocketAddr> = o.value.get(ADDRESS)?.as_str()?.parse().ok();
-        addr.filter(|a| *a != shared.settings.peer.listen)
+        addr.filter(|a| *a != peers.addr())
     });
     let mut seeds = shared.settings.peer.seeds.clone();
     seeds.extend(addresses);
--- a/crates/tgw-gateway/src/peers.rs
+++ b/crates/tgw-gateway/src/peers.rs
@@ -36,6 +36,7 @@
 pub(crate) struct Peers {
     shared: Rc<Shared>,
     member: RefCell<Member>,
+    addr: SocketAddr,
     udp: UdpSocket,
     keys: Keys,
     /// A peer is being asked for what is newer there.
@@ -53,26 +54,32 @@
     /// Binds UDP and TCP and starts the tasks. Errors: the address is in use or not this machine's.
     pub(crate) async fn bind(shared: Rc<Shared>, peer: &Peer) -> anyhow::Result<Rc<Self>> {
         let place = || format!("cannot listen for peers at {}", peer.listen);
-        let udp = UdpSocket::bind(peer.listen).await.with_context(place)?;
         let tcp = TcpListener::bind(peer.listen).await.with_context(place)?;
+        let addr = tcp.local_addr().with_context(place)?;
+        let udp = UdpSocket::bind(addr).await.with_context(place)?;
         let options = tgw_member::Options {
             vm: Vm::named(&shared.settings.vm),
             name: shared.settings.vm.clone(),
             incarnation: life(),
             place: peer.place,
-            addr: peer.listen,
+            addr,
             seeds: peer.seeds.clone(),
             seed: rand::random(),
         };
         let keys = Keys::new(peer.key, None);
         let member = RefCell::new(Member::new(options));
         let asking = std::cell::Cell::new(false);
-        let peers = Rc::new(Self { shared, member, udp, keys, asking });
+        let peers = Rc::new(Self { shared, member, addr, udp, keys, asking });
         tokio::task::spawn_local(peers.clone().run());
         tokio::task::spawn_local(peers.clone().accept(tcp));
         Ok(peers)
     }
 
+    /// Where it listens.
+    pub(crate) fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
     /// Tells the others that this VM leaves.
     pub(crate) fn leave(self: &Rc<Self>) {
         self.on(Event::Leave);
--- a/crates/tgw-gateway/src/serve.rs
+++ b/crates/tgw-gateway/src/serve.rs
@@ -8,7 +8,7 @@
     watch,
 };
 use anyhow::Context;
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 use tgw_clock::Millis;
 use tgw_platform::Store;
 use tokio::{
@@ -41,6 +41,18 @@
     peers: Rc<Peers>,
     callers: JoinHandle<()>,
     grace: Millis,
+    addresses: Addresses,
+}
+
+/// Where a process listens.
+#[derive(Copy, Clone, Debug)]
+pub struct Addresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the balancer and for metrics.
+    pub ready: SocketAddr,
+    /// For peers.
+    pub peers: SocketAddr,
 }
 
 /// Binds the sockets and starts serving on the current thread. Must run within a local task set.
@@ -49,21 +61,23 @@
     let Options { settings, dialect, store } = options;
     let callers = bind(settings.callers, "callers").await?;
     let readiness = bind(settings.ready, "readiness").await?;
+    let (callers_addr, ready) = (callers.local_addr()?, readiness.local_addr()?);
     let shared = Shared::new(settings, dialect)?;
     tracing::info!(vm = shared.settings.vm, callers = %shared.settings.callers,
         seeds = ?shared.settings.peer.seeds, "start");
     tokio::task::spawn_local(watch::configuration(shared.clone(), store.clone()));
     tokio::task::spawn_local(watch::upstreams(shared.clone(), store.clone()));
     let peers = Peers::bind(shared.clone(), &shared.settings.peer).await?;
+    let addresses = Addresses { callers: callers_addr, ready, peers: peers.addr() };
     tokio::task::spawn_local(meeting::run(shared.clone(), store, peers.clone()));
     tokio::task::spawn_local(ready::serve(shared.clone(), readiness));
     tokio::task::spawn_local(sweep(shared.clone()));
     let callers = tokio::task::spawn_local(callers::serve(shared.clone(), callers));
     let grace = shared.settings.grace;
-    Ok(Handle { shared, peers, callers, grace })
+    Ok(Handle { shared, peers, callers, grace, addresses })
 }
 
-async fn bind(addr: std::net::SocketAddr, what: &str) -> anyhow::Result<TcpListener> {
+async fn bind(addr: SocketAddr, what: &str) -> anyhow::Result<TcpListener> {
     TcpListener::bind(addr).await.with_context(|| format!("cannot listen for {what} at {addr}"))
 }
 
@@ -77,6 +91,16 @@
 }
 
 impl Handle {
+    /// Where it listens.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Whether the balancer may send callers.
+    pub fn ready(&self) -> bool {
+        self.shared.ready()
+    }
+
     /// Takes over settings that may change while the process runs: seeds, budgets and grace.
     pub fn reload(&mut self, settings: &Settings) {
         tracing::info!(seeds = ?settings.peer.seeds, grace_ms = settings.grace.whole(), "reload");
@@ -88,7 +112,7 @@
     /// Leaves: stops being ready, accepts until the balancer has noticed, finishes what runs.
     /// Returns the number of requests that were still running when the time was over.
     pub async fn drain(self) -> u32 {
-        let Self { shared, peers, callers, grace } = self;
+        let Self { shared, peers, callers, grace, .. } = self;
         tracing::info!(running = shared.running.get(), "leaving: not ready, still accepting");
         shared.phase.send_replace(Phase::Leaving);
         peers.leave();
