--- a/crates/tanagergw/src/status.rs
+++ b/crates/tanagergw/src/status.rs
@@ -1,8 +1,9 @@
 //! `tanagergw status` and `tanagergw explain`.
 
 use crate::access::{self, Platform, Vms, have};
-use std::process::ExitCode;
-use tgw_operate::{explain, status};
+use anyhow::Context;
+use std::{path::PathBuf, process::ExitCode};
+use tgw_operate::{explain, status, story};
 
 /// The VMs, the table in force in each failure domain, and the upstreams with owner and state.
 #[derive(clap::Args)]
@@ -28,6 +29,8 @@
 pub(crate) struct Explain {
     /// The query's identity, or the caller's own name for it.
     query: String,
+    /// Log files of VMs: the story is read from them, and no VM is asked.
+    files: Vec<PathBuf>,
     #[command(flatten)]
     asked: Asked,
 }
@@ -45,7 +48,21 @@
     Ok(if reached { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
+/// Tells a request's story from log files.
+fn story(request: &str, files: &[PathBuf]) -> anyhow::Result<ExitCode> {
+    let story = story::read(request, files).context("cannot read the logs")?;
+    println!("what the VMs believed:");
+    story.before.iter().for_each(|line| println!("  {line}"));
+    println!("what was decided:");
+    story.lines.iter().for_each(|line| println!("  {line}"));
+    println!("cause: {}", story.cause);
+    Ok(if story.lines.is_empty() { ExitCode::FAILURE } else { ExitCode::SUCCESS })
+}
+
 pub(crate) fn explain(args: &Explain) -> anyhow::Result<ExitCode> {
+    if !args.files.is_empty() {
+        return story(&args.query, &args.files);
+    }
     let access = have!(access::vms(&args.asked.platform, &args.asked.vms));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let lines = runtime.block_on(explain::fetch(&access, &args.query));
--- a/crates/tgw-forward/src/lib.rs
+++ b/crates/tgw-forward/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod fleet;
 /// The greatest records of several parts.
 pub mod merge;
+/// What a plan is told and what it says.
+mod message;
 /// One request from its arrival to its answer.
 pub mod plan;
 /// One upstream: what the store says of it and what its replies told.
--- /dev/null
+++ b/crates/tgw-forward/src/message.rs
@@ -0,0 +1,160 @@
+//! What a plan is told and what it says.
+
+use crate::fleet::Ticket;
+use bytes::Bytes;
+use derive_more::Display;
+use http::{HeaderMap, HeaderValue, StatusCode};
+use tgw_clock::Millis;
+
+/// A complete reply of an upstream.
+#[derive(Clone, Debug)]
+pub struct Response {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its end-to-end headers.
+    pub headers: HeaderMap,
+    /// The upstream's signature, if it bears one.
+    pub seal: Option<HeaderValue>,
+    /// Its whole body.
+    pub body: Bytes,
+}
+
+impl Response {
+    /// Whether it is a success that the upstream signed.
+    pub fn good(&self) -> bool {
+        self.status.is_success() && self.seal.is_some()
+    }
+}
+
+/// How one send ended.
+#[derive(Debug)]
+pub enum Ended {
+    /// With a complete reply.
+    Answered(Box<Response>),
+    /// The upstream stated that it did not run the request.
+    Declined,
+    /// No connection was made, so nothing was sent.
+    Unsent,
+    /// The reply was cut, spoiled or reset: the request may have run.
+    Broken,
+    /// No reply by the deadline: the request may have run.
+    Silent,
+}
+
+/// What a plan is told.
+#[derive(Debug)]
+pub enum Event {
+    /// The request arrived.
+    Start,
+    /// A send of the plan ended.
+    Ended {
+        /// The part it was for.
+        part: usize,
+        /// How.
+        ended: Ended,
+    },
+    /// The time of [`Plan::wake`] has come.
+    Tick,
+}
+
+/// Why a send is made.
+#[derive(Copy, Clone, Debug, Display, PartialEq, Eq)]
+pub enum Why {
+    /// The first of its part.
+    #[display("first")]
+    First,
+    /// The one before is late.
+    #[display("hedge")]
+    Hedge,
+    /// The one before failed.
+    #[display("retry")]
+    Retry,
+}
+
+/// A send to be made.
+#[derive(Clone, Debug)]
+pub struct Order {
+    /// The part of the request, from zero.
+    pub part: usize,
+    /// The upstream and the number of the send.
+    pub ticket: Ticket,
+    /// Why.
+    pub why: Why,
+}
+
+/// What the caller is answered.
+#[derive(Debug)]
+pub enum Answer {
+    /// The reply of an upstream, unchanged.
+    Forward(Box<Response>),
+    /// The greatest records of the parts that are in.
+    Merged {
+        /// The signatures of these parts.
+        seals: Vec<HeaderValue>,
+        /// The number of parts that are not in.
+        missing: usize,
+        /// The records.
+        body: Bytes,
+    },
+    /// Not run, and never will be.
+    Refused {
+        /// When to come back.
+        retry_after: Millis,
+        /// The reason.
+        cause: Cause,
+    },
+    /// Given up; it may have run.
+    Failed(Cause),
+    /// The time is over; it may have run.
+    TimedOut,
+}
+
+/// Why a request was not served.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// No upstream of a service is known that is not leaving.
+    NoUpstream,
+    /// All upstreams hold as many sends as this VM may make, or turned it away.
+    Full,
+    /// Upstreams failed it, and no further send was allowed.
+    Upstreams,
+    /// Too few parts can still come.
+    TooFew,
+}
+
+impl Cause {
+    /// Its name in logs and metrics.
+    pub fn text(self) -> &'static str {
+        match self {
+            Self::NoUpstream => "no upstream",
+            Self::Full => "all upstreams full",
+            Self::Upstreams => "upstreams failed",
+            Self::TooFew => "too few parts",
+        }
+    }
+}
+
+/// A send that was wanted and not made.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub struct Withheld {
+    /// The part it was wanted for.
+    pub part: usize,
+    /// Why it was wanted.
+    pub why: Why,
+    /// Why it was not made.
+    pub reason: Reason,
+}
+
+/// Why a send was not made.
+#[derive(Copy, Clone, Debug, Display, PartialEq, Eq)]
+pub enum Reason {
+    /// The route allows no more.
+    #[display("attempts used up")]
+    Attempts,
+    /// No upstream that was not tried has room for it.
+    #[display("no upstream with room")]
+    Upstream,
+    /// The budget for extra sends is used up.
+    #[display("budget used up")]
+    Budget,
+}
--- a/crates/tgw-forward/src/plan.rs
+++ b/crates/tgw-forward/src/plan.rs
@@ -1,18 +1,15 @@
 //! One request from its arrival to its answer.
 
-use crate::{
-    Core,
-    fleet::{Key, Ticket},
-    merge,
-};
+use crate::{Core, fleet::Key, merge, upstream::Distance};
 use bytes::Bytes;
-use derive_more::Display;
-use http::{HeaderMap, HeaderValue, StatusCode};
+use http::HeaderValue;
 use smallvec::SmallVec;
 use std::rc::Rc;
 use tgw_clock::Millis;
 use tgw_route::{Route, Safety, Target, config::Shards};
 
+pub use crate::message::{Answer, Cause, Ended, Event, Order, Reason, Response, Why, Withheld};
+
 /// Time in ms before the aim at which an answer leaves without its last parts: the way to the caller
 /// (1 to 3 ms), the opening of its connection, and the wait for a turn on a quarter of a core.
 const MARGIN: Millis = Millis::new(14);
@@ -28,134 +25,6 @@
 /// refused together do not return together.
 const RETRY_AFTER: Millis = Millis::new(60);
 
-/// A complete reply of an upstream.
-#[derive(Clone, Debug)]
-pub struct Response {
-    /// Its status.
-    pub status: StatusCode,
-    /// Its end-to-end headers.
-    pub headers: HeaderMap,
-    /// The upstream's signature, if it bears one.
-    pub seal: Option<HeaderValue>,
-    /// Its whole body.
-    pub body: Bytes,
-}
-
-impl Response {
-    /// Whether it is a success that the upstream signed.
-    pub fn good(&self) -> bool {
-        self.status.is_success() && self.seal.is_some()
-    }
-}
-
-/// How one send ended.
-#[derive(Debug)]
-pub enum Ended {
-    /// With a complete reply.
-    Answered(Box<Response>),
-    /// The upstream stated that it did not run the request.
-    Declined,
-    /// No connection was made, so nothing was sent.
-    Unsent,
-    /// The reply was cut, spoiled or reset: the request may have run.
-    Broken,
-    /// No reply by the deadline: the request may have run.
-    Silent,
-}
-
-/// What a plan is told.
-#[derive(Debug)]
-pub enum Event {
-    /// The request arrived.
-    Start,
-    /// A send of the plan ended.
-    Ended {
-        /// The part it was for.
-        part: usize,
-        /// How.
-        ended: Ended,
-    },
-    /// The time of [`Plan::wake`] has come.
-    Tick,
-}
-
-/// Why a send is made.
-#[derive(Copy, Clone, Debug, Display, PartialEq, Eq)]
-pub enum Why {
-    /// The first of its part.
-    #[display("first")]
-    First,
-    /// The one before is late.
-    #[display("hedge")]
-    Hedge,
-    /// The one before failed.
-    #[display("retry")]
-    Retry,
-}
-
-/// A send to be made.
-#[derive(Clone, Debug)]
-pub struct Order {
-    /// The part of the request, from zero.
-    pub part: usize,
-    /// The upstream and the number of the send.
-    pub ticket: Ticket,
-    /// Why.
-    pub why: Why,
-}
-
-/// What the caller is answered.
-#[derive(Debug)]
-pub enum Answer {
-    /// The reply of an upstream, unchanged.
-    Forward(Box<Response>),
-    /// The greatest records of the parts that are in.
-    Merged {
-        /// The signatures of these parts.
-        seals: Vec<HeaderValue>,
-        /// The number of parts that are not in.
-        missing: usize,
-        /// The records.
-        body: Bytes,
-    },
-    /// Not run, and never will be.
-    Refused {
-        /// When to come back.
-        retry_after: Millis,
-        /// The reason.
-        cause: Cause,
-    },
-    /// Given up; it may have run.
-    Failed(Cause),
-    /// The time is over; it may have run.
-    TimedOut,
-}
-
-/// Why a request was not served.
-#[derive(Copy, Clone, Debug, PartialEq, Eq)]
-pub enum Cause {
-    /// No upstream of a service is known that is not leaving.
-    NoUpstream,
-    /// All upstreams hold as many sends as this VM may make, or turned it away.
-    Full,
-    /// Upstreams failed it, and no further send was allowed.
-    Upstreams,
-    /// Too few parts can still come.
-    TooFew,
-}
-
-impl Cause {
-    /// Its name in logs and metrics.
-    pub fn text(self) -> &'static str {
-        match self {
-            Self::NoUpstream => "no upstream",
-            Self::Full => "all upstreams full",
-            Self::Upstreams => "upstreams failed",
-            Self::TooFew => "too few parts",
-        }
-    }
-}
-
 #[derive(Debug)]
 enum State {
     Waiting,
@@ -184,6 +53,23 @@
     }
 }
 
+/// The upstream for one more send of a part.
+fn choose(
+    now: Millis,
+    part: &Part,
+    why: Why,
+    attempts: u32,
+    core: &mut Core,
+) -> Result<Key, Reason> {
+    if part.sends >= attempts.max(1) || part.tried.len() >= TRIES {
+        return Err(Reason::Attempts);
+    }
+    let most = core.most(&part.service);
+    let key = core.fleet.pick(now, &part.service, most, &part.tried).ok_or(Reason::Upstream)?;
+    let allowed = part.sends == 0 || core.spend(now, &part.service, why);
+    allowed.then_some(key).ok_or(Reason::Budget)
+}
+
 /// Whether `count` of `all` parts make a success.
 fn enough(shards: &Shards, count: usize, all: usize) -> bool {
     // The share may be a rounded decimal, as 0.89 for eight of nine.
@@ -214,6 +100,7 @@
     /// An upstream may have run it.
     ran: bool,
     failure: Option<Box<Response>>,
+    withheld: SmallVec<[Withheld; 2]>,
     finished: bool,
 }
 
@@ -231,6 +118,7 @@
             parts: SmallVec::new(),
             ran: false,
             failure: None,
+            withheld: SmallVec::new(),
             finished: false,
         }
     }
@@ -245,6 +133,11 @@
         self.parts.get(part).map(|p| &p.service)
     }
 
+    /// Takes the sends that were wanted and not made since the last call.
+    pub fn take_withheld(&mut self) -> SmallVec<[Withheld; 2]> {
+        std::mem::take(&mut self.withheld)
+    }
+
     /// Sends so far, and how many parts are in, of how many.
     pub fn progress(&self) -> (u32, usize, usize) {
         let sends = self.parts.iter().map(|p| p.sends).sum();
@@ -402,17 +295,15 @@
     ) {
         let route = self.route.clone();
         let part = &mut self.parts[index];
-        if part.sends >= route.attempts.max(1) || part.tried.len() >= TRIES {
-            return;
-        }
-        let most = core.most(&part.service);
-        let picked = core.fleet.pick(now, &part.service, most, &part.tried);
-        let Some(key) = picked.filter(|_| part.sends == 0 || core.spend(now, &part.service, why))
-        else {
-            if why == Why::First {
-                part.state = State::GivenUp;
+        let key = match choose(now, part, why, route.attempts, core) {
+            Ok(key) => key,
+            Err(reason) => {
+                self.withheld.push(Withheld { part: index, why, reason });
+                if why == Why::First {
+                    part.state = State::GivenUp;
+                }
+                return;
             }
-            return;
         };
         part.tried.push(key);
         part.sends += 1;
@@ -420,8 +311,7 @@
         let ticket = core.fleet.send(now, key);
         part.hedge_at = None;
         if part.sends < route.attempts && route.safety == Safety::Idempotent {
-            let distance =
-                core.fleet.get(key).map_or(crate::upstream::Distance::Far, |u| u.distance);
+            let distance = core.fleet.get(key).map_or(Distance::Far, |u| u.distance);
             let hedge = core.hedge(&route, distance);
             if why == Why::First {
                 hedge.request();
--- a/crates/tgw-forward/src/upstream.rs
+++ b/crates/tgw-forward/src/upstream.rs
@@ -68,6 +68,22 @@
     Dropped,
 }
 
+impl Sign {
+    /// Its name in logs and metrics.
+    pub fn text(self) -> &'static str {
+        match self {
+            Self::Reply => "reply",
+            Self::Failure => "failure",
+            Self::Shed => "shed",
+            Self::Broken => "broken",
+            Self::Unreachable => "unreachable",
+            Self::Crowded => "crowded",
+            Self::Silent => "silent",
+            Self::Dropped => "dropped",
+        }
+    }
+}
+
 /// A time constant in ms after which an old average counts for a third: a straggler that recovered
 /// is tried again within seconds.
 const FORGET_MS: f64 = 4_000.0;
--- a/crates/tgw-gateway/src/exchange.rs
+++ b/crates/tgw-gateway/src/exchange.rs
@@ -1,5 +1,5 @@
 use crate::{
-    headers,
+    headers, note,
     pool::{self, Connection},
     shared::Shared,
 };
@@ -33,7 +33,9 @@
 /// Gives a send back to the core when it ended, also when its task was dropped.
 struct Sent {
     shared: Rc<Shared>,
+    request: Rc<Outgoing>,
     ticket: Ticket,
+    sent: Millis,
     sign: Sign,
 }
 
@@ -41,6 +43,7 @@
     fn drop(&mut self) {
         let now = self.shared.now();
         self.shared.meters.end(self.sign);
+        note::ended(&self.shared, &self.request, self.ticket, self.sign, self.sent);
         self.shared.core.borrow_mut().fleet.end(now, self.ticket, self.sign);
     }
 }
@@ -57,7 +60,13 @@
 
 /// Sends a request to the upstream of `ticket` and reads its reply.
 pub(crate) async fn run(shared: Rc<Shared>, ticket: Ticket, request: Rc<Outgoing>) -> Ended {
-    let mut sent = Sent { shared: shared.clone(), ticket, sign: Sign::Dropped };
+    let mut sent = Sent {
+        shared: shared.clone(),
+        request: request.clone(),
+        ticket,
+        sent: shared.now(),
+        sign: Sign::Dropped,
+    };
     let left = request.deadline - shared.now();
     let Ok(result) = timeout(Duration::from(left), attempt(&shared, ticket, &request)).await else {
         sent.sign = Sign::Silent;
--- a/crates/tgw-gateway/src/handle.rs
+++ b/crates/tgw-gateway/src/handle.rs
@@ -1,6 +1,6 @@
 use crate::{
     exchange::{self, Outgoing},
-    headers,
+    headers, note,
     shared::{Phase, Shared},
 };
 use bytes::Bytes;
@@ -11,8 +11,7 @@
 use tgw_clock::Millis;
 use tgw_forward::{
     Plan,
-    plan::{self, Answer, Ended, Event, Order, Response as Reply, Why},
-    upstream::Distance,
+    plan::{self, Answer, Ended, Event, Order, Response as Reply},
 };
 use tgw_route::Route;
 use tokio::{
@@ -72,16 +71,15 @@
     let (route, version, limits) = {
         let config = shared.config.borrow();
         let Some(version) = config.version else {
+            note::unconfigured(shared, arrived, text(&head.headers, &names.request));
             return Err(refuse(StatusCode::SERVICE_UNAVAILABLE, Some(UNCONFIGURED_RETRY)));
         };
         let route = host.and_then(|h| config.table.find(h, head.uri.path())).cloned();
         (route, version, config.limits)
     };
     let Some(route) = route else {
-        if shared.governor.notable(arrived) {
-            let path = head.uri.path();
-            tracing::info!(host, path, config = version, outcome = "no route", "request");
-        }
+        let path = head.uri.path();
+        note::unrouted(shared, arrived, text(&head.headers, &names.request), host, path, version);
         return Err(refuse(StatusCode::NOT_FOUND, None));
     };
     let Some(identity) = head.headers.get(&names.request).cloned() else {
@@ -160,6 +158,9 @@
 
 impl Drop for Sends {
     fn drop(&mut self) {
+        if !self.tasks.is_empty() {
+            note::abandoned(&self.shared, &self.request, self.tasks.len());
+        }
         for task in &self.tasks {
             task.abort();
         }
@@ -179,12 +180,12 @@
         let now = shared.now();
         let answer = plan.on(now, event, &mut shared.core.borrow_mut(), &mut orders);
         for order in orders.drain(..) {
-            let distance =
-                shared.core.borrow().fleet.get(order.ticket.upstream).map(|u| u.distance);
-            shared.meters.send(order.why, distance.unwrap_or(Distance::Far));
-            note_send(shared, now, &outgoing, &plan, &order);
+            note::send(shared, now, &outgoing, &plan, &order);
             sends.start(&order);
         }
+        for withheld in plan.take_withheld() {
+            note::withheld(shared, now, &outgoing, &plan, withheld);
+        }
         if let Some(answer) = answer {
             break answer;
         }
@@ -199,67 +200,10 @@
         };
     };
     sends.release();
-    note_answer(shared, &outgoing, &route, version, &plan, &answer);
+    note::answer(shared, &outgoing, &route, version, &plan, &answer);
     respond(shared, answer)
 }
 
-fn note_send(shared: &Shared, now: Millis, request: &Outgoing, plan: &Plan, order: &Order) {
-    if order.why == Why::First || !shared.governor.notable(now) {
-        return;
-    }
-    let core = shared.core.borrow();
-    let upstream = core.fleet.get(order.ticket.upstream);
-    let cost = upstream.map_or(0.0, |u| u.cost(now).round());
-    tracing::info!(
-        request = request.identity.to_str().unwrap_or_default(),
-        part = order.part,
-        service = plan.service(order.part).map(|s| &**s),
-        upstream = upstream.map(|u| &*u.entry.id),
-        why = %order.why,
-        cost_ms = cost,
-        age_ms = plan.age(now).whole(),
-        "send"
-    );
-}
-
-fn note_answer(
-    shared: &Shared,
-    request: &Outgoing,
-    route: &Route,
-    version: u64,
-    plan: &Plan,
-    answer: &Answer,
-) {
-    let now = shared.now();
-    let (outcome, cause, plain) = match answer {
-        Answer::Forward(reply) => ("forwarded", "", reply.good()),
-        Answer::Merged { missing, .. } => ("merged", "", *missing == 0),
-        Answer::Refused { cause, .. } => ("refused", cause.text(), false),
-        Answer::Failed(cause) => ("failed", cause.text(), false),
-        Answer::TimedOut => ("timed out", "", false),
-    };
-    shared.meters.request(&route.name, outcome, cause, plan.age(now));
-    let late = plan.age(now) > route.aim;
-    let logged =
-        if plain && !late { shared.governor.ordinary(now) } else { shared.governor.notable(now) };
-    if !logged {
-        return;
-    }
-    let (sends, got, parts) = plan.progress();
-    tracing::info!(
-        request = request.identity.to_str().unwrap_or_default(),
-        route = &*route.name,
-        config = version,
-        outcome,
-        cause,
-        sends,
-        got,
-        parts,
-        age_ms = plan.age(now).whole(),
-        "request"
-    );
-}
-
 fn respond(shared: &Shared, answer: Answer) -> Response<Full<Bytes>> {
     match answer {
         Answer::Forward(reply) => reply_of(*reply),
--- a/crates/tgw-gateway/src/lib.rs
+++ b/crates/tgw-gateway/src/lib.rs
@@ -21,6 +21,8 @@
 mod meeting;
 /// Counters and histograms.
 mod meters;
+/// Log lines and counts about requests.
+mod note;
 /// Membership and the spread of news among VMs.
 mod peers;
 /// Connections to the upstreams.
--- a/crates/tgw-gateway/src/meters.rs
+++ b/crates/tgw-gateway/src/meters.rs
@@ -115,17 +115,7 @@
 
     /// Counts the end of a send.
     pub(crate) fn end(&self, sign: Sign) {
-        let sign = match sign {
-            Sign::Reply => "reply",
-            Sign::Failure => "failure",
-            Sign::Shed => "shed",
-            Sign::Broken => "broken",
-            Sign::Unreachable => "unreachable",
-            Sign::Crowded => "crowded",
-            Sign::Silent => "silent",
-            Sign::Dropped => "dropped",
-        };
-        self.ends.add(1, &[KeyValue::new("sign", sign)]);
+        self.ends.add(1, &[KeyValue::new("result", sign.text())]);
     }
 
     /// Counts a call of the store by what came of it.
--- /dev/null
+++ b/crates/tgw-gateway/src/note.rs
@@ -0,0 +1,166 @@
+//! Log lines and counts about requests: what was decided, by which inputs, how old they were.
+
+use crate::{exchange::Outgoing, shared::Shared};
+use tgw_clock::Millis;
+use tgw_forward::{
+    Plan,
+    fleet::Ticket,
+    plan::{Answer, Order, Why, Withheld},
+    upstream::{Distance, Sign},
+};
+use tgw_route::Route;
+
+/// A send was ordered. First sends are counted; what the other ones were decided by is logged.
+pub(crate) fn send(shared: &Shared, now: Millis, request: &Outgoing, plan: &Plan, order: &Order) {
+    let core = shared.core.borrow();
+    let upstream = core.fleet.get(order.ticket.upstream);
+    shared.meters.send(order.why, upstream.map_or(Distance::Far, |u| u.distance));
+    if order.why == Why::First || !shared.governor.notable(now) {
+        return;
+    }
+    tracing::info!(
+        request = identity(request),
+        part = order.part,
+        service = plan.service(order.part).map(|s| &**s),
+        upstream = upstream.map(|u| &*u.entry.id),
+        why = %order.why,
+        cost_ms = upstream.map_or(0.0, |u| u.cost(now).round()),
+        age_ms = plan.age(now).whole(),
+        "send"
+    );
+}
+
+/// A send was wanted and not made.
+pub(crate) fn withheld(
+    shared: &Shared,
+    now: Millis,
+    request: &Outgoing,
+    plan: &Plan,
+    withheld: Withheld,
+) {
+    if !shared.governor.notable(now) {
+        return;
+    }
+    tracing::info!(
+        request = identity(request),
+        part = withheld.part,
+        service = plan.service(withheld.part).map(|s| &**s),
+        why = %withheld.why,
+        reason = %withheld.reason,
+        vms = shared.core.borrow().vms().all,
+        age_ms = plan.age(now).whole(),
+        "send withheld"
+    );
+}
+
+/// A send ended without a good reply.
+pub(crate) fn ended(shared: &Shared, request: &Outgoing, ticket: Ticket, sign: Sign, sent: Millis) {
+    let now = shared.now();
+    if matches!(sign, Sign::Reply | Sign::Dropped) || !shared.governor.notable(now) {
+        return;
+    }
+    let core = shared.core.borrow();
+    let upstream = core.fleet.get(ticket.upstream);
+    tracing::info!(
+        request = identity(request),
+        upstream = upstream.map(|u| &*u.entry.id),
+        service = upstream.map(|u| &*u.entry.service),
+        addr = upstream.map(|u| tracing::field::display(u.entry.addr)),
+        result = sign.text(),
+        running = upstream.map_or(0, |u| u.running().saturating_sub(1)),
+        expected_ms = upstream.map_or(0.0, |u| u.expected(now).round()),
+        took_ms = (now - sent).whole(),
+        "send ended"
+    );
+}
+
+/// A request was answered.
+pub(crate) fn answer(
+    shared: &Shared,
+    request: &Outgoing,
+    route: &Route,
+    version: u64,
+    plan: &Plan,
+    answer: &Answer,
+) {
+    let now = shared.now();
+    let (outcome, cause, plain) = match answer {
+        Answer::Forward(reply) => ("forwarded", "", reply.good()),
+        Answer::Merged { missing, .. } => ("merged", "", *missing == 0),
+        Answer::Refused { cause, .. } => ("refused", cause.text(), false),
+        Answer::Failed(cause) => ("failed", cause.text(), false),
+        Answer::TimedOut => ("timed out", "", false),
+    };
+    shared.meters.request(&route.name, outcome, cause, plan.age(now));
+    let late = plan.age(now) > route.aim;
+    let logged =
+        if plain && !late { shared.governor.ordinary(now) } else { shared.governor.notable(now) };
+    if !logged {
+        return;
+    }
+    let (sends, got, parts) = plan.progress();
+    let since = shared.config.borrow().since;
+    tracing::info!(
+        request = identity(request),
+        route = &*route.name,
+        safety = %route.safety,
+        config = version,
+        config_age_ms = (now - since).whole(),
+        outcome,
+        cause,
+        sends,
+        got,
+        parts,
+        late,
+        age_ms = plan.age(now).whole(),
+        "request"
+    );
+}
+
+/// No route takes a request.
+pub(crate) fn unrouted(
+    shared: &Shared,
+    now: Millis,
+    request: Option<&str>,
+    host: Option<&str>,
+    path: &str,
+    version: u64,
+) {
+    shared.meters.request("", "refused", "no route", Millis::ZERO);
+    if shared.governor.notable(now) {
+        let since = shared.config.borrow().since;
+        tracing::info!(
+            request,
+            host,
+            path,
+            config = version,
+            config_age_ms = (now - since).whole(),
+            outcome = "refused",
+            cause = "no route",
+            "request"
+        );
+    }
+}
+
+/// A request came before any configuration.
+pub(crate) fn unconfigured(shared: &Shared, now: Millis, request: Option<&str>) {
+    shared.meters.request("", "refused", "no configuration", Millis::ZERO);
+    if shared.governor.notable(now) {
+        let blind = shared.blind.get();
+        tracing::info!(request, outcome = "refused", cause = "no configuration", blind, "request");
+    }
+}
+
+/// A caller left before its answer; its sends are ended.
+pub(crate) fn abandoned(shared: &Shared, request: &Outgoing, sends: usize) {
+    let now = shared.now();
+    shared.meters.request("", "abandoned", "caller left", Millis::ZERO);
+    if shared.governor.notable(now) {
+        let request = identity(request);
+        tracing::info!(request, outcome = "abandoned", cause = "caller left", sends, "request");
+    }
+}
+
+fn identity(request: &Outgoing) -> &str {
+    request.identity.to_str().unwrap_or_default()
+}
--- a/crates/tgw-operate/src/lib.rs
+++ b/crates/tgw-operate/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod explain;
 /// The fleet as its VMs see it.
 pub mod status;
+/// One request's story, told from log files.
+pub mod story;
 /// Edits of the table.
 pub mod table;
 
--- /dev/null
+++ b/crates/tgw-operate/src/story.rs
@@ -0,0 +1,191 @@
+//! One request's story, told from the log files of VMs.
+
+use serde_json::{Map, Value};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt::Write,
+    fs::File,
+    io::{self, BufRead, BufReader},
+    path::Path,
+};
+
+/// Messages about what a VM believes, by which its decisions are explained.
+const BELIEFS: [&str; 14] = [
+    "start",
+    "stop",
+    "reload",
+    "leaving: not ready, still accepting",
+    "configuration in force",
+    "store lost",
+    "store regained",
+    "whether the store answers this VM",
+    "watch ended",
+    "upstreams listed",
+    "VMs counted",
+    "this VM was paused",
+    "watching the platform's store for the failure domain",
+    "log lines left out in the last interval",
+];
+/// Fields that are not told again with a line's message.
+const PLAIN: [&str; 5] = ["timestamp", "level", "message", "target", "request"];
+
+/// One line of a log.
+#[derive(Clone, Debug)]
+struct Line {
+    vm: String,
+    fields: Map<String, Value>,
+}
+
+impl Line {
+    fn text(&self, name: &str) -> &str {
+        self.fields.get(name).and_then(Value::as_str).unwrap_or_default()
+    }
+
+    fn number(&self, name: &str) -> u64 {
+        self.fields.get(name).and_then(Value::as_u64).unwrap_or_default()
+    }
+
+    fn message(&self) -> &str {
+        self.text("message")
+    }
+
+    fn at(&self) -> &str {
+        self.text("timestamp")
+    }
+
+    fn told(&self) -> String {
+        let mut out = format!("{} {:<22} {}", self.at(), self.vm, self.message());
+        for (name, value) in &self.fields {
+            if PLAIN.contains(&name.as_str()) {
+                continue;
+            }
+            let _ = match value.as_str() {
+                Some(text) => write!(out, " {name}={text}"),
+                None => write!(out, " {name}={value}"),
+            };
+        }
+        out
+    }
+}
+
+/// What the logs say of one request.
+#[derive(Clone, Debug)]
+pub struct Story {
+    /// What the VMs concerned believed when the request came, and what changed while it ran.
+    pub before: Vec<String>,
+    /// What was decided for it, in order.
+    pub lines: Vec<String>,
+    /// Why it was answered as it was.
+    pub cause: String,
+}
+
+/// Reads the logs of VMs and tells the story of `request`. Text before a line's JSON is passed over.
+/// Errors: a file cannot be read.
+pub fn read(request: &str, files: &[impl AsRef<Path>]) -> io::Result<Story> {
+    let mut lines = Vec::new();
+    for file in files {
+        read_file(file.as_ref(), &mut lines)?;
+    }
+    lines.sort_by(|a, b| a.at().cmp(b.at()));
+    Ok(tell(request, &lines))
+}
+
+fn read_file(path: &Path, lines: &mut Vec<Line>) -> io::Result<()> {
+    let stem = path.file_stem().map(|s| s.to_string_lossy().into_owned()).unwrap_or_default();
+    let mut vm = stem;
+    for text in BufReader::new(File::open(path)?).lines() {
+        let text = text?;
+        let Some(start) = text.find('{') else { continue };
+        let Ok(Value::Object(fields)) = serde_json::from_str(&text[start..]) else { continue };
+        // Collectors put the VM's name before the line; a VM's own file names it at its start.
+        if let Some(name) = text[..start].split_whitespace().last() {
+            name.clone_into(&mut vm);
+        } else if let Some(name) = fields.get("vm").and_then(Value::as_str) {
+            name.clone_into(&mut vm);
+        }
+        lines.push(Line { vm: vm.clone(), fields });
+    }
+    Ok(())
+}
+
+fn tell(request: &str, lines: &[Line]) -> Story {
+    let own: Vec<&Line> = lines.iter().filter(|l| l.text("request") == request).collect();
+    let vms: BTreeSet<&str> = own.iter().map(|l| l.vm.as_str()).collect();
+    let upstreams: BTreeSet<&str> =
+        own.iter().map(|l| l.text("upstream")).filter(|u| !u.is_empty()).collect();
+    let (first, last) = (own.first().map_or("", |l| l.at()), own.last().map_or("", |l| l.at()));
+    let mut beliefs: BTreeMap<(&str, &str), &Line> = BTreeMap::new();
+    let mut meanwhile = Vec::new();
+    for line in lines.iter().filter(|l| vms.contains(l.vm.as_str()) && l.at() <= last) {
+        let upstream = line.text("upstream");
+        let about = upstreams.contains(upstream) && line.text("request").is_empty();
+        if !about && !BELIEFS.contains(&line.message()) {
+            continue;
+        }
+        if line.at() >= first {
+            meanwhile.push(line);
+        } else {
+            // The last word of each kind is what was believed.
+            let key = if about { upstream } else { line.message() };
+            beliefs.insert((line.vm.as_str(), key), line);
+        }
+    }
+    let mut before: Vec<&Line> = beliefs.into_values().chain(meanwhile).collect();
+    before.sort_by(|a, b| a.at().cmp(b.at()));
+    Story {
+        before: before.into_iter().map(Line::told).collect(),
+        lines: own.iter().map(|l| l.told()).collect(),
+        cause: cause(&own),
+    }
+}
+
+fn cause(own: &[&Line]) -> String {
+    let Some(end) = own.iter().rev().find(|l| l.message() == "request") else {
+        return match own.len() {
+            0 => "no VM logged this request: it reached none, or its lines were left out".into(),
+            _ => "no VM logged an answer: the VM ended while the request ran".into(),
+        };
+    };
+    let reason = match end.text("cause") {
+        "no route" => format!("no route takes it in configuration {}", end.number("config")),
+        "no configuration" => "the VM knew no configuration: the store had not answered".into(),
+        "no upstream" => "a service of the route had no upstream that was not leaving".into(),
+        "caller left" => "the caller left before its answer".into(),
+        _ => trouble(own),
+    };
+    let (outcome, age) = (end.text("outcome"), end.number("age_ms"));
+    let (got, parts) = (end.number("got"), end.number("parts"));
+    let once = if end.text("safety") == "at-most-once" && outcome != "forwarded" {
+        " (at most once: not sent again after a send that may have run)"
+    } else {
+        ""
+    };
+    let left_out = if outcome == "merged" && got < parts {
+        format!(", {} of {parts} parts left out", parts - got)
+    } else {
+        String::new()
+    };
+    format!("{outcome} after {age} ms{left_out}: {reason}{once}")
+}
+
+/// What went wrong at upstreams, and what kept further sends back.
+fn trouble(own: &[&Line]) -> String {
+    let mut found = Vec::new();
+    for line in own.iter().filter(|l| l.message() == "send ended") {
+        let (service, upstream) = (line.text("service"), line.text("upstream"));
+        let took = line.number("took_ms");
+        found.push(format!("{upstream} of {service} {} after {took} ms", line.text("result")));
+    }
+    for line in own.iter().filter(|l| l.message() == "send withheld") {
+        let (service, why) = (line.text("service"), line.text("why"));
+        found.push(format!("no {why} to {service}: {}", line.text("reason")));
+    }
+    if found.is_empty() {
+        let late = own.iter().filter(|l| l.message() == "send").count();
+        return match late {
+            0 => "nothing went wrong at upstreams".into(),
+            _ => format!("{late} sends were late or failed"),
+        };
+    }
+    found.join("; ")
+}
--- /dev/null
+++ b/crates/tgw-operate/tests/operate/main.rs
@@ -0,0 +1,6 @@
+//! Tests of what operators do.
+
+#![allow(clippy::expect_used, clippy::unwrap_used, clippy::panic)] // A test fails by panic.
+
+mod story;
+mod table;
--- /dev/null
+++ b/crates/tgw-operate/tests/operate/story.rs
@@ -0,0 +1,47 @@
+//! Tests of a request's story.
+
+use std::{fs, path::PathBuf};
+use test_case::test_case;
+use tgw_operate::story;
+
+const LOG: &str = r#"
+{"timestamp":"T01","message":"start","vm":"vm-1"}
+{"timestamp":"T02","message":"configuration in force","config":3}
+{"timestamp":"T03","message":"configuration in force","config":5}
+not a line of the log
+{"timestamp":"T04","message":"upstream changed","upstream":"i-1","draining":false}
+{"timestamp":"T05","message":"send ended","request":"lost","upstream":"i-1","service":"s","result":"broken","took_ms":4}
+{"timestamp":"T06","message":"send withheld","request":"lost","service":"s","why":"retry","reason":"budget used up"}
+{"timestamp":"T07","message":"request","request":"lost","outcome":"failed","cause":"upstreams failed","age_ms":9,"safety":"idempotent"}
+{"timestamp":"T08","message":"request","request":"unknown-route","outcome":"refused","cause":"no route","config":5,"age_ms":0}
+{"timestamp":"T09","message":"send","request":"cut","why":"hedge","upstream":"i-1"}
+{"timestamp":"T10","message":"request","request":"partial","outcome":"merged","cause":"","got":8,"parts":10,"age_ms":140}
+"#;
+
+fn file(name: &str, text: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    fs::write(&path, text).unwrap();
+    path
+}
+
+#[test_case("lost", "failed after 9 ms: i-1 of s broken after 4 ms; no retry to s: budget used up"; "a lost reply and no budget")]
+#[test_case("unknown-route", "refused after 0 ms: no route takes it in configuration 5"; "no route")]
+#[test_case("cut", "no VM logged an answer: the VM ended while the request ran"; "a VM that ended")]
+#[test_case("partial", "merged after 140 ms, 2 of 10 parts left out: nothing went wrong at upstreams"; "a partial answer")]
+#[test_case("nobody", "no VM logged this request: it reached none, or its lines were left out"; "an id that no VM saw")]
+fn the_cause_follows_from_the_lines(request: &str, cause: &str) {
+    let path = file(&format!("vm-{request}.log"), LOG);
+    assert_eq!(story::read(request, &[path]).unwrap().cause, cause);
+}
+
+// An engineer has the logs of all VMs in one file, each line with its VM's name before it. What the
+// VM believed when the request came is its last word of each kind, not all of them.
+#[test]
+fn what_a_vm_believed_is_its_last_word_before_the_request() {
+    let text: String = LOG.lines().map(|l| format!("  1.0 vm-7 {l}\n")).collect();
+    let story = story::read("lost", &[file("all.log", &text)]).unwrap();
+    assert_eq!(story.before.len(), 3, "{:?}", story.before);
+    assert!(story.before[1].contains("config=5"));
+    assert!(story.lines.iter().all(|l| l.contains("vm-7")));
+    assert_eq!(story.lines.len(), 3);
+}
--- a/crates/tgw-operate/tests/table.rs
+++ b/crates/tgw-operate/tests/operate/table.rs
@@ -1,7 +1,5 @@
 //! Tests of edits of the table against the stand-in platform and its faults.
 
-#![allow(clippy::expect_used, clippy::unwrap_used, clippy::panic)] // A test fails by panic.
-
 use std::{future::Future, net::Ipv4Addr};
 use tgw_clock::Millis;
 use tgw_operate::table::{self, Refusal};
@@ -120,8 +118,8 @@
 #[test]
 fn example_tables_are_the_users_own() {
     for (user, text) in [
-        (User::Coimbra, include_str!("../../../examples/table-coimbra.csv")),
-        (User::Aspen, include_str!("../../../examples/table-aspen.csv")),
+        (User::Coimbra, include_str!("../../../../examples/table-coimbra.csv")),
+        (User::Aspen, include_str!("../../../../examples/table-aspen.csv")),
     ] {
         let example = table::check(text).expect("a valid table");
         assert_eq!(example.to_csv(), user.table().to_csv());
--- /dev/null
+++ b/crates/tgw-soak/src/check.rs
@@ -0,0 +1,190 @@
+use crate::{
+    callers::{Answer, Exchange, Kind},
+    world::{LEAST, LIMIT, SINGLE, World, shards},
+};
+use http::StatusCode;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+    time::Duration,
+};
+use tgw_site_standin::leaf::{names, records, seal};
+use tokio::time::Instant;
+
+/// Length of a record, in bytes.
+const RECORD: usize = 16;
+/// The least share that is served after the faults.
+const RECOVERED: f64 = 0.9;
+/// Broken promises that are told in full.
+const TOLD: usize = 20;
+/// Time until an upstream's leaving is known everywhere, with the slack of a busy machine.
+const DRAIN: Duration = Duration::from_millis(5_000);
+
+/// What a run showed.
+pub(crate) struct Report {
+    pub(crate) asked: usize,
+    pub(crate) served: usize,
+    pub(crate) refused: usize,
+    pub(crate) runs: usize,
+    pub(crate) broken: Vec<String>,
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { asked, served, refused, runs, broken } = self;
+        let broken = broken.len();
+        write!(f, "{asked} asked, {served} served, {refused} refused, {runs} ran, {broken} broken")
+    }
+}
+
+/// When each VM was disturbed; what happens near such a time is not held against it.
+pub(crate) type Disturbed = BTreeMap<usize, Vec<Instant>>;
+
+/// Checks all promises over what callers and upstreams saw.
+pub(crate) fn check(
+    seen: &[Exchange],
+    world: &World,
+    disturbed: &Disturbed,
+    recovered: Instant,
+) -> Report {
+    let mut broken = Vec::new();
+    let runs = runs_by_request(world);
+    for exchange in seen {
+        let of_it = runs.get(exchange.identity.as_str()).map(Vec::as_slice).unwrap_or_default();
+        truth(exchange, of_it, &mut broken);
+        if let Some(answer) = &exchange.answer {
+            content(exchange, answer, &mut broken);
+        }
+        // A caller of a VM that nothing disturbed gets an answer in time.
+        let calm = disturbed.get(&exchange.vm).is_none_or(|times| {
+            times.iter().all(|at| *at + DRAIN < exchange.sent || *at > exchange.sent + DRAIN)
+        });
+        if calm && exchange.answer.is_none() {
+            broken.push(format!("{}: no answer in {:?}", exchange.identity, exchange.took));
+        }
+    }
+    recovery(seen, recovered, &mut broken);
+    strangers(seen, &runs, &mut broken);
+    drained(world, &mut broken);
+    broken.truncate(TOLD);
+    let status = |code: StatusCode| {
+        seen.iter().filter(|e| e.answer.as_ref().is_some_and(|a| a.status == code)).count()
+    };
+    Report {
+        asked: seen.len(),
+        served: status(StatusCode::OK),
+        refused: status(StatusCode::SERVICE_UNAVAILABLE),
+        runs: runs.values().map(Vec::len).sum(),
+        broken,
+    }
+}
+
+fn runs_by_request(world: &World) -> BTreeMap<&str, Vec<&str>> {
+    let mut runs: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
+    for run in world.runs.values().flatten() {
+        runs.entry(&run.request).or_default().push(&run.what);
+    }
+    runs
+}
+
+/// At most once, true refusals, and requests that reach upstreams unchanged.
+fn truth(exchange: &Exchange, runs: &[&str], broken: &mut Vec<String>) {
+    let Exchange { kind, identity, answer, .. } = exchange;
+    let count = runs.len();
+    if *kind == Kind::Once && count > 1 {
+        broken.push(format!("{identity}: ran {count} times"));
+    }
+    let status = answer.as_ref().map(|a| a.status);
+    let promised =
+        matches!(status, Some(StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS));
+    if promised && count > 0 {
+        broken.push(format!("{identity}: refused as not run, and ran {count} times"));
+    }
+    let expected = match kind {
+        Kind::All => "GET /all/q?x=1 ",
+        Kind::Safe => "GET /safe/q ",
+        Kind::Once => "POST /once/q order",
+    };
+    if let Some(other) = runs.iter().find(|what| **what != expected) {
+        broken.push(format!("{identity}: reached an upstream as {other:?}"));
+    }
+}
+
+/// A success holds what its signatures say, and nothing else.
+fn content(exchange: &Exchange, answer: &Answer, broken: &mut Vec<String>) {
+    if answer.status != StatusCode::OK {
+        return;
+    }
+    let identity = &exchange.identity;
+    let wrong = match exchange.kind {
+        Kind::All => merged(identity, answer),
+        Kind::Safe | Kind::Once => single(identity, answer),
+    };
+    if let Some(wrong) = wrong {
+        broken.push(format!("{identity}: {wrong}"));
+    }
+}
+
+fn single(identity: &str, answer: &Answer) -> Option<String> {
+    let given = answer.headers.get(names().seal).and_then(|v| v.to_str().ok());
+    if given != Some(&seal(SINGLE, identity)) {
+        return Some(format!("signature {given:?}"));
+    }
+    (answer.body[..] != records(SINGLE, identity)[..]).then(|| "another body".into())
+}
+
+fn merged(identity: &str, answer: &Answer) -> Option<String> {
+    let header = |name| answer.headers.get(name).and_then(|v| v.to_str().ok());
+    let seals: Vec<&str> = header(names().parts)?.split(',').map(str::trim).collect();
+    let missing: usize = header(names().missing).and_then(|m| m.parse().ok()).unwrap_or(0);
+    let all = shards();
+    let parts: BTreeSet<&String> =
+        all.iter().filter(|s| seals.contains(&seal(s, identity).as_str())).collect();
+    if parts.len() != seals.len() {
+        return Some(format!("signatures {seals:?}"));
+    }
+    if parts.len() + missing != all.len() {
+        return Some(format!("{} parts and {missing} missing of {}", parts.len(), all.len()));
+    }
+    if (parts.len() as f64) < LEAST * all.len() as f64 {
+        return Some(format!("a success of {} parts", parts.len()));
+    }
+    let held: Vec<Vec<u8>> = parts.iter().map(|s| records(s, identity)).collect();
+    let mut expected: Vec<&[u8]> = held.iter().flat_map(|part| part.chunks(RECORD)).collect();
+    expected.sort_unstable_by(|a, b| b.cmp(a));
+    expected.truncate(LIMIT);
+    (answer.body[..] != expected.concat()[..]).then(|| "records that are not the greatest".into())
+}
+
+/// Some time after the last fault nearly everything is served again.
+fn recovery(seen: &[Exchange], since: Instant, broken: &mut Vec<String>) {
+    let late: Vec<&Exchange> = seen.iter().filter(|e| e.sent >= since).collect();
+    let served = late
+        .iter()
+        .filter(|e| e.answer.as_ref().is_some_and(|answer| answer.status == StatusCode::OK));
+    let served = served.count();
+    if (served as f64) < RECOVERED * late.len() as f64 {
+        broken.push(format!("{served} of {} served after the last fault", late.len()));
+    }
+}
+
+/// Upstreams run only what a caller sent.
+fn strangers(seen: &[Exchange], runs: &BTreeMap<&str, Vec<&str>>, broken: &mut Vec<String>) {
+    let known: BTreeSet<&str> = seen.iter().map(|e| e.identity.as_str()).collect();
+    for identity in runs.keys().filter(|identity| !known.contains(**identity)) {
+        broken.push(format!("{identity}: ran, and nobody sent it"));
+    }
+}
+
+/// What leaves gets nothing new after a while.
+fn drained(world: &World, broken: &mut Vec<String>) {
+    for upstream in &world.upstreams {
+        let (Some(left), Some(runs)) = (upstream.left, world.runs.get(upstream.leaf.id())) else {
+            continue;
+        };
+        if let Some(late) = runs.iter().find(|run| run.at > left + DRAIN) {
+            let after = late.at - left;
+            broken.push(format!("{}: ran {after:?} after its upstream left", late.request));
+        }
+    }
+}
--- /dev/null
+++ b/crates/tgw-soak/src/fleet.rs
@@ -0,0 +1,133 @@
+use anyhow::Context;
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+use std::{
+    fs::{self, File},
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+};
+use tgw_site_standin::settings::{Ports, Vm, text};
+
+/// Failure domains and their regions.
+pub(crate) const DOMAINS: [(&str, &str); 3] = [("d1", "r1"), ("d2", "r2"), ("d3", "r3")];
+
+/// One VM as a process.
+pub(crate) struct Process {
+    pub(crate) vm: Vm,
+    child: Option<Child>,
+    settings: PathBuf,
+    log: PathBuf,
+    program: PathBuf,
+    ports: Ports,
+    /// It was told to leave and may take no new callers.
+    pub(crate) leaving: bool,
+    /// It stands still.
+    pub(crate) stopped: bool,
+}
+
+/// A fleet of VMs, each at an address of its own.
+pub(crate) struct Fleet {
+    pub(crate) processes: Vec<Process>,
+}
+
+impl Fleet {
+    /// Writes the settings of `count` VMs and starts them. `stores` holds each VM's way to the store.
+    pub(crate) fn start(
+        program: &Path,
+        folder: &Path,
+        base: u8,
+        stores: &[SocketAddr],
+    ) -> anyhow::Result<Self> {
+        fs::create_dir_all(folder).with_context(|| folder.display().to_string())?;
+        let ports = Ports { callers: 7801, ready: 7802, peers: 7803 };
+        let ip = |index: usize| Ipv4Addr::new(127, 77, base, u8::try_from(index + 1).unwrap_or(1));
+        let seeds: Vec<Ipv4Addr> = (0..stores.len().min(3)).map(ip).collect();
+        let mut processes = Vec::new();
+        for (index, store) in stores.iter().enumerate() {
+            let domain = DOMAINS[index % DOMAINS.len()].0;
+            let name = format!("vm-{}", index + 1);
+            let vm = Vm { name: name.clone(), ip: ip(index), domain: domain.into() };
+            let settings = folder.join(format!("{name}.toml"));
+            fs::write(&settings, text(&vm, ports, &seeds, &DOMAINS, *store))?;
+            let log = folder.join(format!("{name}.log"));
+            let program = program.to_owned();
+            let mut process = Process {
+                vm,
+                child: None,
+                settings,
+                log,
+                program,
+                ports,
+                leaving: false,
+                stopped: false,
+            };
+            process.start()?;
+            processes.push(process);
+        }
+        Ok(Self { processes })
+    }
+}
+
+impl Process {
+    /// Where callers connect.
+    pub(crate) fn callers(&self) -> SocketAddr {
+        SocketAddrV4::new(self.vm.ip, self.ports.callers).into()
+    }
+
+    /// Starts the program, which must not run.
+    pub(crate) fn start(&mut self) -> anyhow::Result<()> {
+        let log = File::options().create(true).append(true).open(&self.log)?;
+        let child = Command::new(&self.program)
+            .arg("gateway")
+            .arg("--settings")
+            .arg(&self.settings)
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .stdin(Stdio::null())
+            .spawn()
+            .with_context(|| self.program.display().to_string())?;
+        self.child = Some(child);
+        (self.leaving, self.stopped) = (false, false);
+        Ok(())
+    }
+
+    /// Whether the process runs.
+    pub(crate) fn runs(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    }
+
+    /// The exit code of a process that has ended by itself; `None` while it runs or after a signal.
+    pub(crate) fn ended(&mut self) -> Option<i32> {
+        let status = self.child.as_mut()?.try_wait().ok().flatten()?;
+        status.code()
+    }
+
+    /// Sends a signal to this process, if it runs.
+    pub(crate) fn signal(&mut self, signal: Signal) {
+        if !self.runs() {
+            return;
+        }
+        let Some(id) = self.child.as_ref().and_then(|c| i32::try_from(c.id()).ok()) else { return };
+        // It may have ended since: that is what was wanted.
+        let _ = kill(Pid::from_raw(id), signal);
+        match signal {
+            Signal::SIGTERM => self.leaving = true,
+            Signal::SIGSTOP => self.stopped = true,
+            Signal::SIGCONT => self.stopped = false,
+            _ => {}
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        if let Some(child) = &mut self.child {
+            // A child that has ended is only reaped.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
--- /dev/null
+++ b/crates/tgw-soak/src/main.rs
@@ -0,0 +1,108 @@
+//! The fault soak: real processes of the product on loopback, faults injected from outside them, and
+//! the promises checked from what callers and upstreams see.
+//!
+//! Each seed is one run: a fleet of VMs as processes, a store and upstreams as stand-ins in this
+//! process, a proxy on each way between them, and a schedule of faults drawn from the seed. Only
+//! processes that a run has started are signalled, by their ids.
+
+/// Callers with kept connections, and what they were answered.
+mod callers;
+/// The promises.
+mod check;
+/// VMs as processes.
+mod fleet;
+/// The way between VMs and the rest, as faults bend it.
+mod proxy;
+/// One run.
+mod run;
+/// Faults drawn from a seed.
+mod schedule;
+/// Store, upstreams and configuration.
+mod world;
+
+use anyhow::Context;
+use clap::Parser;
+use std::{path::PathBuf, process::ExitCode, time::Instant};
+use tokio::task::LocalSet;
+
+/// Runs the product under faults and checks its promises.
+#[derive(Parser)]
+#[command(version, about, max_term_width = 100)]
+struct Cli {
+    /// Run this seed.
+    #[arg(long, conflicts_with_all = ["seeds", "minutes"])]
+    seed: Option<u64>,
+    /// Run this many seeds.
+    #[arg(long, conflicts_with = "minutes")]
+    seeds: Option<u64>,
+    /// The first of them.
+    #[arg(long, default_value_t = 1)]
+    from: u64,
+    /// Run fresh seeds for this many minutes.
+    #[arg(long)]
+    minutes: Option<u64>,
+    /// VMs of a run.
+    #[arg(long, default_value_t = 6)]
+    vms: u8,
+    /// Seconds of faults in a run.
+    #[arg(long, default_value_t = 10)]
+    seconds: u64,
+    /// The product's program.
+    #[arg(long, default_value = "target/release/tanagergw")]
+    program: PathBuf,
+    /// Keep the VMs' logs of failed seeds in this folder.
+    #[arg(long, default_value = "target/soak")]
+    logs: PathBuf,
+    /// Keep the logs of all seeds.
+    #[arg(long)]
+    keep: bool,
+}
+
+fn main() -> anyhow::Result<ExitCode> {
+    let cli = Cli::parse();
+    anyhow::ensure!(
+        cli.program.exists(),
+        "{}: no such program; build it with cargo build --release -p tanagergw",
+        cli.program.display()
+    );
+    let mut failed = Vec::new();
+    let start = Instant::now();
+    let mut count = 0;
+    for seed in seeds(&cli) {
+        if cli.minutes.is_some_and(|m| start.elapsed().as_secs() >= m * 60) {
+            break;
+        }
+        count += 1;
+        let report = one(&cli, seed).with_context(|| format!("seed {seed}"))?;
+        println!("seed {seed}: {report}");
+        for broken in &report.broken {
+            println!("  broken: {broken}");
+        }
+        if !report.broken.is_empty() {
+            failed.push(seed);
+        }
+    }
+    println!("{count} seeds, {} failed {failed:?}", failed.len());
+    Ok(if failed.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+fn seeds(cli: &Cli) -> Box<dyn Iterator<Item = u64>> {
+    match (cli.seed, cli.seeds, cli.minutes) {
+        (Some(seed), _, _) => Box::new(std::iter::once(seed)),
+        (_, _, Some(_)) => Box::new(std::iter::repeat_with(|| rand::random::<u64>() >> 32)),
+        (_, count, _) => Box::new(cli.from..cli.from + count.unwrap_or(1)),
+    }
+}
+
+fn one(cli: &Cli, seed: u64) -> anyhow::Result<check::Report> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let options = run::Options {
+        seed,
+        vms: cli.vms,
+        seconds: cli.seconds,
+        program: cli.program.clone(),
+        keep: cli.keep,
+        logs: cli.logs.join(format!("seed-{seed}")),
+    };
+    LocalSet::new().block_on(&runtime, run::run(options))
+}
--- /dev/null
+++ b/crates/tgw-soak/src/schedule.rs
@@ -0,0 +1,87 @@
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use std::time::Duration;
+
+/// One fault.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Fault {
+    /// A VM is told to leave, and starts again once it has ended.
+    Term(usize),
+    /// A VM is killed and starts again.
+    Kill(usize),
+    /// All VMs are killed at once and start again.
+    KillAll,
+    /// A VM stands still for a while.
+    Freeze(usize, Duration),
+    /// A VM reads its settings again.
+    Hangup(usize),
+    /// The way of a VM to the store falls silent for a while.
+    StoreCut(usize, Duration),
+    /// The store refuses every call for a while.
+    StoreDown(Duration),
+    /// The store forgets its history.
+    Compact,
+    /// An upstream stands still for a while.
+    Pause(usize, Duration),
+    /// The way to an upstream falls silent for a while.
+    Silence(usize, Duration),
+    /// Replies of an upstream are lost for a while.
+    LoseReplies(usize, Duration),
+    /// Replies of an upstream come late for a while.
+    Slow(usize, Duration),
+    /// All connections to an upstream are reset.
+    Reset(usize),
+    /// An upstream leaves and another takes its place.
+    Replace(usize),
+    /// A new version of the configuration is written.
+    Configure,
+}
+
+/// A fault and its time from the start.
+#[derive(Copy, Clone, Debug)]
+pub(crate) struct Step {
+    pub(crate) at: Duration,
+    pub(crate) fault: Fault,
+}
+
+/// Mean time between faults, in ms; series of them overlap.
+const GAP_MS: u64 = 350;
+
+/// The faults of a seed, in order, over `span`. Indices are below `vms` and `upstreams`.
+pub(crate) fn draw(seed: u64, span: Duration, vms: usize, upstreams: usize) -> Vec<Step> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut steps = Vec::new();
+    let mut at = Duration::from_millis(rng.random_range(200..800));
+    while at < span {
+        let fault = one(&mut rng, vms, upstreams);
+        let again = if rng.random_bool(0.15) { rng.random_range(1..4) } else { 0 };
+        for number in 0..=again {
+            steps.push(Step { at: at + Duration::from_millis(120 * number), fault });
+        }
+        at += Duration::from_millis(rng.random_range(GAP_MS / 4..GAP_MS * 2));
+    }
+    steps.sort_by_key(|step| step.at);
+    steps
+}
+
+fn one(rng: &mut StdRng, vms: usize, upstreams: usize) -> Fault {
+    let vm = rng.random_range(0..vms);
+    let upstream = rng.random_range(0..upstreams);
+    let span = Duration::from_millis(rng.random_range(150..2_500));
+    match rng.random_range(0..24) {
+        0 | 1 => Fault::Term(vm),
+        2 | 3 => Fault::Kill(vm),
+        4 => Fault::KillAll,
+        5 | 6 => Fault::Freeze(vm, span),
+        7 => Fault::Hangup(vm),
+        8 | 9 => Fault::StoreCut(vm, span),
+        10 => Fault::StoreDown(span),
+        11 => Fault::Compact,
+        12..=14 => Fault::Pause(upstream, span.min(Duration::from_millis(400))),
+        15 => Fault::Silence(upstream, span),
+        16 => Fault::LoseReplies(upstream, span),
+        17 => Fault::Slow(upstream, span),
+        18 | 19 => Fault::Reset(upstream),
+        20 | 21 => Fault::Replace(upstream),
+        _ => Fault::Configure,
+    }
+}
