feat(forward, spread): a late upstream is told to the VMs of the region

Ruled out: shorter hedge delays (the budget binds); owners for each replica group (a hop a shard on VMs of 0.12 cores, and one of 36 shards late for each owner that restarts). Change: when a hedge is due and its upstream is overdue, up to 32 VMs of the region are told so by one packet, with the latency expected of it; they pass it over for 150 ms, and take the latency over if they have no reply of their own from the last 400 ms.

--- a/crates/tgw-forward/src/fleet.rs
+++ b/crates/tgw-forward/src/fleet.rs
@@ -142,6 +142,20 @@
         Ticket { upstream: key, number }
     }
 
+    /// What other VMs should be told of a late upstream: its identity and the latency expected of it.
+    pub fn tell(&mut self, now: Millis, key: Key) -> Option<(Rc<str>, f64)> {
+        let upstream = self.upstreams.get_mut(&key)?;
+        let expected = upstream.tell(now)?;
+        Some((upstream.entry.id.clone(), expected))
+    }
+
+    /// Another VM of the region says that an upstream is late.
+    pub fn told(&mut self, now: Millis, id: &str, expected: f64) {
+        if let Some(upstream) = self.keys.get(id).and_then(|k| self.upstreams.get_mut(k)) {
+            upstream.told(now, expected);
+        }
+    }
+
     /// Counts a connection that was made.
     pub fn opened(&mut self, key: Key) {
         if let Some(upstream) = self.upstreams.get_mut(&key) {
--- a/crates/tgw-forward/src/plan.rs
+++ b/crates/tgw-forward/src/plan.rs
@@ -101,6 +101,7 @@
     ran: bool,
     failure: Option<Box<Response>>,
     withheld: SmallVec<[Withheld; 2]>,
+    late: SmallVec<[Key; 2]>,
     finished: bool,
 }
 
@@ -119,6 +120,7 @@
             ran: false,
             failure: None,
             withheld: SmallVec::new(),
+            late: SmallVec::new(),
             finished: false,
         }
     }
@@ -138,6 +140,11 @@
         std::mem::take(&mut self.withheld)
     }
 
+    /// Takes the upstreams that were found late since the last call.
+    pub fn take_late(&mut self) -> SmallVec<[Key; 2]> {
+        std::mem::take(&mut self.late)
+    }
+
     /// Sends so far, and how many parts are in, of how many.
     pub fn progress(&self) -> (u32, usize, usize) {
         let sends = self.parts.iter().map(|p| p.sends).sum();
@@ -276,6 +283,7 @@
                 continue;
             }
             part.hedge_at = None;
+            self.late.extend(part.tried.last().copied());
             let slow = part.tried.last().and_then(|k| core.fleet.get(*k)).map(|u| u.distance);
             if let Some(distance) = slow {
                 core.hedge(&self.route, distance).late();
--- a/crates/tgw-forward/src/upstream.rs
+++ b/crates/tgw-forward/src/upstream.rs
@@ -117,6 +117,12 @@
 const CROWDED_MS: u64 = 40;
 /// Longest time in ms for which none is tried.
 const CROWDED_MOST_MS: u64 = 640;
+/// Time in ms between two words to other VMs about one upstream.
+const TELL_MS: u64 = 120;
+/// Time in ms for which such a word counts: what is left of a pause of 200 ms once it shows.
+const LATE_FOR_MS: u64 = 150;
+/// Age in ms of the latest reply up to which this VM knows better how slow an upstream is.
+const FRESH_MS: u64 = 400;
 /// What being passed over costs in ms: more than any other reason, so that it is the last choice.
 const AVOID_COST_MS: f64 = 2_000.0;
 
@@ -137,6 +143,9 @@
     connections: u32,
     connect_after: Millis,
     crowded: u32,
+    /// Until when another VM's word that it is late counts.
+    late_until: Millis,
+    told_at: Millis,
 }
 
 impl Upstream {
@@ -156,6 +165,8 @@
             connections: 0,
             connect_after: Millis::ZERO,
             crowded: 0,
+            late_until: Millis::ZERO,
+            told_at: Millis::ZERO,
         }
     }
 
@@ -210,6 +221,7 @@
                 self.fail(0.0);
                 self.strikes = 0;
                 self.avoid_until = Millis::ZERO;
+                self.late_until = Millis::ZERO;
             }
             Sign::Failure | Sign::Broken => {
                 self.fail(1.0);
@@ -277,6 +289,30 @@
         (age.as_f64() > self.expected(now) * LATE_FACTOR + LATE_MS).then_some(age)
     }
 
+    /// What other VMs should be told of it: that a send to it is overdue, and how slow it is known to
+    /// be, in ms. At most once in a while.
+    pub fn tell(&mut self, now: Millis) -> Option<f64> {
+        let due = now >= self.told_at + Millis::new(TELL_MS);
+        let late = due && self.overdue(now).is_some();
+        late.then(|| {
+            self.told_at = now;
+            self.expected(now)
+        })
+    }
+
+    /// Another VM, as near to it as this one, says that a send to it is overdue and that it expects
+    /// `expected` ms of it.
+    pub fn told(&mut self, now: Millis, expected: f64) {
+        // A VM that sends an upstream two requests a second meets most pauses and slow upstreams
+        // unwarned. What one VM of a region has just found out spares the others the same.
+        self.late_until = now + Millis::new(LATE_FOR_MS);
+        let fresh = self.sampled.is_some_and(|at| now - at < Millis::new(FRESH_MS));
+        if !fresh && expected > self.expected(now) {
+            self.latency = expected;
+            self.sampled = Some(now);
+        }
+    }
+
     /// What a send at `now` is expected to cost, in ms; the least is the best choice.
     pub fn cost(&self, now: Millis) -> f64 {
         let expected = self.expected(now);
@@ -289,6 +325,9 @@
         if let Some(age) = self.overdue(now) {
             cost += age.as_f64() + OVERDUE_COST_MS;
         }
+        if now < self.late_until && self.overdue(now).is_none() {
+            cost += (self.late_until - now).as_f64() + OVERDUE_COST_MS;
+        }
         if now < self.warm_at {
             cost *= COLD_FACTOR;
         }
--- a/crates/tgw-gateway/src/handle.rs
+++ b/crates/tgw-gateway/src/handle.rs
@@ -183,6 +183,7 @@
             note::send(shared, now, &outgoing, &plan, &order);
             sends.start(&order);
         }
+        shared.tell_late(now, &plan.take_late());
         for withheld in plan.take_withheld() {
             note::withheld(shared, now, &outgoing, &plan, withheld);
         }
--- a/crates/tgw-gateway/src/peers.rs
+++ b/crates/tgw-gateway/src/peers.rs
@@ -1,5 +1,6 @@
 use crate::{settings::Peer, shared::Shared};
 use anyhow::Context;
+use rand::seq::SliceRandom;
 use std::{
     cell::RefCell,
     net::SocketAddr,
@@ -8,8 +9,8 @@
 };
 use tgw_clock::Millis;
 use tgw_forward::core::Vms;
-use tgw_member::{Action, Event, Member, Packet};
-use tgw_spread::{Message, Update};
+use tgw_member::{Action, Event, Member};
+use tgw_spread::{Message, Update, message::Datagram};
 use tgw_topology::Vm;
 use tgw_wire::{FRAME_LIMIT, Keys, LENGTH};
 use tokio::{
@@ -20,6 +21,9 @@
 
 /// Time in ms between looks at membership's timers, which lie 100 ms apart and more.
 const TICK: Duration = Duration::from_millis(100);
+/// VMs that are told of a late upstream: those of a region today. In a larger region each tells as
+/// many, drawn anew each time, so that the load of a VM does not grow with the fleet.
+const TOLD: usize = 32;
 /// Largest packet that is read, in bytes.
 const PACKET: usize = 8 << 10;
 /// Time for one exchange with a peer.
@@ -36,6 +40,8 @@
 pub(crate) struct Peers {
     shared: Rc<Shared>,
     member: RefCell<Member>,
+    /// Where the other live VMs of the region are reached.
+    near: RefCell<Vec<SocketAddr>>,
     addr: SocketAddr,
     udp: UdpSocket,
     keys: Keys,
@@ -69,7 +75,8 @@
         let keys = Keys::new(peer.key, None);
         let member = RefCell::new(Member::new(options));
         let asking = std::cell::Cell::new(false);
-        let peers = Rc::new(Self { shared, member, addr, udp, keys, asking });
+        let peers =
+            Rc::new(Self { shared, member, near: RefCell::default(), addr, udp, keys, asking });
         tokio::task::spawn_local(peers.clone().run());
         tokio::task::spawn_local(peers.clone().accept(tcp));
         Ok(peers)
@@ -117,6 +124,7 @@
     /// Passes on what this VM learned.
     fn told(self: &Rc<Self>) {
         let (config, upstreams) = self.versions();
+        self.tell_late();
         self.on(Event::Edit(config));
         self.on(Event::World(upstreams));
         self.on(Event::Blind(self.shared.blind.get()));
@@ -128,8 +136,15 @@
     }
 
     fn packet(self: &Rc<Self>, bytes: &[u8], from: SocketAddr) {
-        match tgw_wire::open::<Packet>(&self.keys, bytes) {
-            Ok(packet) => self.on(Event::Packet(from, Box::new(packet))),
+        match tgw_wire::open::<Datagram>(&self.keys, bytes) {
+            Ok(Datagram::Member(packet)) => self.on(Event::Packet(from, packet)),
+            Ok(Datagram::Late(upstreams)) => {
+                let now = self.shared.now();
+                let mut core = self.shared.core.borrow_mut();
+                for late in upstreams {
+                    core.fleet.told(now, &late.upstream, f64::from(late.expected));
+                }
+            }
             Err(error) => tracing::debug!(%error, %from, "packet refused"),
         }
     }
@@ -139,7 +154,7 @@
         self.member.borrow_mut().on(self.shared.now(), event, &mut actions);
         for action in actions {
             match action {
-                Action::Send(to, packet) => self.send(to, &packet),
+                Action::Send(to, packet) => self.send(to, &Datagram::Member(packet)),
                 Action::Sync(to, records) => {
                     let peers = self.clone();
                     tokio::task::spawn_local(async move {
@@ -156,8 +171,20 @@
         }
     }
 
-    fn send(&self, to: SocketAddr, packet: &Packet) {
-        let Ok(frame) = tgw_wire::seal(&self.keys, packet) else { return };
+    /// Tells VMs of the region which upstreams are late.
+    fn tell_late(&self) {
+        let late = self.shared.late.take();
+        if late.is_empty() {
+            return;
+        }
+        let mut near = self.near.borrow().clone();
+        near.shuffle(&mut rand::rng());
+        let datagram = Datagram::Late(late);
+        near.into_iter().take(TOLD).for_each(|to| self.send(to, &datagram));
+    }
+
+    fn send(&self, to: SocketAddr, datagram: &Datagram) {
+        let Ok(frame) = tgw_wire::seal(&self.keys, datagram) else { return };
         if let Err(error) = self.udp.try_send_to(&frame, to) {
             tracing::debug!(%error, %to, "packet not sent");
         }
@@ -168,7 +195,13 @@
         let own = Vm::named(&self.shared.settings.vm);
         let here = directory.members.get(&own).map(|m| m.place.region);
         let all = directory.owners().count();
-        let near = directory.owners().filter(|(_, m)| Some(m.place.region) == here).count();
+        let others: Vec<SocketAddr> = directory
+            .owners()
+            .filter(|(vm, m)| *vm != own && Some(m.place.region) == here)
+            .map(|(_, m)| m.addr)
+            .collect();
+        let near = others.len() + 1;
+        self.near.replace(others);
         let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
         let vms = Vms { all: count(all), near: count(near) };
         // At its start a VM knows only itself, and would take all connections for its own.
--- a/crates/tgw-gateway/src/shared.rs
+++ b/crates/tgw-gateway/src/shared.rs
@@ -5,9 +5,9 @@
     sync::atomic::{AtomicU64, Ordering},
 };
 use tgw_clock::{Clock, Millis, Monotonic};
-use tgw_forward::{Catalog, Core};
+use tgw_forward::{Catalog, Core, fleet::Key};
 use tgw_route::{Config, Limits, Table};
-use tgw_spread::World;
+use tgw_spread::{World, message::Late};
 use tokio::sync::{Notify, watch};
 
 /// How far the process is in leaving.
@@ -49,6 +49,8 @@
     pub(crate) relay: watch::Sender<Option<bool>>,
     /// The store does not answer this VM.
     pub(crate) blind: Cell<bool>,
+    /// Upstreams that were found late, to be told to other VMs.
+    pub(crate) late: RefCell<Vec<Late>>,
     /// Something is to be told to other VMs.
     pub(crate) news: Notify,
     pub(crate) phase: watch::Sender<Phase>,
@@ -73,6 +75,7 @@
             listed: Cell::new(false),
             relay: watch::Sender::new(None),
             blind: Cell::new(false),
+            late: RefCell::default(),
             news: Notify::new(),
             phase: watch::Sender::new(Phase::Serving),
             governor: Governor::default(),
@@ -118,6 +121,17 @@
         self.news.notify_one();
     }
 
+    /// Tells other VMs of upstreams that are late.
+    pub(crate) fn tell_late(&self, now: Millis, keys: &[Key]) {
+        let mut core = self.core.borrow_mut();
+        let told = keys.iter().filter_map(|key| core.fleet.tell(now, *key));
+        let mut late = self.late.borrow_mut();
+        late.extend(told.map(|(upstream, ms)| Late { upstream, expected: ms as f32 }));
+        if !late.is_empty() {
+            self.news.notify_one();
+        }
+    }
+
     /// Sets the metrics that are read, not counted.
     pub(crate) fn measure(&self) {
         let gauges = &self.meters.gauges;
--- a/crates/tgw-spread/src/message.rs
+++ b/crates/tgw-spread/src/message.rs
@@ -22,6 +22,24 @@
     News(Box<News>),
 }
 
+/// One packet between VMs.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Datagram {
+    /// Membership.
+    Member(Box<tgw_member::Packet>),
+    /// Upstreams that are late.
+    Late(Vec<Late>),
+}
+
+/// An upstream at which a send is overdue.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Late {
+    /// Its identity.
+    pub upstream: std::rc::Rc<str>,
+    /// The latency that is expected of it, in ms.
+    pub expected: f32,
+}
+
 /// What changed, where the answering VM is further.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct News {
