perf(gateway): half of the connections are held when idle; resets of new ones are told apart

Most resets came one way there and back after the connection was made, with the request already sent: they used up attempts and budget, and nothing held the next ones back.

--- a/crates/tgw-forward/src/core.rs
+++ b/crates/tgw-forward/src/core.rs
@@ -1,4 +1,9 @@
-use crate::{Fleet, Window, fleet::Place, plan::Why, upstream::Distance};
+use crate::{
+    Fleet, Window,
+    fleet::{Key, Place},
+    plan::Why,
+    upstream::Distance,
+};
 use std::{collections::HashMap, rc::Rc};
 use tgw_clock::Millis;
 use tgw_route::{Config, Route, Share};
@@ -109,6 +114,14 @@
         Most { near: (rest / near).max(1), far: far.max(1) }
     }
 
+    /// Idle connections to an upstream that are kept: half of this VM's part.
+    pub fn keep(&self, key: Key) -> usize {
+        let Some(upstream) = self.fleet.get(key) else { return 0 };
+        let most = self.most(&upstream.entry.service);
+        let part = if upstream.distance == Distance::Far { most.far } else { most.near };
+        (part / 2).max(1) as usize
+    }
+
     /// Counts a request for a service.
     pub(crate) fn request(&mut self, now: Millis, service: &Rc<str>) {
         self.windows.entry(service.clone()).or_default().request(now);
--- a/crates/tgw-forward/tests/forward.rs
+++ b/crates/tgw-forward/tests/forward.rs
@@ -347,3 +347,46 @@
     catalog.listed(Millis::new(6_000), entries[..1].to_vec(), &mut fleet);
     assert_eq!(fleet.ids().map(Rc::to_string).collect::<Vec<_>>(), ["a"]);
 }
+
+// All VMs lose power. Their connections count at the upstreams for seconds more, and the VMs that
+// start again find them full. Of its part of the connections a VM keeps only half when idle.
+#[test]
+fn idle_connections_are_half_of_a_vms_part() {
+    let mut world = World::new(1);
+    world.core.set_vms(Vms { all: 8, near: 1 });
+    let most = world.core.most("s0");
+    let key = world.core.fleet.pick(world.now, "s0", most, &[]).unwrap();
+    assert_eq!((most.near, world.core.keep(key)), (4, 2));
+    world.core.set_vms(Vms { all: 64, near: 1 });
+    assert_eq!(world.core.keep(key), 1, "none kept");
+}
+
+// One VM of a region finds a paused upstream out. Another, which has sent it nothing for a second,
+// passes it over as soon as it is told, and comes back to it once the word is old.
+#[test]
+fn what_another_vm_says_of_a_late_upstream_counts_for_a_while() {
+    let mut world = World::new(1);
+    world.core.fleet.put(world.now, entry("s0-spare", "s0", NEAR));
+    let route = route(one(), Safety::Idempotent);
+    world.core.fleet.told(world.now, "s0-near", 12.0);
+    world.start(&route);
+    assert_eq!(&*world.upstream(0), "s0-spare");
+    world.reply(0, &[]);
+    world.core.fleet.remove("s0-spare");
+    world.pass(160);
+    world.start(&route);
+    assert_eq!(&*world.upstream(0), "s0-near");
+}
+
+#[test]
+fn a_late_upstream_is_told_of_once_in_a_while() {
+    let mut world = World::new(1);
+    world.start(&route(one(), Safety::Idempotent));
+    let key = world.orders[0].ticket.upstream;
+    assert!(world.core.fleet.tell(world.now, key).is_none(), "told before it was late");
+    world.pass(80);
+    let (id, _) = world.core.fleet.tell(world.now, key).unwrap();
+    assert_eq!(&*id, "s0-near");
+    world.pass(50);
+    assert!(world.core.fleet.tell(world.now, key).is_none(), "told again at once");
+}
--- a/crates/tgw-gateway/src/exchange.rs
+++ b/crates/tgw-gateway/src/exchange.rs
@@ -56,6 +56,9 @@
     Crowded,
     /// The connection broke, or the reply was cut or spoiled.
     Broken,
+    /// A new connection broke before any reply: the upstream is likely to hold as many as it accepts,
+    /// but the request may have run.
+    Reset,
 }
 
 /// Sends a request to the upstream of `ticket` and reads its reply.
@@ -77,6 +80,7 @@
         Err(Fault::Unsent) => (Sign::Unreachable, Ended::Unsent),
         Err(Fault::Crowded) => (Sign::Crowded, Ended::Unsent),
         Err(Fault::Broken) => (Sign::Broken, Ended::Broken),
+        Err(Fault::Reset) => (Sign::Crowded, Ended::Broken),
     };
     sent.sign = sign;
     ended
@@ -112,7 +116,7 @@
             // connection may carry it without running it twice.
             Err(mut error) => {
                 if error.take_message().is_none() {
-                    return Err(Fault::Broken);
+                    return Err(if connection.used { Fault::Broken } else { Fault::Reset });
                 }
                 if !connection.used {
                     return Err(Fault::Crowded);
@@ -176,7 +180,8 @@
         return Err(Fault::Broken);
     }
     let stated = headers::keep_alive_seconds(&head.headers);
-    shared.pools.put(shared.now(), ticket.upstream, connection, stated);
+    let keep = shared.core.borrow().keep(ticket.upstream);
+    shared.pools.put(shared.now(), ticket.upstream, connection, stated, keep);
     Ok(Response::from_parts(head, body))
 }
 
