fix(gateway): the end of a send is logged with its upstream also when that is gone

Change: a send keeps the entry it was made with; a send whose upstream was removed before it began is told as not sent.

--- a/crates/tgw-gateway/src/exchange.rs
+++ b/crates/tgw-gateway/src/exchange.rs
@@ -7,12 +7,12 @@
 use http::{HeaderValue, Method, Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{io, rc::Rc, time::Duration};
 use tgw_clock::Millis;
 use tgw_forward::{
-    fleet::{Key, Ticket},
+    fleet::Ticket,
     plan::{self, Ended},
-    upstream::Sign,
+    upstream::{Entry, Sign},
 };
 use tokio::time::timeout;
 
@@ -30,12 +30,14 @@
     pub(crate) deadline: Millis,
 }
 
-/// Gives a send back to the core when it ended, also when its task was dropped.
-struct Sent {
+/// One send. Gives it back to the core when it ended, also when its task was dropped.
+pub(crate) struct Sent {
     shared: Rc<Shared>,
     request: Rc<Outgoing>,
-    ticket: Ticket,
-    sent: Millis,
+    pub(crate) ticket: Ticket,
+    /// The upstream as it was when the send began; its entry may be gone when it ends.
+    pub(crate) entry: Entry,
+    pub(crate) sent: Millis,
     sign: Sign,
 }
 
@@ -43,7 +45,7 @@
     fn drop(&mut self) {
         let now = self.shared.now();
         self.shared.meters.end(self.sign);
-        note::ended(&self.shared, &self.request, self.ticket, self.sign, self.sent);
+        note::ended(&self.shared, &self.request, self, self.sign);
         self.shared.core.borrow_mut().fleet.end(now, self.ticket, self.sign);
     }
 }
@@ -63,15 +65,19 @@
 
 /// Sends a request to the upstream of `ticket` and reads its reply.
 pub(crate) async fn run(shared: Rc<Shared>, ticket: Ticket, request: Rc<Outgoing>) -> Ended {
+    let entry = shared.core.borrow().fleet.get(ticket.upstream).map(|u| u.entry.clone());
+    // Removed between the order and now: nothing was counted for it, nothing is sent.
+    let Some(entry) = entry else { return Ended::Unsent };
     let mut sent = Sent {
         shared: shared.clone(),
         request: request.clone(),
         ticket,
+        entry,
         sent: shared.now(),
         sign: Sign::Dropped,
     };
     let left = request.deadline - shared.now();
-    let Ok(result) = timeout(Duration::from(left), attempt(&shared, ticket, &request)).await else {
+    let Ok(result) = timeout(Duration::from(left), attempt(&sent)).await else {
         sent.sign = Sign::Silent;
         return Ended::Silent;
     };
@@ -86,22 +92,14 @@
     ended
 }
 
-async fn attempt(
-    shared: &Rc<Shared>,
-    ticket: Ticket,
-    request: &Outgoing,
-) -> Result<Response<Bytes>, Fault> {
-    let (id, addr) = {
-        let core = shared.core.borrow();
-        let upstream = core.fleet.get(ticket.upstream).ok_or(Fault::Unsent)?;
-        (upstream.entry.id.clone(), upstream.entry.addr)
-    };
-    let expected = HeaderValue::from_str(&id).map_err(|_| Fault::Unsent)?;
+async fn attempt(sent: &Sent) -> Result<Response<Bytes>, Fault> {
+    let Sent { shared, request, ticket, entry, .. } = sent;
+    let expected = HeaderValue::from_str(&entry.id).map_err(|_| Fault::Unsent)?;
     let mut kept = shared.pools.take(shared.now(), ticket.upstream);
     loop {
         let mut connection = match kept.take() {
             Some(connection) => connection,
-            None => connect(shared, ticket.upstream, &id, addr, request.deadline).await?,
+            None => connect(sent).await?,
         };
         if connection.sender.ready().await.is_err() {
             if connection.used {
@@ -111,7 +109,7 @@
         }
         let message = message(shared, request, &expected).map_err(|_| Fault::Unsent)?;
         match connection.sender.try_send_request(message).await {
-            Ok(response) => return read(shared, ticket, connection, response, request).await,
+            Ok(response) => return read(sent, connection, response).await,
             // The library hands the message back only if no byte of it was written, so that a new
             // connection may carry it without running it twice.
             Err(mut error) => {
@@ -126,18 +124,14 @@
     }
 }
 
-async fn connect(
-    shared: &Rc<Shared>,
-    key: Key,
-    id: &str,
-    addr: SocketAddr,
-    deadline: Millis,
-) -> Result<Connection, Fault> {
-    let error = match pool::connect(shared, key, addr, deadline - shared.now()).await {
+async fn connect(sent: &Sent) -> Result<Connection, Fault> {
+    let Sent { shared, request, ticket, entry, .. } = sent;
+    let left = request.deadline - shared.now();
+    let error = match pool::connect(shared, ticket.upstream, entry.addr, left).await {
         Ok(connection) => return Ok(connection),
         Err(error) => error,
     };
-    tracing::debug!(upstream = id, %addr, %error, "no connection");
+    tracing::debug!(upstream = &*entry.id, addr = %entry.addr, %error, "no connection");
     let crowded = error.kind() == io::ErrorKind::ConnectionReset;
     Err(if crowded { Fault::Crowded } else { Fault::Unsent })
 }
@@ -161,12 +155,11 @@
 }
 
 async fn read(
-    shared: &Shared,
-    ticket: Ticket,
+    sent: &Sent,
     connection: Connection,
     response: Response<Incoming>,
-    request: &Outgoing,
 ) -> Result<Response<Bytes>, Fault> {
+    let Sent { shared, request, ticket, .. } = sent;
     let (head, body) = response.into_parts();
     let names = shared.dialect.headers();
     // An upstream may send a second reply late, where the next one is due. The request's identity
--- a/crates/tgw-gateway/src/note.rs
+++ b/crates/tgw-gateway/src/note.rs
@@ -1,10 +1,12 @@
 //! Log lines and counts about requests: what was decided, by which inputs, how old they were.
 
-use crate::{exchange::Outgoing, shared::Shared};
+use crate::{
+    exchange::{Outgoing, Sent},
+    shared::Shared,
+};
 use tgw_clock::Millis;
 use tgw_forward::{
     Plan,
-    fleet::Ticket,
     plan::{Answer, Order, Why, Withheld},
     upstream::{Distance, Sign},
 };
@@ -54,22 +56,23 @@
 }
 
 /// A send ended without a good reply.
-pub(crate) fn ended(shared: &Shared, request: &Outgoing, ticket: Ticket, sign: Sign, sent: Millis) {
+pub(crate) fn ended(shared: &Shared, request: &Outgoing, sent: &Sent, sign: Sign) {
     let now = shared.now();
     if matches!(sign, Sign::Reply | Sign::Dropped) || !shared.governor.notable(now) {
         return;
     }
     let core = shared.core.borrow();
-    let upstream = core.fleet.get(ticket.upstream);
+    let upstream = core.fleet.get(sent.ticket.upstream);
     tracing::info!(
         request = identity(request),
-        upstream = upstream.map(|u| &*u.entry.id),
-        service = upstream.map(|u| &*u.entry.service),
-        addr = upstream.map(|u| tracing::field::display(u.entry.addr)),
+        upstream = &*sent.entry.id,
+        service = &*sent.entry.service,
+        addr = %sent.entry.addr,
+        known = upstream.is_some(),
         result = sign.text(),
         running = upstream.map_or(0, |u| u.running().saturating_sub(1)),
         expected_ms = upstream.map_or(0.0, |u| u.expected(now).round()),
-        took_ms = (now - sent).whole(),
+        took_ms = (now - sent.sent).whole(),
         "send ended"
     );
 }
