--- a/crates/tgw-gateway/src/watch.rs
+++ b/crates/tgw-gateway/src/watch.rs
@@ -5,9 +5,10 @@
 use tgw_platform::{Error, Object, Store, Version, object::List};
 use tokio::{sync::watch, time::sleep};
 
-/// How long one watch waits, in ms. Each end costs a call; a connection that went silent is noticed
-/// by the store's client, which probes it.
-const WAIT: Millis = Millis::new(15_000);
+/// How long one watch waits, in ms. Each end costs a call. A store that keeps its connections and says
+/// nothing shows only when this has passed, and what changed right after its return would be in
+/// force that much later: it stays below the 5 s within which a calm VM counts as reachable again.
+const WAIT: Millis = Millis::new(5_000);
 /// Pause after news before the next watch: what changes meanwhile comes with one call, as when many
 /// upstreams are replaced.
 const GATHER: Duration = Duration::from_millis(250);
--- a/justfile
+++ b/justfile
@@ -19,3 +19,8 @@
 # Records the committed traces and golden sessions anew after a meant change of decisions.
 traces:
     traces/record
+
+# Real processes under faults; `just soak --minutes 5` draws fresh seeds.
+soak *ARGS:
+    cargo build --release -p tanagergw
+    cargo run --release -p tgw-soak -- {{ARGS}}
