perf(member, gateway): one VM of each domain follows the store

Ruled out: gathering news for longer (drains would be known later). Change: one relay of each domain follows, as relays tell one another across domains at once; both where there is one domain only.

--- a/crates/tgw-gateway/src/peers.rs
+++ b/crates/tgw-gateway/src/peers.rs
@@ -226,7 +226,7 @@
         if self.shared.relay.borrow().is_none() {
             self.changed();
         }
-        let relay = self.member.borrow().is_relay();
+        let relay = self.member.borrow().follows();
         self.shared.relay.send_if_modified(|known| {
             let differs = *known != Some(relay);
             if differs {
--- a/crates/tgw-member/src/member.rs
+++ b/crates/tgw-member/src/member.rs
@@ -208,6 +208,12 @@
         self.relays(self.here()).contains(&self.options.vm)
     }
 
+    /// Whether this VM follows the platform where each watch is paid for: one VM of each domain, as
+    /// relays tell one another across domains at once, and two where there is one domain only.
+    pub fn follows(&self) -> bool {
+        if self.foreign_domains().is_empty() { self.is_relay() } else { self.sums_up() }
+    }
+
     /// All records, for comparison with another VM.
     pub fn records(&self) -> Vec<Record> {
         self.records.values().cloned().collect()
