--- a/crates/tgw-bench/src/members.rs
+++ b/crates/tgw-bench/src/members.rs
@@ -168,6 +168,17 @@
         self.give(index, Event::Leave);
     }
 
+    /// A VM cannot reach the platform, or can again.
+    pub fn blind(&mut self, index: usize, blind: bool) {
+        self.give(index, Event::Blind(blind));
+    }
+
+    /// The VMs that follow the platform, as each sees itself.
+    pub fn followers(&self) -> Vec<usize> {
+        let follows = |seat: &Seat| seat.member.as_ref().is_some_and(Member::follows);
+        self.seats.iter().enumerate().filter(|(_, s)| follows(s)).map(|(index, _)| index).collect()
+    }
+
     /// This edition of the table is in force at a VM now.
     pub fn edit(&mut self, index: usize, edit: u64) {
         self.give(index, Event::Edit(edit));
--- a/crates/tgw-bench/tests/members.rs
+++ b/crates/tgw-bench/tests/members.rs
@@ -154,3 +154,25 @@
     world.start(last);
     world.until(SECOND.scale(5.0), World::converged).expect("the new life is alive everywhere");
 }
+
+#[test_case(1, 7, 2; "both relays of the one domain")]
+#[test_case(3, 5, 3; "one VM of each of three domains")]
+fn few_vms_follow_the_platform(domains: usize, each: usize, expected: usize) {
+    assert_eq!(settled(domains, each, 1).followers().len(), expected);
+}
+
+// The platform turns away the VM that follows it for its domain and serves the others. Unless it says
+// so and another takes over, its whole domain learns of changes late.
+#[test]
+fn another_vm_follows_the_platform_for_one_that_is_turned_away() {
+    let mut world = settled(3, 5, 1);
+    let before = world.followers();
+    world.blind(before[0], true);
+    world.run(SECOND);
+    let after = world.followers();
+    assert_eq!(after.len(), 3, "{after:?}");
+    assert!(!after.contains(&before[0]), "{after:?}");
+    world.blind(before[0], false);
+    world.run(SECOND);
+    assert_eq!(world.followers().len(), 3);
+}
--- a/crates/tgw-member/src/lib.rs
+++ b/crates/tgw-member/src/lib.rs
@@ -6,6 +6,8 @@
 
 /// Comparison of records with another VM.
 mod compare;
+/// Which VMs keep contact between failure domains and with the platform, and how they do.
+mod contact;
 /// News on its way to other VMs, and how often it still has to be told.
 mod gossip;
 /// Judgement of other VMs: probes, suspicion, last tries.
--- a/crates/tgw-member/src/member.rs
+++ b/crates/tgw-member/src/member.rs
@@ -5,8 +5,7 @@
     probe::Probes,
     relay::Relay,
 };
-use rand::{Rng, SeedableRng, rngs::SmallRng, seq::SliceRandom};
-use smallvec::SmallVec;
+use rand::{SeedableRng, rngs::SmallRng, seq::SliceRandom};
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
@@ -22,9 +21,9 @@
 /// How long a suspect has to refute.
 pub(crate) const SUSPICION: Millis = Millis::new(1200);
 /// VMs to which fresh news is pushed at once.
-const PUSH: usize = 3;
+pub(crate) const PUSH: usize = 3;
 /// VMs of each domain that keep contact with the others.
-const RELAYS: usize = 2;
+pub(crate) const RELAYS: usize = 2;
 /// How often a relay contacts one other domain.
 const RELAY_PERIOD: Millis = Millis::new(250);
 /// How often a dead VM or a seed is tried again, so that a healed partition is noticed.
@@ -203,17 +202,6 @@
         self.relay.forces()
     }
 
-    /// Whether this VM keeps contact with other domains, and watches the platform for its own.
-    pub fn is_relay(&self) -> bool {
-        self.relays(self.here()).contains(&self.options.vm)
-    }
-
-    /// Whether this VM follows the platform where each watch is paid for: one VM of each domain, as
-    /// relays tell one another across domains at once, and two where there is one domain only.
-    pub fn follows(&self) -> bool {
-        if self.foreign_domains().is_empty() { self.is_relay() } else { self.sums_up() }
-    }
-
     /// All records, for comparison with another VM.
     pub fn records(&self) -> Vec<Record> {
         self.records.values().cloned().collect()
@@ -256,37 +244,6 @@
         Record { vm: *vm, member }
     }
 
-    /// The live VMs of a domain that keep contact with others and watch the platform: the lowest of
-    /// those that reach it.
-    pub(crate) fn relays(&self, domain: Domain) -> SmallVec<[Vm; 2]> {
-        let live = || {
-            let here = self.records.values().filter(move |r| r.member.place.domain == domain);
-            here.filter(|r| r.member.state.owns())
-        };
-        // The platform may turn away some VMs and serve the others. If the relays are among the
-        // first, their whole domain would learn of changes late, though its other VMs reach it.
-        let sighted = live().filter(|r| !r.member.blind);
-        let blind = live().filter(|r| r.member.blind);
-        sighted.chain(blind).map(|r| r.vm).take(RELAYS).collect()
-    }
-
-    fn set_blind(&mut self, blind: bool, out: &mut Out) {
-        if self.blind == blind {
-            return;
-        }
-        self.blind = blind;
-        self.incarnation += 1;
-        let own = self.own_record();
-        self.records.insert(own.vm, own.clone());
-        self.changed = true;
-        self.spread(News::Record(own), out);
-    }
-
-    /// Whether this VM sums up what its domain has in force.
-    pub(crate) fn sums_up(&self) -> bool {
-        self.relays(self.here()).first() == Some(&self.options.vm)
-    }
-
     /// Other VMs of this domain that may answer.
     pub(crate) fn neighbours(&self) -> Vec<Vm> {
         let here = self.here();
@@ -480,17 +437,6 @@
         }
     }
 
-    /// Tells a few VMs of the domain, and from a relay one in each other domain, that a newer
-    /// edition can be had here.
-    fn push_edit(&mut self, out: &mut Out) {
-        self.push(PUSH, out);
-        if self.is_relay() {
-            for domain in self.foreign_domains() {
-                self.contact(domain, Body::Push, out);
-            }
-        }
-    }
-
     fn leave(&mut self, now: Millis, out: &mut Out) {
         self.leaving = true;
         self.incarnation += 1;
@@ -509,30 +455,6 @@
         self.next_probe = now;
     }
 
-    fn report(&mut self, out: &mut Out) {
-        self.relay.report(self.options.vm, self.edit);
-        for vm in self.relays(self.here()) {
-            if let Some(addr) = self.addr(vm).filter(|_| vm != self.options.vm) {
-                self.send(addr, Body::Report, out);
-            }
-        }
-    }
-
-    pub(crate) fn foreign_domains(&self) -> Vec<Domain> {
-        let all = self.records.values().filter(|r| r.member.state != State::Dead);
-        let domains: BTreeSet<Domain> = all.map(|r| r.member.place.domain).collect();
-        domains.into_iter().filter(|d| *d != self.here()).collect()
-    }
-
-    /// Sends something to one relay of another domain.
-    pub(crate) fn contact(&mut self, domain: Domain, body: Body, out: &mut Out) -> Option<Vm> {
-        let relays = self.relays(domain);
-        let vm = *relays.get(self.rng.random_range(0..relays.len().max(1)))?;
-        let addr = self.addr(vm)?;
-        self.send(addr, body, out);
-        Some(vm)
-    }
-
     fn tick(&mut self, now: Millis, out: &mut Out) {
         let gap = now - self.last_tick;
         if self.last_tick > Millis::ZERO && gap >= PAUSE {
@@ -563,34 +485,4 @@
             self.forget(now);
         }
     }
-
-    fn relay_turn(&mut self, now: Millis, out: &mut Out) {
-        if !self.is_relay() {
-            return;
-        }
-        if self.foreign_round.is_empty() {
-            self.foreign_round = self.foreign_domains();
-            self.foreign_round.shuffle(&mut self.rng);
-        }
-        if let Some(domain) = self.foreign_round.pop() {
-            self.relay.asked(now, domain);
-            let seq = self.probes.next();
-            self.contact(domain, Body::Ping { seq }, out);
-        }
-        for news in self.relay.newly_cut(now, self.here()) {
-            self.changed = true;
-            self.spread(news, out);
-        }
-        let live: Vec<Vm> = {
-            let near = self.records.values().filter(|r| r.member.place.domain == self.here());
-            near.filter(|r| r.member.state.owns()).map(|r| r.vm).collect()
-        };
-        if !self.sums_up() {
-            return;
-        }
-        if let Some(news) = self.relay.sum_up(now, self.here(), &live) {
-            let times = self.times();
-            self.gossip.add(news, times);
-        }
-    }
 }
