--- a/crates/tgw-forward/src/message.rs
+++ b/crates/tgw-forward/src/message.rs
@@ -53,7 +53,7 @@
         /// How.
         ended: Ended,
     },
-    /// The time of [`Plan::wake`] has come.
+    /// The time of [`crate::Plan::wake`] has come.
     Tick,
 }
 
