fix(spread): who holds a removal back still tells the changes up to the version it claims

A VM that had read the store again kept an entry removed within two seconds of its return, and so claimed the version before; asked, it told that version without the changes up to it. Another VM then missed nine upstreams that had said they leave, for four seconds. Ruled out: the follower's turn to another VM (it came 1.6 s before); lost packets (each VM had asked). Change: what changed is told in any case; only the removal is held back. The test failed first.

--- a/crates/tgw-spread/src/ledger.rs
+++ b/crates/tgw-spread/src/ledger.rs
@@ -154,17 +154,14 @@
 
     /// What changed after `version`.
     pub fn since(&self, version: u64) -> Delta<T> {
-        if self.held.is_some() {
-            let to = self.version();
-            return Delta { from: Some(version), to, changed: Vec::new(), removed: Vec::new() };
-        }
         let from = (version > 0 && version >= self.floor).then_some(version);
         let after = from.unwrap_or(0);
         let changed = self.values.iter().filter(|(_, (v, _))| *v > after);
         let changed = changed.map(|(name, (v, value))| (name.clone(), *v, value.clone())).collect();
         let removed = self.removed.iter().filter(|(_, v)| from.is_some() && **v > after);
         let removed = removed.map(|(name, v)| (name.clone(), *v)).collect();
-        Delta { from, to: self.version, changed, removed }
+        // Newer values than the claimed version do no harm; a removal that is held back is not told.
+        Delta { from, to: self.version(), changed, removed }
     }
 
     /// Takes over what another VM tells; what took effect.
--- a/crates/tgw-spread/tests/spread.rs
+++ b/crates/tgw-spread/tests/spread.rs
@@ -78,6 +78,21 @@
     assert_eq!((keeping.version(), values(&keeping)), (13, values(&other)));
 }
 
+// Upstreams say that they leave, and one entry is removed right after the store's return, which a VM
+// does not believe yet. It claims the version before the removal; whoever asks it must get the changes
+// up to there, or believes to have them and goes on sending to the upstreams that leave.
+#[test]
+fn who_holds_a_removal_back_still_tells_what_came_before() {
+    let mut keeping = ledger(10, &[("leaving", 3, 1), ("gone", 4, 1)]);
+    let mut asking = keeping.clone();
+    keeping.put(11, "leaving".into(), 2);
+    keeping.hold(true);
+    assert_eq!(keeping.version(), 11);
+    let applied = asking.apply(keeping.since(asking.version()));
+    assert_eq!(applied.changed, [2]);
+    assert_eq!(values(&asking), [("gone".into(), 1), ("leaving".into(), 2)]);
+}
+
 proptest! {
     // Changes reach VMs through the store or through one another, in any order of asking. Whoever
     // is at the store's version holds what the store holds.
