--- a/crates/tgw-owner/src/directory.rs
+++ b/crates/tgw-owner/src/directory.rs
@@ -49,7 +49,8 @@
     pub addr: SocketAddr,
     /// What is believed of it.
     pub state: State,
-    /// It cannot reach the platform, and says so.
+    /// It cannot reach the platform, and says so. Traces recorded before do not hold it.
+    #[serde(default)]
     pub blind: bool,
 }
 
