--- a/crates/tgw-gateway/src/pool.rs
+++ b/crates/tgw-gateway/src/pool.rs
@@ -11,8 +11,8 @@
 /// Longest time in ms for a connection to be made: above the longest way there and back (40 ms) and
 /// the 6 ms that an upstream takes.
 const CONNECT_MS: u64 = 250;
-/// Time in which an upstream that is full resets a new connection. The reset leaves right after the
-/// connection was made and takes the same way, so it does not depend on the distance.
+/// Time in which an upstream of this failure domain that is full resets a new connection. From another
+/// region the reset comes one way there and back later: it is told apart by the connection's being new.
 const REFUSAL: Duration = Duration::from_millis(2);
 /// Idle time in ms after which a connection is not used again where the upstream states none.
 const IDLE_MS: u64 = 4_000;
