fix(spread): a newer change, a second reading and a skipped edition hide no removal

Ruled out: upstreams' removal events (the relays logged them within 10 ms), the 2 s of doubt alone. Change: a delta leads to the version that its teller claims; gaps between two readings are remembered (eight apart), travel with deltas, and who is within one gets everything. Also: a second send is logged with the upstream that it makes up for.

--- a/crates/tgw-forward/src/plan.rs
+++ b/crates/tgw-forward/src/plan.rs
@@ -313,6 +313,7 @@
                 return;
             }
         };
+        let after = part.tried.last().copied();
         part.tried.push(key);
         part.sends += 1;
         part.open += 1;
@@ -327,7 +328,7 @@
             let delay = hedge.delay().min(route.aim.scale(HEDGE_MOST)).max(HEDGE_LEAST);
             part.hedge_at = Some(now + delay);
         }
-        out.push(Order { part: index, ticket, why });
+        out.push(Order { part: index, ticket, why, after });
     }
 
     fn count(&self, what: impl Fn(&Part) -> bool) -> usize {
--- a/crates/tgw-gateway/src/note.rs
+++ b/crates/tgw-gateway/src/note.rs
@@ -26,6 +26,7 @@
         service = plan.service(order.part).map(|s| &**s),
         upstream = upstream.map(|u| &*u.entry.id),
         why = %order.why,
+        after = order.after.and_then(|k| core.fleet.get(k)).map(|u| &*u.entry.id),
         cost_ms = upstream.map_or(0.0, |u| u.cost(now).round()),
         age_ms = plan.age(now).whole(),
         "send"
--- a/crates/tgw-spread/src/ledger.rs
+++ b/crates/tgw-spread/src/ledger.rs
@@ -7,6 +7,9 @@
 /// Removals that are remembered; a VM that is further behind gets everything.
 const REMOVALS: usize = 4_096;
 
+/// Gaps that are told apart; the two oldest become one beyond that.
+const GAPS: usize = 8;
+
 /// Values by name, each with the version of its last change.
 ///
 /// Versions come from the platform's store and rise with each change. Two VMs that are at one
@@ -18,6 +21,8 @@
     complete: u64,
     /// Removals up to this version may be forgotten.
     floor: u64,
+    /// Removals between these versions may be unknown: the store was read anew, not followed.
+    gaps: Vec<(u64, u64)>,
     /// The version that was told before values were held back.
     held: Option<u64>,
     values: BTreeMap<Rc<str>, (u64, T)>,
@@ -35,6 +40,8 @@
     pub changed: Vec<(Rc<str>, u64, T)>,
     /// Names that were removed, with the version of the removal.
     pub removed: Vec<(Rc<str>, u64)>,
+    /// Removals between these versions may be unknown to who tells it.
+    pub gaps: Vec<(u64, u64)>,
 }
 
 /// What took effect of a delta.
@@ -55,7 +62,7 @@
 impl<T> Default for Ledger<T> {
     fn default() -> Self {
         let (values, removed) = (BTreeMap::new(), BTreeMap::new());
-        Self { version: 0, complete: 0, floor: 0, held: None, values, removed }
+        Self { version: 0, complete: 0, floor: 0, gaps: Vec::new(), held: None, values, removed }
     }
 }
 
@@ -100,6 +107,8 @@
         let gone: Vec<Rc<str>> = missing.cloned().collect();
         if self.version == 0 {
             self.begin(complete);
+        } else {
+            self.skip(self.version(), complete);
         }
         for name in gone {
             self.remove(complete, &name);
@@ -110,6 +119,19 @@
         self.complete = self.complete.max(complete);
     }
 
+    /// Says that what came and went between two versions is not known.
+    pub(crate) fn skip(&mut self, from: u64, to: u64) {
+        // A VM at a version between two readings of the store may hold such a name, and would keep it for
+        // good if it were told only what changed since.
+        if from < to && !self.gaps.contains(&(from, to)) {
+            self.gaps.push((from, to));
+        }
+        if self.gaps.len() > GAPS {
+            let (start, _) = self.gaps.remove(0);
+            self.gaps[0].0 = start;
+        }
+    }
+
     /// Says that nothing is known of removals up to `version`.
     pub fn begin(&mut self, version: u64) {
         self.floor = self.floor.max(version);
@@ -154,14 +176,17 @@
 
     /// What changed after `version`.
     pub fn since(&self, version: u64) -> Delta<T> {
-        let from = (version > 0 && version >= self.floor).then_some(version);
+        let skipped = self.gaps.iter().any(|(start, end)| *start < version && version < *end);
+        let followed = version > 0 && version >= self.floor && !skipped;
+        let from = followed.then_some(version);
         let after = from.unwrap_or(0);
         let changed = self.values.iter().filter(|(_, (v, _))| *v > after);
         let changed = changed.map(|(name, (v, value))| (name.clone(), *v, value.clone())).collect();
         let removed = self.removed.iter().filter(|(_, v)| from.is_some() && **v > after);
         let removed = removed.map(|(name, v)| (name.clone(), *v)).collect();
         // Newer values than the claimed version do no harm; a removal that is held back is not told.
-        Delta { from, to: self.version(), changed, removed }
+        let gaps = self.gaps.iter().filter(|(_, end)| *end > after).copied().collect();
+        Delta { from, to: self.version(), changed, removed, gaps }
     }
 
     /// Takes over what another VM tells; what took effect.
@@ -173,10 +198,13 @@
         if delta.to <= self.version.max(known) {
             return applied;
         }
+        let before = self.version;
+        for (version, name) in self.untold(&delta) {
+            if self.remove(version, &name) {
+                applied.removed.push(name);
+            }
+        }
         if delta.from.is_none() {
-            let named = |name: &Rc<str>| delta.changed.iter().any(|c| c.0 == *name);
-            let gone: Vec<Rc<str>> = self.values.keys().filter(|n| !named(n)).cloned().collect();
-            applied.removed.extend(gone.into_iter().filter(|name| self.remove(delta.to, name)));
             self.floor = self.floor.max(delta.to);
         }
         for (name, version) in delta.removed {
@@ -189,7 +217,29 @@
                 applied.changed.push(value);
             }
         }
-        self.version = self.version.max(delta.to);
+        for (start, end) in delta.gaps {
+            self.skip(start, end);
+        }
+        // A VM that holds removals back tells values newer than the version it claims. Who took such a
+        // value's version for its own would never ask for the removals before it.
+        self.version = before.max(delta.to);
         applied
     }
+
+    /// Names held here that the teller of `delta` would have told if they still were, each with the
+    /// version by which they are gone.
+    fn untold(&self, delta: &Delta<T>) -> Vec<(u64, Rc<str>)> {
+        let gone = |version: u64| match delta.from {
+            None => Some(delta.to),
+            // A VM may hold newer values than it claims, so also some from within a gap.
+            Some(_) => {
+                let gap =
+                    delta.gaps.iter().find(|(start, end)| *start < version && version <= *end);
+                gap.map(|(_, end)| *end)
+            }
+        };
+        let told: BTreeSet<&Rc<str>> = delta.changed.iter().map(|(name, ..)| name).collect();
+        let untold = self.values.iter().filter(|(name, _)| !told.contains(name));
+        untold.filter_map(|(name, (version, _))| Some((gone(*version)?, name.clone()))).collect()
+    }
 }
--- a/crates/tgw-spread/src/world.rs
+++ b/crates/tgw-spread/src/world.rs
@@ -52,10 +52,10 @@
         let version = config.version;
         let routes: Vec<_> =
             config.routes.iter().map(|r| (r.name.clone(), (**r).clone())).collect();
-        rewrite(&mut self.routes, version, &routes);
+        rewrite(&mut self.routes, self.config, version, &routes);
         let services: Vec<_> =
             config.services.iter().map(|(n, s)| (n.clone(), s.clone())).collect();
-        rewrite(&mut self.services, version, &services);
+        rewrite(&mut self.services, self.config, version, &services);
         self.limits = config.limits;
         self.config = version;
         true
@@ -107,8 +107,14 @@
     crate::Delta { to: version, ..delta }
 }
 
-/// Takes over a whole document: only values that differ get its version.
-fn rewrite<T: Clone + PartialEq>(ledger: &mut Ledger<T>, version: u64, values: &[(Rc<str>, T)]) {
+/// Takes over a whole document, the first after version `before`: only values that differ get its
+/// version.
+fn rewrite<T: Clone + PartialEq>(
+    ledger: &mut Ledger<T>,
+    before: u64,
+    version: u64,
+    values: &[(Rc<str>, T)],
+) {
     let known: std::collections::BTreeMap<Rc<str>, T> =
         ledger.values().map(|(name, value)| (name.clone(), value.clone())).collect();
     let first = known.is_empty();
@@ -122,5 +128,7 @@
     }
     if first {
         ledger.begin(version);
+    } else {
+        ledger.skip(before, version);
     }
 }
--- a/crates/tgw-spread/tests/spread.rs
+++ b/crates/tgw-spread/tests/spread.rs
@@ -4,7 +4,9 @@
 
 use proptest::prelude::*;
 use std::{collections::BTreeSet, rc::Rc};
-use tgw_spread::{Delta, Ledger};
+use tgw_clock::Millis;
+use tgw_route::{Config, Route, Safety, Target};
+use tgw_spread::{Delta, Ledger, World};
 
 type Values = Vec<(Rc<str>, u32)>;
 
@@ -93,16 +95,97 @@
     assert_eq!(values(&asking), [("gone".into(), 1), ("leaving".into(), 2)]);
 }
 
+// A request reaches an upstream more than four seconds after its entry was removed. A VM that does not
+// believe the removal yet tells another a newer change of something else. The other takes itself for
+// as far as that change, asks nobody for what came before it, and never hears of the removal.
+#[test]
+fn a_newer_change_than_was_claimed_does_not_hide_a_removal() {
+    let mut keeping = ledger(10, &[("a", 9, 1), ("left", 4, 1)]);
+    let (mut asking, mut other) = (ledger(8, &[("a", 8, 1), ("left", 4, 1)]), keeping.clone());
+    keeping.hold(true);
+    keeping.replace(12, vec![("a".into(), 12, 2)], &["left".into()].into());
+    other.remove(11, &"left".into());
+    other.put(12, "a".into(), 2);
+    asking.apply(keeping.since(asking.version()));
+    asking.apply(other.since(asking.version()));
+    assert_eq!(values(&asking), [("a".into(), 2)]);
+}
+
+// An upstream starts and leaves while the store is out of reach of one VM. That VM reads the store anew
+// and is asked by one that has seen the start but not the end: it must not say that nothing was removed.
+#[test]
+fn what_came_and_went_between_two_readings_is_no_secret() {
+    let mut reading = ledger(2, &[("a", 2, 1)]);
+    let mut asking = reading.clone();
+    asking.put(3, "brief".into(), 1);
+    reading.replace(5, vec![("a".into(), 5, 2)], &nothing_kept());
+    let applied = asking.apply(reading.since(asking.version()));
+    assert_eq!(applied.removed, ["brief".into()]);
+    assert_eq!(reading.since(2).from, Some(2));
+}
+
+fn config(version: u64, routes: &[&str]) -> Config {
+    let route = |name: &&str| Route {
+        name: (*name).into(),
+        host: "a.example".into(),
+        prefix: "/".into(),
+        target: Target::One("s".into()),
+        safety: Safety::Idempotent,
+        timeout: Millis::new(800),
+        aim: Millis::new(150),
+        attempts: 2,
+        priority: 0,
+    };
+    let routes = routes.iter().map(|name| Rc::new(route(name))).collect();
+    Config { version, routes, ..Config::default() }
+}
+
+// Operators add a route and take it back while one VM is cut off from the store. A VM that saw the
+// first of the two edits only asks it, and must not go on serving the route.
+#[test]
+fn a_route_that_came_and_went_unseen_is_dropped() {
+    let (mut skipping, mut asking) = (World::default(), World::default());
+    for version in [config(3, &["kept"]), config(6, &["kept"])] {
+        skipping.configure(&version);
+    }
+    for version in [config(3, &["kept"]), config(4, &["kept", "brief"])] {
+        asking.configure(&version);
+    }
+    let update = asking.apply(skipping.news(asking.config(), 0));
+    let routes = update.config.unwrap().routes;
+    assert_eq!(routes.iter().map(|r| &*r.name).collect::<Vec<_>>(), ["kept"]);
+}
+
+/// Reads the store, and keeps what it no longer holds; returns that.
+fn hold_back(vm: &mut Ledger<u32>, store: &Ledger<u32>) -> BTreeSet<Rc<str>> {
+    let listed = store.since(0).changed;
+    let mut kept: BTreeSet<Rc<str>> = vm.values().map(|(name, _)| name.clone()).collect();
+    kept.retain(|name| !listed.iter().any(|l| l.0 == *name));
+    vm.hold(!kept.is_empty());
+    vm.replace(store.version(), listed, &kept);
+    kept
+}
+
+/// Gives up what was kept.
+fn believe(vm: &mut Ledger<u32>, kept: BTreeSet<Rc<str>>) {
+    let complete = vm.complete();
+    for name in kept {
+        vm.remove(complete, &name);
+    }
+    vm.hold(false);
+}
+
 proptest! {
-    // Changes reach VMs through the store or through one another, in any order of asking. Whoever
-    // is at the store's version holds what the store holds.
+    // Changes reach VMs through the store or through one another, in any order of asking, and a VM may
+    // hold back removals for a while. Whoever is at the store's version holds what the store holds.
     #[test]
     fn who_is_at_the_stores_version_holds_what_the_store_holds(
-        steps in proptest::collection::vec((0..4_u8, 0..5_usize, 0..5_usize), 1..120)
+        steps in proptest::collection::vec((0..6_u8, 0..5_usize, 0..5_usize), 1..120)
     ) {
         let mut store: Ledger<u32> = ledger(1, &[("n0", 1, 0)]);
         let mut version = 1;
         let mut vms: Vec<Ledger<u32>> = vec![store.clone(); 5];
+        let mut kept: Vec<BTreeSet<Rc<str>>> = vec![BTreeSet::new(); 5];
         for (kind, one, two) in steps {
             let name: Rc<str> = format!("n{two}").into();
             match kind {
@@ -121,10 +204,12 @@
                     let delta = vms[two].since(vms[one].version());
                     vms[one].apply(delta);
                 }
-                _ => {
+                3 => {
                     let delta = store.since(vms[one].version());
                     vms[one].apply(delta);
                 }
+                4 => kept[one] = hold_back(&mut vms[one], &store),
+                _ => believe(&mut vms[one], std::mem::take(&mut kept[one])),
             }
             for vm in &vms {
                 if vm.version() == store.version() {
