feat(forward, gateway): other regions are reached through peers where connections are scarce

Ruled out: membership, hints of late upstreams (3.1 hedges a query, as pauses, noise and tails make). Change: where a VM's share is below two connections, sends for parts go to a VM of the upstream's domain (else region) as one packet, which sends on its own warm connection, or says at once that it has no room or doubts the upstream. Who leaves cancels; a silent VM is spared for 3 s; what may run once, or is passed on whole, goes direct as before.

--- a/crates/tgw-forward/src/core.rs
+++ b/crates/tgw-forward/src/core.rs
@@ -25,6 +25,14 @@
 /// whole, and where replies are lost in numbers hedges had left nothing for retries.
 const BUDGET_HEDGES: f64 = 0.8;
 
+/// Connections that each VM must be able to hold for it to send to upstreams of other regions on its
+/// own: with fewer, most sends there would begin by making one (30 ms and a slot for 6 ms each; 81 of
+/// 100 hedges of 90 VMs at 77 connections did).
+const SHARE_LEAST: u32 = 2;
+/// Sends through other VMs that may run at one upstream: its slots today. What would wait there is
+/// better sent elsewhere.
+const PEER_MOST: u32 = 4;
+
 /// The operators' budget for extra sends, over all VMs.
 #[derive(Copy, Clone, Debug, Default, PartialEq)]
 pub struct Budget {
@@ -50,6 +58,8 @@
     pub near: u32,
     /// Where it is elsewhere.
     pub far: u32,
+    /// Through other VMs, where it is elsewhere; zero where this VM sends there on its own.
+    pub peer: u32,
 }
 
 /// What one VM knows and decides with.
@@ -109,9 +119,10 @@
         // All VMs get the same, and what is left by rounding goes to those of the upstream's region.
         // A quarter kept for these from the start was worse: it lacks where a pause diverts requests
         // (worth 0.637 against 0.590 on the scale day of 7 VMs, mean of 8 runs).
-        let far = connections / all;
+        let share = connections / all;
+        let (far, peer) = if share < SHARE_LEAST { (0, PEER_MOST) } else { (share, 0) };
         let rest = connections.saturating_sub(far * (all - near));
-        Most { near: (rest / near).max(1), far: far.max(1) }
+        Most { near: (rest / near).max(1), far: far.max(1), peer }
     }
 
     /// Idle connections to an upstream that are kept: half of this VM's part.
--- a/crates/tgw-forward/src/fleet.rs
+++ b/crates/tgw-forward/src/fleet.rs
@@ -7,7 +7,7 @@
 use derive_more::Display;
 use smallvec::SmallVec;
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     rc::Rc,
 };
 use tgw_clock::Millis;
@@ -25,6 +25,26 @@
     number: u64,
 }
 
+/// The way of a send to its upstream.
+#[derive(Copy, Clone, Debug, Display, PartialEq, Eq)]
+pub enum Hop {
+    /// On a connection of this VM.
+    #[display("direct")]
+    Direct,
+    /// Through a VM of the upstream's region, on a connection of that VM.
+    #[display("peer")]
+    Peer,
+}
+
+/// The best upstream for a send.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// The upstream.
+    pub key: Key,
+    /// The way there.
+    pub hop: Hop,
+}
+
 /// Where this VM is.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Place {
@@ -35,6 +55,11 @@
 }
 
 impl Place {
+    /// The failure domain of a number: numbers follow the order of the names.
+    pub fn numbered(&self, number: u8) -> Option<&str> {
+        self.regions.keys().nth(usize::from(number)).map(String::as_str)
+    }
+
     fn distance(&self, domain: &str) -> Distance {
         if domain == self.domain {
             return Distance::Domain;
@@ -53,6 +78,8 @@
     upstreams: HashMap<Key, Upstream>,
     keys: HashMap<Rc<str>, Key>,
     services: HashMap<Rc<str>, SmallVec<[Key; 4]>>,
+    /// Regions in which another VM lives.
+    manned: BTreeSet<String>,
     next_key: u64,
     next_send: u64,
 }
@@ -63,6 +90,16 @@
         Self { place, ..Self::default() }
     }
 
+    /// Sets the regions in which another VM lives.
+    pub fn set_manned(&mut self, regions: BTreeSet<String>) {
+        self.manned = regions;
+    }
+
+    /// The upstream of an identity.
+    pub fn key(&self, id: &str) -> Option<Key> {
+        self.keys.get(id).copied()
+    }
+
     /// Adds an upstream or takes over its newer entry.
     pub fn put(&mut self, now: Millis, entry: Entry) {
         if let Some(upstream) = self.keys.get(&entry.id).and_then(|k| self.upstreams.get_mut(k)) {
@@ -116,14 +153,26 @@
 
     /// The best upstream of a service that has room for one more of at most `most` sends at once and
     /// is not among `tried`.
-    pub fn pick(&self, now: Millis, service: &str, most: Most, tried: &[Key]) -> Option<Key> {
+    pub fn pick(&self, now: Millis, service: &str, most: Most, tried: &[Key]) -> Option<Choice> {
         let keys = self.services.get(service)?;
         let usable = keys.iter().filter(|key| !tried.contains(key)).filter_map(|key| {
             let upstream = self.upstreams.get(key)?;
-            let most = if upstream.distance == Distance::Far { most.far } else { most.near };
-            upstream.open(now, most).then(|| (*key, upstream.cost(now)))
+            let hop = self.hop(upstream, most);
+            let open = match (hop, upstream.distance) {
+                (Hop::Peer, _) => upstream.free(most.peer),
+                (Hop::Direct, Distance::Far) => upstream.open(now, most.far),
+                (Hop::Direct, _) => upstream.open(now, most.near),
+            };
+            open.then(|| (Choice { key: *key, hop }, upstream.cost(now, hop)))
         });
-        usable.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(key, _)| key)
+        usable.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(choice, _)| choice)
+    }
+
+    fn hop(&self, upstream: &Upstream, most: Most) -> Hop {
+        let region = self.place.regions.get(&*upstream.entry.domain);
+        let manned = region.is_some_and(|r| self.manned.contains(r));
+        let through = most.peer > 0 && manned && upstream.distance == Distance::Far;
+        if through { Hop::Peer } else { Hop::Direct }
     }
 
     /// Whether a service has an upstream that is not leaving.
--- a/crates/tgw-forward/src/message.rs
+++ b/crates/tgw-forward/src/message.rs
@@ -1,6 +1,6 @@
 //! What a plan is told and what it says.
 
-use crate::fleet::{Key, Ticket};
+use crate::fleet::{Hop, Key, Ticket};
 use bytes::Bytes;
 use derive_more::Display;
 use http::{HeaderMap, HeaderValue, StatusCode};
@@ -80,6 +80,8 @@
     pub ticket: Ticket,
     /// Why.
     pub why: Why,
+    /// The way to the upstream.
+    pub hop: Hop,
     /// The upstream of the send that it makes up for.
     pub after: Option<Key>,
 }
--- a/crates/tgw-forward/src/plan.rs
+++ b/crates/tgw-forward/src/plan.rs
@@ -1,6 +1,12 @@
 //! One request from its arrival to its answer.
 
-use crate::{Core, fleet::Key, merge, upstream::Distance};
+use crate::{
+    Core,
+    core::Most,
+    fleet::{Choice, Key},
+    merge,
+    upstream::Distance,
+};
 use bytes::Bytes;
 use http::HeaderValue;
 use smallvec::SmallVec;
@@ -53,21 +59,30 @@
     }
 }
 
+/// Sends that one upstream of a service may hold at once from this VM, for requests of `route`.
+fn most(core: &Core, route: &Route, service: &str) -> Most {
+    let most = core.most(service);
+    // Parts are small and may be asked twice. What may run once, or is passed on whole, goes on this
+    // VM's own connections: the answer of another VM can be lost.
+    let sharded = matches!(route.target, Target::Shards(_));
+    Most { peer: if sharded { most.peer } else { 0 }, ..most }
+}
+
 /// The upstream for one more send of a part.
 fn choose(
     now: Millis,
     part: &Part,
     why: Why,
-    attempts: u32,
+    route: &Route,
     core: &mut Core,
-) -> Result<Key, Reason> {
-    if part.sends >= attempts.max(1) || part.tried.len() >= TRIES {
+) -> Result<Choice, Reason> {
+    if part.sends >= route.attempts.max(1) || part.tried.len() >= TRIES {
         return Err(Reason::Attempts);
     }
-    let most = core.most(&part.service);
-    let key = core.fleet.pick(now, &part.service, most, &part.tried).ok_or(Reason::Upstream)?;
+    let most = most(core, route, &part.service);
+    let choice = core.fleet.pick(now, &part.service, most, &part.tried).ok_or(Reason::Upstream)?;
     let allowed = part.sends == 0 || core.spend(now, &part.service, why);
-    allowed.then_some(key).ok_or(Reason::Budget)
+    allowed.then_some(choice).ok_or(Reason::Budget)
 }
 
 /// Whether `count` of `all` parts make a success.
@@ -206,8 +221,8 @@
     /// Whether enough parts find an upstream for an answer to be a success.
     fn feasible(&self, now: Millis, core: &Core) -> bool {
         let Target::Shards(shards) = &self.route.target else { return true };
-        let found =
-            self.count(|p| core.fleet.pick(now, &p.service, core.most(&p.service), &[]).is_some());
+        let most = |part: &Part| most(core, &self.route, &part.service);
+        let found = self.count(|p| core.fleet.pick(now, &p.service, most(p), &[]).is_some());
         enough(shards, found, self.parts.len())
     }
 
@@ -303,8 +318,8 @@
     ) {
         let route = self.route.clone();
         let part = &mut self.parts[index];
-        let key = match choose(now, part, why, route.attempts, core) {
-            Ok(key) => key,
+        let Choice { key, hop } = match choose(now, part, why, &route, core) {
+            Ok(choice) => choice,
             Err(reason) => {
                 self.withheld.push(Withheld { part: index, why, reason });
                 if why == Why::First {
@@ -328,7 +343,7 @@
             let delay = hedge.delay().min(route.aim.scale(HEDGE_MOST)).max(HEDGE_LEAST);
             part.hedge_at = Some(now + delay);
         }
-        out.push(Order { part: index, ticket, why, after });
+        out.push(Order { part: index, ticket, why, hop, after });
     }
 
     fn count(&self, what: impl Fn(&Part) -> bool) -> usize {
--- a/crates/tgw-forward/src/upstream.rs
+++ b/crates/tgw-forward/src/upstream.rs
@@ -1,5 +1,6 @@
 //! One upstream.
 
+use crate::fleet::Hop;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use std::{net::SocketAddr, rc::Rc};
@@ -64,6 +65,8 @@
     Crowded,
     /// No reply in time.
     Silent,
+    /// The VM that was asked to send had no room, or doubts the upstream; nothing was sent.
+    Busy,
     /// Given up on this side; tells nothing.
     Dropped,
 }
@@ -79,6 +82,7 @@
             Self::Unreachable => "unreachable",
             Self::Crowded => "crowded",
             Self::Silent => "silent",
+            Self::Busy => "busy",
             Self::Dropped => "dropped",
         }
     }
@@ -206,6 +210,17 @@
                 && now >= self.connect_after)
     }
 
+    /// Whether one more send may be made through another VM, which has the connections.
+    pub fn free(&self, most: u32) -> bool {
+        !self.entry.draining && self.running() < most
+    }
+
+    /// Whether another VM should rather not send to it on behalf of its peers: it was told or has seen
+    /// that the upstream is late or gone, which those who ask from another region learn later.
+    pub fn doubtful(&self, now: Millis) -> bool {
+        now < self.avoid_until || now < self.late_until || self.overdue(now).is_some()
+    }
+
     /// Counts a send.
     pub fn sent(&mut self, now: Millis, number: u64) {
         self.running.push((number, now));
@@ -240,7 +255,7 @@
                 self.crowded += 1;
                 self.connect_after = now + Millis::new(span);
             }
-            Sign::Dropped => {}
+            Sign::Busy | Sign::Dropped => {}
         }
     }
 
@@ -314,12 +329,12 @@
     }
 
     /// What a send at `now` is expected to cost, in ms; the least is the best choice.
-    pub fn cost(&self, now: Millis) -> f64 {
+    pub fn cost(&self, now: Millis, hop: Hop) -> f64 {
         let expected = self.expected(now);
         let slots = f64::from(self.entry.slots.max(1));
         let waiting = (f64::from(self.running()) + 1.0 - slots).max(0.0) / slots;
         let mut cost = expected * (1.0 + waiting) + self.failing * FAILURE_COST_MS;
-        if self.running() >= self.connections {
+        if hop == Hop::Direct && self.running() >= self.connections {
             cost += CONNECT_COST_MS;
         }
         if let Some(age) = self.overdue(now) {
--- a/crates/tgw-forward/tests/forward.rs
+++ b/crates/tgw-forward/tests/forward.rs
@@ -11,7 +11,7 @@
 use tgw_forward::{
     Catalog, Fleet, Window,
     core::{Budget, Most, Vms},
-    fleet::Place,
+    fleet::{Hop, Place},
     merge,
     plan::{Answer, Cause, Ended, Why},
     upstream::Sign,
@@ -260,7 +260,7 @@
     world.core.fleet.remove("s0-far");
     world.core.set_vms(Vms { all: 8, near: 1 });
     let most = world.core.most("s0");
-    let key = world.core.fleet.pick(world.now, "s0", most, &[]).unwrap();
+    let key = world.core.fleet.pick(world.now, "s0", most, &[]).unwrap().key;
     let mut sends = 0;
     while world.core.fleet.pick(world.now, "s0", most, &[]).is_some() {
         world.core.fleet.send(world.now, key);
@@ -270,7 +270,7 @@
             world.core.fleet.opened(key);
         }
     }
-    assert_eq!((sends, most), (4, Most { near: 4, far: 4 }));
+    assert_eq!((sends, most), (4, Most { near: 4, far: 4, peer: 0 }));
 }
 
 // Replies are lost in numbers, and every request is sent again. In any ten seconds the extra sends
@@ -355,7 +355,7 @@
     let mut world = World::new(1);
     world.core.set_vms(Vms { all: 8, near: 1 });
     let most = world.core.most("s0");
-    let key = world.core.fleet.pick(world.now, "s0", most, &[]).unwrap();
+    let key = world.core.fleet.pick(world.now, "s0", most, &[]).unwrap().key;
     assert_eq!((most.near, world.core.keep(key)), (4, 2));
     world.core.set_vms(Vms { all: 64, near: 32 });
     assert_eq!(world.core.keep(key), 1, "none kept");
@@ -390,3 +390,52 @@
     world.pass(50);
     assert!(world.core.fleet.tell(world.now, key).is_none(), "told again at once");
 }
+
+// An upstream accepts fewer connections than there are VMs. Each hedge to another region began with a
+// connection that had to be made first, 30 ms long, and most queries waited for one. Where another VM
+// lives there, its connections are used.
+#[test_case(20, 10, "r2", &shards(1), Hop::Peer; "a VM lives there")]
+#[test_case(20, 10, "r1", &shards(1), Hop::Direct; "none does")]
+#[test_case(20, 10, "r2", &one(), Hop::Direct; "a reply that is passed on whole")]
+#[test_case(16, 8, "r2", &shards(1), Hop::Direct; "two connections each")]
+fn where_connections_are_scarce_other_regions_are_reached_through_peers(
+    all: u32,
+    near: u32,
+    manned: &str,
+    target: &Target,
+    expected: Hop,
+) {
+    let mut world = World::new(1);
+    world.core.set_vms(Vms { all, near });
+    world.core.fleet.set_manned([manned.into()].into());
+    world.start(&route(target.clone(), Safety::Idempotent));
+    world.wake();
+    assert_eq!((&*world.upstream(1), world.orders[1].hop), ("s0-far", expected));
+}
+
+#[test]
+fn sends_through_peers_to_one_upstream_are_bounded() {
+    let mut world = World::new(1);
+    world.core.fleet.remove("s0-near");
+    world.core.set_vms(Vms { all: 20, near: 10 });
+    world.core.fleet.set_manned(["r2".into()].into());
+    let most = world.core.most("s0");
+    let mut sends = 0;
+    while let Some(choice) = world.core.fleet.pick(world.now, "s0", most, &[]) {
+        world.core.fleet.send(world.now, choice.key);
+        sends += 1;
+    }
+    assert_eq!(sends, most.peer);
+}
+
+// A VM is asked to send for another one to an upstream that has just stopped. It knows, as its own
+// request waits there; the VM that asks would learn it much later and is better told at once.
+#[test]
+fn an_upstream_with_an_overdue_send_is_doubtful() {
+    let mut world = World::new(1);
+    world.start(&route(one(), Safety::Idempotent));
+    let key = world.orders[0].ticket.upstream;
+    assert!(!world.core.fleet.get(key).unwrap().doubtful(world.now));
+    world.pass(100);
+    assert!(world.core.fleet.get(key).unwrap().doubtful(world.now));
+}
--- a/crates/tgw-gateway/src/exchange.rs
+++ b/crates/tgw-gateway/src/exchange.rs
@@ -1,5 +1,5 @@
 use crate::{
-    headers, note,
+    headers, hop, note,
     pool::{self, Connection},
     shared::Shared,
 };
@@ -10,7 +10,7 @@
 use std::{io, rc::Rc, time::Duration};
 use tgw_clock::Millis;
 use tgw_forward::{
-    fleet::Ticket,
+    fleet::{Hop, Ticket},
     plan::{self, Ended},
     upstream::{Entry, Sign},
 };
@@ -32,12 +32,13 @@
 
 /// One send. Gives it back to the core when it ended, also when its task was dropped.
 pub(crate) struct Sent {
-    shared: Rc<Shared>,
-    request: Rc<Outgoing>,
+    pub(crate) shared: Rc<Shared>,
+    pub(crate) request: Rc<Outgoing>,
     pub(crate) ticket: Ticket,
     /// The upstream as it was when the send began; its entry may be gone when it ends.
     pub(crate) entry: Entry,
     pub(crate) sent: Millis,
+    pub(crate) hop: Hop,
     sign: Sign,
 }
 
@@ -64,7 +65,12 @@
 }
 
 /// Sends a request to the upstream of `ticket` and reads its reply.
-pub(crate) async fn run(shared: Rc<Shared>, ticket: Ticket, request: Rc<Outgoing>) -> Ended {
+pub(crate) async fn run(
+    shared: Rc<Shared>,
+    ticket: Ticket,
+    hop: Hop,
+    request: Rc<Outgoing>,
+) -> Ended {
     let entry = shared.core.borrow().fleet.get(ticket.upstream).map(|u| u.entry.clone());
     // Removed between the order and now: nothing was counted for it, nothing is sent.
     let Some(entry) = entry else { return Ended::Unsent };
@@ -74,22 +80,28 @@
         ticket,
         entry,
         sent: shared.now(),
+        hop,
         sign: Sign::Dropped,
     };
-    let left = request.deadline - shared.now();
-    let Ok(result) = timeout(Duration::from(left), attempt(&sent)).await else {
-        sent.sign = Sign::Silent;
-        return Ended::Silent;
+    let left = Duration::from(request.deadline - shared.now());
+    let result = match hop {
+        Hop::Direct => timeout(left, direct(&sent)).await,
+        Hop::Peer => timeout(left, hop::ask(&sent)).await,
     };
-    let (sign, ended) = match result {
-        Ok(response) => classify(&shared, ticket, response),
+    let (sign, ended) = result.unwrap_or((Sign::Silent, Ended::Silent));
+    sent.sign = sign;
+    ended
+}
+
+/// Sends on a connection of this VM.
+pub(crate) async fn direct(sent: &Sent) -> (Sign, Ended) {
+    match attempt(sent).await {
+        Ok(response) => classify(&sent.shared, sent.ticket, response),
         Err(Fault::Unsent) => (Sign::Unreachable, Ended::Unsent),
         Err(Fault::Crowded) => (Sign::Crowded, Ended::Unsent),
         Err(Fault::Broken) => (Sign::Broken, Ended::Broken),
         Err(Fault::Reset) => (Sign::Crowded, Ended::Broken),
-    };
-    sent.sign = sign;
-    ended
+    }
 }
 
 async fn attempt(sent: &Sent) -> Result<Response<Bytes>, Fault> {
@@ -196,7 +208,11 @@
     }
     let seal = head.headers.get(&names.seal).cloned();
     headers::strip(&mut head.headers);
-    let response = plan::Response { status: head.status, headers: head.headers, seal, body };
+    judge(plan::Response { status: head.status, headers: head.headers, seal, body })
+}
+
+/// What a complete reply tells of its upstream.
+pub(crate) fn judge(response: plan::Response) -> (Sign, Ended) {
     let failed = response.status.is_server_error() || !response.good();
     let sign = if failed { Sign::Failure } else { Sign::Reply };
     (sign, Ended::Answered(Box::new(response)))
--- a/crates/tgw-gateway/src/handle.rs
+++ b/crates/tgw-gateway/src/handle.rs
@@ -141,9 +141,10 @@
 
     fn start(&mut self, order: &Order) {
         let (shared, request) = (self.shared.clone(), self.request.clone());
-        let (part, ticket, ended) = (order.part, order.ticket, self.ended.clone());
+        let Order { part, ticket, hop, .. } = *order;
+        let ended = self.ended.clone();
         let task = tokio::task::spawn_local(async move {
-            let result = exchange::run(shared, ticket, request).await;
+            let result = exchange::run(shared, ticket, hop, request).await;
             // Nobody listens once the answer has left.
             let _ = ended.send((part, result));
         });
--- /dev/null
+++ b/crates/tgw-gateway/src/hop.rs
@@ -0,0 +1,262 @@
+use crate::{
+    exchange::{self, Outgoing, Sent},
+    packets::PACKET,
+    shared::Shared,
+};
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use rand::seq::IndexedRandom;
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    rc::Rc,
+};
+use tgw_clock::Millis;
+use tgw_forward::{
+    fleet::{Hop, Place, Ticket},
+    plan::{Ended, Response},
+    upstream::Sign,
+};
+use tgw_spread::{
+    hop::{Outcome, Reply, Request},
+    message::Datagram,
+};
+use tokio::{sync::oneshot, task::AbortHandle};
+
+/// Sends that are made for other VMs at once: above the requests of a query on each of a region's VMs.
+const HOSTED: usize = 512;
+/// What a packet holds besides a request's or a reply's own bytes, at most, in bytes.
+const ROOM: usize = 512;
+/// Time in ms without an answer after which a VM is asked no more for a while: above the longest way
+/// there and back and a pause of an upstream (40 and 200 ms).
+const SILENT: Millis = Millis::new(300);
+/// Time in ms for which it is not asked: until membership has noticed that it is gone.
+const SPARED: Millis = Millis::new(3_000);
+
+/// Sends made by other VMs for this one, and by this one for others.
+#[derive(Default)]
+pub(crate) struct Hops {
+    next: Cell<u64>,
+    waiting: RefCell<HashMap<u64, oneshot::Sender<Outcome>>>,
+    hosted: RefCell<HashMap<(SocketAddr, u64), AbortHandle>>,
+    /// Live VMs of other regions: by failure domain, and by region.
+    hosts: RefCell<Hosts>,
+    spared: RefCell<HashMap<SocketAddr, Millis>>,
+}
+
+/// Where VMs of other regions are reached.
+#[derive(Default)]
+pub(crate) struct Hosts {
+    /// By failure domain.
+    pub(crate) domains: BTreeMap<String, Vec<SocketAddr>>,
+    /// By region.
+    pub(crate) regions: BTreeMap<String, Vec<SocketAddr>>,
+}
+
+impl Hops {
+    pub(crate) fn set_hosts(&self, hosts: Hosts) {
+        self.hosts.replace(hosts);
+    }
+
+    /// A VM near to a failure domain, the domain's own before others of its region.
+    fn host(&self, now: Millis, domain: &str, place: &Place) -> Option<SocketAddr> {
+        let hosts = self.hosts.borrow();
+        let spared = self.spared.borrow();
+        let open = |list: Option<&Vec<SocketAddr>>| {
+            let usable = |a: &&SocketAddr| spared.get(a).is_none_or(|until| now >= *until);
+            let list: Vec<SocketAddr> = list?.iter().filter(usable).copied().collect();
+            list.choose(&mut rand::rng()).copied()
+        };
+        let region = place.regions.get(domain);
+        open(hosts.domains.get(domain)).or_else(|| open(hosts.regions.get(region?)))
+    }
+
+    /// A send that another VM made has ended.
+    pub(crate) fn ended(&self, reply: Reply) {
+        if let Some(waiting) = self.waiting.borrow_mut().remove(&reply.number) {
+            // Its task may just have been dropped: then nobody waits.
+            let _ = waiting.send(reply.outcome);
+        }
+    }
+
+    /// The VM at `from` waits no longer for a send that it asked for.
+    pub(crate) fn cancel(&self, from: SocketAddr, number: u64) {
+        if let Some(task) = self.hosted.borrow_mut().remove(&(from, number)) {
+            task.abort();
+        }
+    }
+
+    /// Forgets which VMs were silent long ago.
+    pub(crate) fn sweep(&self, now: Millis) {
+        self.spared.borrow_mut().retain(|_, until| now < *until);
+    }
+}
+
+/// A send that another VM was asked to make. Dropped before its end, it tells that VM so.
+struct Asked<'a> {
+    shared: &'a Shared,
+    host: SocketAddr,
+    number: u64,
+    since: Millis,
+}
+
+impl Drop for Asked<'_> {
+    fn drop(&mut self) {
+        let hops = &self.shared.hops;
+        if hops.waiting.borrow_mut().remove(&self.number).is_none() {
+            return;
+        }
+        // The upstream would go on working on what nobody waits for.
+        self.shared.packets.send(self.host, &Datagram::HopCancelled(self.number));
+        let now = self.shared.now();
+        // A VM that has just died still counts as live for seconds, and each send that it is asked for
+        // would be late.
+        if now - self.since >= SILENT {
+            hops.spared.borrow_mut().insert(self.host, now + SPARED);
+        }
+    }
+}
+
+/// Asks a VM near to the upstream to make a send.
+pub(crate) async fn ask(sent: &Sent) -> (Sign, Ended) {
+    let Sent { shared, request, entry, .. } = sent;
+    let now = shared.now();
+    let place = &shared.settings.place;
+    let host = shared.hops.host(now, &entry.domain, place);
+    let Some((host, message)) = host.zip(pack(sent)) else {
+        return exchange::direct(sent).await;
+    };
+    let number = message.number;
+    let (sender, answer) = oneshot::channel();
+    shared.hops.waiting.borrow_mut().insert(number, sender);
+    let _asked = Asked { shared, host, number, since: now };
+    shared.packets.send(host, &Datagram::Hop(Box::new(message)));
+    // The sender stays in the table until it is used.
+    let Ok(outcome) = answer.await else { return (Sign::Dropped, Ended::Unsent) };
+    tracing::debug!(request = ?request.identity, %host, "a peer has sent");
+    outcome_of(outcome)
+}
+
+/// The request as a packet carries it; `None` if it is too large for one.
+fn pack(sent: &Sent) -> Option<Request> {
+    let Sent { shared, request, entry, .. } = sent;
+    let headers: Vec<(String, Vec<u8>)> =
+        request.headers.iter().map(|(n, v)| (n.to_string(), v.as_bytes().to_vec())).collect();
+    let uri = request.uri.to_string();
+    let size: usize = headers.iter().map(|(n, v)| n.len() + v.len()).sum();
+    if size + uri.len() + request.body.len() + ROOM > PACKET {
+        return None;
+    }
+    let number = shared.hops.next.get().wrapping_add(1);
+    shared.hops.next.set(number);
+    Some(Request {
+        number,
+        upstream: entry.id.clone(),
+        left: (request.deadline - shared.now()).whole(),
+        method: request.method.to_string(),
+        uri,
+        headers,
+        body: request.body.to_vec(),
+    })
+}
+
+fn outcome_of(outcome: Outcome) -> (Sign, Ended) {
+    match outcome {
+        Outcome::Answered { status, seal, body } => {
+            let Ok(status) = StatusCode::from_u16(status) else {
+                return (Sign::Broken, Ended::Broken);
+            };
+            let seal = seal.and_then(|s| HeaderValue::from_bytes(&s).ok());
+            let (headers, body) = (HeaderMap::new(), Bytes::from(body));
+            exchange::judge(Response { status, headers, seal, body })
+        }
+        Outcome::Busy => (Sign::Busy, Ended::Unsent),
+        Outcome::Unsent => (Sign::Unreachable, Ended::Unsent),
+        Outcome::Declined => (Sign::Shed, Ended::Declined),
+        Outcome::Broken => (Sign::Broken, Ended::Broken),
+        Outcome::Silent => (Sign::Silent, Ended::Silent),
+    }
+}
+
+/// Makes a send for the VM at `from`, and tells it how it ended.
+pub(crate) fn host(shared: &Rc<Shared>, from: SocketAddr, request: Request) {
+    let number = request.number;
+    let key = (from, number);
+    let hosted = shared.hops.hosted.borrow().len();
+    if hosted >= HOSTED || shared.hops.hosted.borrow().contains_key(&key) {
+        return reply(shared, from, number, Outcome::Busy);
+    }
+    let task = tokio::task::spawn_local({
+        let shared = shared.clone();
+        async move {
+            let outcome = serve(&shared, request).await;
+            shared.hops.hosted.borrow_mut().remove(&key);
+            reply(&shared, from, number, outcome);
+        }
+    });
+    shared.hops.hosted.borrow_mut().insert(key, task.abort_handle());
+}
+
+fn reply(shared: &Shared, to: SocketAddr, number: u64, outcome: Outcome) {
+    shared.packets.send(to, &Datagram::HopEnded(Box::new(Reply { number, outcome })));
+}
+
+async fn serve(shared: &Rc<Shared>, request: Request) -> Outcome {
+    let ticket = match admit(shared, &request) {
+        Ok(ticket) => ticket,
+        Err(outcome) => return outcome,
+    };
+    let Some(outgoing) = unpack(shared, request) else {
+        shared.core.borrow_mut().fleet.end(shared.now(), ticket, Sign::Dropped);
+        return Outcome::Unsent;
+    };
+    match exchange::run(shared.clone(), ticket, Hop::Direct, Rc::new(outgoing)).await {
+        Ended::Answered(response) => answered(*response),
+        Ended::Declined => Outcome::Declined,
+        Ended::Unsent => Outcome::Unsent,
+        Ended::Broken => Outcome::Broken,
+        Ended::Silent => Outcome::Silent,
+    }
+}
+
+fn answered(response: Response) -> Outcome {
+    if response.body.len() + ROOM > PACKET {
+        return Outcome::Broken;
+    }
+    Outcome::Answered {
+        status: response.status.as_u16(),
+        seal: response.seal.map(|s| s.as_bytes().to_vec()),
+        body: response.body.to_vec(),
+    }
+}
+
+/// Counts the send if this VM knows the upstream, has room for it and does not doubt it.
+fn admit(shared: &Shared, request: &Request) -> Result<Ticket, Outcome> {
+    let now = shared.now();
+    let mut core = shared.core.borrow_mut();
+    let key = core.fleet.key(&request.upstream).ok_or(Outcome::Unsent)?;
+    let upstream = core.fleet.get(key).ok_or(Outcome::Unsent)?;
+    let most = core.most(&upstream.entry.service);
+    if upstream.doubtful(now) || !upstream.open(now, most.near) {
+        return Err(Outcome::Busy);
+    }
+    Ok(core.fleet.send(now, key))
+}
+
+/// The request as its caller sent it; `None` if it is malformed.
+fn unpack(shared: &Shared, request: Request) -> Option<Outgoing> {
+    let mut headers = HeaderMap::new();
+    for (name, value) in request.headers {
+        headers.append(HeaderName::try_from(name).ok()?, HeaderValue::from_bytes(&value).ok()?);
+    }
+    let identity = headers.get(&shared.dialect.headers().request)?.clone();
+    Some(Outgoing {
+        method: request.method.parse().ok()?,
+        uri: request.uri.parse().ok()?,
+        headers,
+        body: request.body.into(),
+        identity,
+        deadline: shared.now() + Millis::new(request.left),
+    })
+}
--- a/crates/tgw-gateway/src/lib.rs
+++ b/crates/tgw-gateway/src/lib.rs
@@ -17,12 +17,16 @@
 mod handle;
 /// Headers that are forwarded.
 mod headers;
+/// Sends made by other VMs, and for them.
+mod hop;
 /// Meeting other VMs through the store.
 mod meeting;
 /// Counters and histograms.
 mod meters;
 /// Log lines and counts about requests.
 mod note;
+/// Packets to and from other VMs.
+mod packets;
 /// Membership and the spread of news among VMs.
 mod peers;
 /// Connections to the upstreams.
--- a/crates/tgw-gateway/src/meters.rs
+++ b/crates/tgw-gateway/src/meters.rs
@@ -11,6 +11,7 @@
 };
 use tgw_clock::Millis;
 use tgw_forward::{
+    fleet::Hop,
     plan::Why,
     upstream::{Distance, Sign},
 };
@@ -99,7 +100,7 @@
     }
 
     /// Counts a send.
-    pub(crate) fn send(&self, why: Why, distance: Distance) {
+    pub(crate) fn send(&self, why: Why, distance: Distance, hop: Hop) {
         let why = match why {
             Why::First => "first",
             Why::Hedge => "hedge",
@@ -110,7 +111,12 @@
             Distance::Region => "region",
             Distance::Far => "far",
         };
-        self.sends.add(1, &[KeyValue::new("why", why), KeyValue::new("distance", distance)]);
+        let hop = match hop {
+            Hop::Direct => "direct",
+            Hop::Peer => "peer",
+        };
+        let labels = [("why", why), ("distance", distance), ("hop", hop)];
+        self.sends.add(1, &labels.map(|(name, value)| KeyValue::new(name, value)));
     }
 
     /// Counts the end of a send.
--- a/crates/tgw-gateway/src/note.rs
+++ b/crates/tgw-gateway/src/note.rs
@@ -16,7 +16,8 @@
 pub(crate) fn send(shared: &Shared, now: Millis, request: &Outgoing, plan: &Plan, order: &Order) {
     let core = shared.core.borrow();
     let upstream = core.fleet.get(order.ticket.upstream);
-    shared.meters.send(order.why, upstream.map_or(Distance::Far, |u| u.distance));
+    let distance = upstream.map_or(Distance::Far, |u| u.distance);
+    shared.meters.send(order.why, distance, order.hop);
     if order.why == Why::First || !shared.governor.notable(now) {
         return;
     }
@@ -27,7 +28,8 @@
         upstream = upstream.map(|u| &*u.entry.id),
         why = %order.why,
         after = order.after.and_then(|k| core.fleet.get(k)).map(|u| &*u.entry.id),
-        cost_ms = upstream.map_or(0.0, |u| u.cost(now).round()),
+        cost_ms = upstream.map_or(0.0, |u| u.cost(now, order.hop).round()),
+        hop = %order.hop,
         age_ms = plan.age(now).whole(),
         "send"
     );
@@ -71,6 +73,7 @@
         addr = %sent.entry.addr,
         known = upstream.is_some(),
         result = sign.text(),
+        hop = %sent.hop,
         running = upstream.map_or(0, |u| u.running().saturating_sub(1)),
         expected_ms = upstream.map_or(0.0, |u| u.expected(now).round()),
         took_ms = (now - sent.sent).whole(),
--- a/crates/tgw-gateway/src/peers.rs
+++ b/crates/tgw-gateway/src/peers.rs
@@ -1,5 +1,8 @@
-use crate::{settings::Peer, shared::Shared};
-use anyhow::Context;
+use crate::{
+    hop::{self, Hosts},
+    packets::PACKET,
+    shared::Shared,
+};
 use rand::seq::SliceRandom;
 use std::{
     cell::RefCell,
@@ -10,12 +13,13 @@
 use tgw_clock::Millis;
 use tgw_forward::core::Vms;
 use tgw_member::{Action, Event, Member};
+use tgw_owner::Directory;
 use tgw_spread::{Message, Update, message::Datagram};
 use tgw_topology::Vm;
-use tgw_wire::{FRAME_LIMIT, Keys, LENGTH};
+use tgw_wire::{Error, FRAME_LIMIT, LENGTH};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream, UdpSocket},
+    net::{TcpListener, TcpStream},
     time::{MissedTickBehavior, interval, sleep, timeout},
 };
 
@@ -24,8 +28,6 @@
 /// VMs that are told of a late upstream: those of a region today. In a larger region each tells as
 /// many, drawn anew each time, so that the load of a VM does not grow with the fleet.
 const TOLD: usize = 32;
-/// Largest packet that is read, in bytes.
-const PACKET: usize = 8 << 10;
 /// Time for one exchange with a peer.
 const EXCHANGE: Duration = Duration::from_millis(1_500);
 /// Pause after a failed accept.
@@ -43,8 +45,6 @@
     /// Where the other live VMs of the region are reached.
     near: RefCell<Vec<SocketAddr>>,
     addr: SocketAddr,
-    udp: UdpSocket,
-    keys: Keys,
     /// A peer is being asked for what is newer there.
     asking: std::cell::Cell<bool>,
 }
@@ -57,12 +57,10 @@
 }
 
 impl Peers {
-    /// Binds UDP and TCP and starts the tasks. Errors: the address is in use or not this machine's.
-    pub(crate) async fn bind(shared: Rc<Shared>, peer: &Peer) -> anyhow::Result<Rc<Self>> {
-        let place = || format!("cannot listen for peers at {}", peer.listen);
-        let tcp = TcpListener::bind(peer.listen).await.with_context(place)?;
-        let addr = tcp.local_addr().with_context(place)?;
-        let udp = UdpSocket::bind(addr).await.with_context(place)?;
+    /// Starts the tasks. Errors: the listener has no address.
+    pub(crate) fn spawn(shared: Rc<Shared>, tcp: TcpListener) -> anyhow::Result<Rc<Self>> {
+        let addr = tcp.local_addr()?;
+        let peer = &shared.settings.peer;
         let options = tgw_member::Options {
             vm: Vm::named(&shared.settings.vm),
             name: shared.settings.vm.clone(),
@@ -72,11 +70,9 @@
             seeds: peer.seeds.clone(),
             seed: rand::random(),
         };
-        let keys = Keys::new(peer.key, None);
         let member = RefCell::new(Member::new(options));
         let asking = std::cell::Cell::new(false);
-        let peers =
-            Rc::new(Self { shared, member, near: RefCell::default(), addr, udp, keys, asking });
+        let peers = Rc::new(Self { shared, member, near: RefCell::default(), addr, asking });
         tokio::task::spawn_local(peers.clone().run());
         tokio::task::spawn_local(peers.clone().accept(tcp));
         Ok(peers)
@@ -108,8 +104,8 @@
         let mut buffer = vec![0; PACKET];
         loop {
             tokio::select! {
-                received = self.udp.recv_from(&mut buffer) => match received {
-                    Ok((length, from)) => self.packet(&buffer[..length], from),
+                received = self.shared.packets.receive(&mut buffer) => match received {
+                    Ok((packet, from)) => self.packet(packet, from),
                     Err(error) => tracing::debug!(%error, "packet not received"),
                 },
                 () = self.shared.news.notified() => self.told(),
@@ -135,8 +131,8 @@
         (world.config(), world.upstreams_version())
     }
 
-    fn packet(self: &Rc<Self>, bytes: &[u8], from: SocketAddr) {
-        match tgw_wire::open::<Datagram>(&self.keys, bytes) {
+    fn packet(self: &Rc<Self>, packet: Result<Datagram, Error>, from: SocketAddr) {
+        match packet {
             Ok(Datagram::Member(packet)) => self.on(Event::Packet(from, packet)),
             Ok(Datagram::Late(upstreams)) => {
                 let now = self.shared.now();
@@ -145,6 +141,9 @@
                     core.fleet.told(now, &late.upstream, f64::from(late.expected));
                 }
             }
+            Ok(Datagram::Hop(request)) => hop::host(&self.shared, from, *request),
+            Ok(Datagram::HopEnded(reply)) => self.shared.hops.ended(*reply),
+            Ok(Datagram::HopCancelled(number)) => self.shared.hops.cancel(from, number),
             Err(error) => tracing::debug!(%error, %from, "packet refused"),
         }
     }
@@ -154,7 +153,7 @@
         self.member.borrow_mut().on(self.shared.now(), event, &mut actions);
         for action in actions {
             match action {
-                Action::Send(to, packet) => self.send(to, &Datagram::Member(packet)),
+                Action::Send(to, packet) => self.shared.packets.send(to, &Datagram::Member(packet)),
                 Action::Sync(to, records) => {
                     let peers = self.clone();
                     tokio::task::spawn_local(async move {
@@ -180,18 +179,12 @@
         let mut near = self.near.borrow().clone();
         near.shuffle(&mut rand::rng());
         let datagram = Datagram::Late(late);
-        near.into_iter().take(TOLD).for_each(|to| self.send(to, &datagram));
-    }
-
-    fn send(&self, to: SocketAddr, datagram: &Datagram) {
-        let Ok(frame) = tgw_wire::seal(&self.keys, datagram) else { return };
-        if let Err(error) = self.udp.try_send_to(&frame, to) {
-            tracing::debug!(%error, %to, "packet not sent");
-        }
+        near.into_iter().take(TOLD).for_each(|to| self.shared.packets.send(to, &datagram));
     }
 
     fn changed(&self) {
         let directory = self.member.borrow().directory();
+        self.reach(&directory);
         let own = Vm::named(&self.shared.settings.vm);
         let here = directory.members.get(&own).map(|m| m.place.region);
         let all = directory.owners().count();
@@ -215,6 +208,24 @@
         }
     }
 
+    /// Takes over where the live VMs of other regions are.
+    fn reach(&self, directory: &Directory) {
+        let place = &self.shared.settings.place;
+        let mut hosts = Hosts::default();
+        for (_, member) in directory.owners() {
+            let Some(domain) = place.numbered(member.place.domain.0) else { continue };
+            let Some(region) = place.regions.get(domain) else { continue };
+            hosts.domains.entry(domain.into()).or_default().push(member.addr);
+            hosts.regions.entry(region.clone()).or_default().push(member.addr);
+        }
+        if let Some(own) = place.regions.get(&place.domain) {
+            hosts.regions.remove(own);
+        }
+        let manned = hosts.regions.keys().cloned().collect();
+        self.shared.core.borrow_mut().fleet.set_manned(manned);
+        self.shared.hops.set_hosts(hosts);
+    }
+
     fn settled(&self) -> bool {
         self.shared.now() >= if self.alone() { SETTLE_ALONE } else { SETTLE }
     }
@@ -325,7 +336,7 @@
     }
 
     async fn write(&self, stream: &mut TcpStream, message: &Message) -> anyhow::Result<()> {
-        let frame = tgw_wire::seal(&self.keys, message)?;
+        let frame = tgw_wire::seal(self.shared.packets.keys(), message)?;
         let mut bytes = u32::try_from(frame.len())?.to_le_bytes().to_vec();
         bytes.extend(frame);
         stream.write_all(&bytes).await?;
@@ -340,6 +351,6 @@
         let mut frame = Vec::new();
         // Read as it comes: a length alone must not make this VM set memory aside.
         stream.take(length as u64).read_to_end(&mut frame).await?;
-        Ok(tgw_wire::open(&self.keys, &frame)?)
+        Ok(tgw_wire::open(self.shared.packets.keys(), &frame)?)
     }
 }
--- a/crates/tgw-gateway/src/serve.rs
+++ b/crates/tgw-gateway/src/serve.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     Dialect, Settings, callers, meeting,
+    packets::Packets,
     peers::Peers,
     ready,
     shared::{Phase, Shared},
@@ -11,6 +12,7 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 use tgw_clock::Millis;
 use tgw_platform::Store;
+use tgw_wire::Keys;
 use tokio::{
     net::TcpListener,
     task::JoinHandle,
@@ -62,12 +64,15 @@
     let callers = bind(settings.callers, "callers").await?;
     let readiness = bind(settings.ready, "readiness").await?;
     let (callers_addr, ready) = (callers.local_addr()?, readiness.local_addr()?);
-    let shared = Shared::new(settings, dialect)?;
+    let peers = bind(settings.peer.listen, "peers").await?;
+    let keys = Keys::new(settings.peer.key, None);
+    let packets = Packets::bind(peers.local_addr()?, keys).await?;
+    let shared = Shared::new(settings, dialect, packets)?;
     tracing::info!(vm = shared.settings.vm, callers = %shared.settings.callers,
         seeds = ?shared.settings.peer.seeds, "start");
     tokio::task::spawn_local(watch::configuration(shared.clone(), store.clone()));
     tokio::task::spawn_local(watch::upstreams(shared.clone(), store.clone()));
-    let peers = Peers::bind(shared.clone(), &shared.settings.peer).await?;
+    let peers = Peers::spawn(shared.clone(), peers)?;
     let addresses = Addresses { callers: callers_addr, ready, peers: peers.addr() };
     tokio::task::spawn_local(meeting::run(shared.clone(), store, peers.clone()));
     tokio::task::spawn_local(ready::serve(shared.clone(), readiness));
@@ -85,6 +90,7 @@
     loop {
         sleep(SWEEP).await;
         let now = shared.now();
+        shared.hops.sweep(now);
         let core = shared.core.borrow();
         shared.pools.sweep(now, |key| core.fleet.get(key).is_some());
     }
--- a/crates/tgw-gateway/src/shared.rs
+++ b/crates/tgw-gateway/src/shared.rs
@@ -1,4 +1,6 @@
-use crate::{Dialect, Settings, governor::Governor, meters::Meters, pool::Pools};
+use crate::{
+    Dialect, Settings, governor::Governor, hop::Hops, meters::Meters, packets::Packets, pool::Pools,
+};
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
@@ -39,6 +41,8 @@
     pub(crate) clock: Monotonic,
     pub(crate) core: RefCell<Core>,
     pub(crate) pools: Pools,
+    pub(crate) packets: Packets,
+    pub(crate) hops: Hops,
     pub(crate) config: RefCell<Configured>,
     /// What is told to other VMs.
     pub(crate) world: RefCell<World>,
@@ -61,7 +65,11 @@
 }
 
 impl Shared {
-    pub(crate) fn new(settings: Settings, dialect: Box<dyn Dialect>) -> anyhow::Result<Rc<Self>> {
+    pub(crate) fn new(
+        settings: Settings,
+        dialect: Box<dyn Dialect>,
+        packets: Packets,
+    ) -> anyhow::Result<Rc<Self>> {
         let core = Core::new(settings.place.clone(), settings.budget);
         Ok(Rc::new(Self {
             core: RefCell::new(core),
@@ -69,6 +77,8 @@
             dialect,
             clock: Monotonic::default(),
             pools: Pools::default(),
+            packets,
+            hops: Hops::default(),
             config: RefCell::default(),
             world: RefCell::default(),
             catalog: RefCell::default(),
--- /dev/null
+++ b/crates/tgw-spread/src/hop.rs
@@ -0,0 +1,56 @@
+//! A send that one VM asks another to make, on connections that the other holds.
+
+use serde::{Deserialize, Serialize};
+use std::rc::Rc;
+
+/// Asks a VM to send a request to one upstream.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Request {
+    /// Told apart from other requests of the same VM by this.
+    pub number: u64,
+    /// The identity of the upstream.
+    pub upstream: Rc<str>,
+    /// Time left for its reply, in whole ms.
+    pub left: u64,
+    /// The method.
+    pub method: String,
+    /// The path and query, as the caller sent them.
+    pub uri: String,
+    /// End-to-end headers.
+    pub headers: Vec<(String, Vec<u8>)>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// How such a send ended.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Reply {
+    /// Of the request.
+    pub number: u64,
+    /// How.
+    pub outcome: Outcome,
+}
+
+/// How the send ended.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// With a complete reply.
+    Answered {
+        /// Its status.
+        status: u16,
+        /// The upstream's signature, if it bears one.
+        seal: Option<Vec<u8>>,
+        /// Its whole body.
+        body: Vec<u8>,
+    },
+    /// Not sent: no room here, or the upstream is doubted.
+    Busy,
+    /// Not sent: the upstream is not known here, or no connection could be made.
+    Unsent,
+    /// The upstream stated that it did not run the request.
+    Declined,
+    /// Cut, spoiled, or too large for a packet: it may have run.
+    Broken,
+    /// No reply in time: it may have run.
+    Silent,
+}
--- a/crates/tgw-spread/src/lib.rs
+++ b/crates/tgw-spread/src/lib.rs
@@ -4,6 +4,8 @@
 //! A [`Ledger`] keeps values with the version of their last change and tells what changed since a
 //! version. No I/O.
 
+/// A send that one VM asks another to make.
+pub mod hop;
 /// Values with versions, and what changed since one.
 mod ledger;
 /// What VMs ask one another.
--- a/crates/tgw-spread/src/message.rs
+++ b/crates/tgw-spread/src/message.rs
@@ -1,6 +1,6 @@
 //! What VMs ask one another over TCP.
 
-use crate::Delta;
+use crate::{Delta, hop};
 use serde::{Deserialize, Serialize};
 use tgw_forward::upstream::Entry;
 use tgw_member::Record;
@@ -29,6 +29,12 @@
     Member(Box<tgw_member::Packet>),
     /// Upstreams that are late.
     Late(Vec<Late>),
+    /// A send that the receiver is asked to make.
+    Hop(Box<hop::Request>),
+    /// How a send ended that the receiver asked for.
+    HopEnded(Box<hop::Reply>),
+    /// The receiver may end a send, by its number: nobody waits for it.
+    HopCancelled(u64),
 }
 
 /// An upstream at which a send is overdue.
