--- a/crates/tanagergw/src/gateway.rs
+++ b/crates/tanagergw/src/gateway.rs
@@ -2,13 +2,13 @@
 
 use anyhow::Context;
 use std::{io, process::ExitCode, rc::Rc, time::Duration};
-use tgw_gateway::Options;
+use tgw_gateway::{
+    Options,
+    log::{self, Dropped, Log},
+};
 use tgw_site::{Objects, Settings, Site, settings};
 use tokio::{runtime, signal::unix, task::LocalSet, time::sleep};
 
-/// Log lines that wait for the writer's thread; further ones are dropped and counted.
-const LOG_RING: usize = 2_048;
-
 /// Time between looks at the settings file.
 const LOOK: Duration = Duration::from_millis(1_000);
 
@@ -23,17 +23,8 @@
 }
 
 pub(crate) fn run(args: &Args) -> anyhow::Result<ExitCode> {
-    // A thread of its own writes: a full pipe would otherwise hold up every request.
-    let (writer, _guard) = tracing_appender::non_blocking::NonBlockingBuilder::default()
-        .buffered_lines_limit(LOG_RING)
-        .lossy(true)
-        .finish(io::stdout());
-    tracing_subscriber::fmt()
-        .json()
-        .flatten_event(true)
-        .with_env_filter(args.log.as_str())
-        .with_writer(writer)
-        .init();
+    let Log { subscriber, dropped, guard: _guard } = log::open(io::stdout(), &args.log)?;
+    tracing::subscriber::set_global_default(subscriber)?;
     let settings = match read(&args.settings) {
         Ok(settings) => settings,
         Err(error) => {
@@ -42,7 +33,7 @@
         }
     };
     let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, serve(&args.settings, settings))
+    LocalSet::new().block_on(&runtime, serve(&args.settings, settings, dropped))
 }
 
 fn read(path: &str) -> anyhow::Result<Settings> {
@@ -53,7 +44,7 @@
     })
 }
 
-async fn serve(path: &str, settings: Settings) -> anyhow::Result<ExitCode> {
+async fn serve(path: &str, settings: Settings, dropped: Dropped) -> anyhow::Result<ExitCode> {
     let mut term = unix::signal(unix::SignalKind::terminate())?;
     let mut hup = unix::signal(unix::SignalKind::hangup())?;
     let store = Rc::new(Objects::open(settings.store));
@@ -61,6 +52,7 @@
         settings: settings.gateway.clone(),
         dialect: Box::new(Site::default()),
         store: store.clone(),
+        dropped: Some(dropped),
     };
     let mut handle = tgw_gateway::spawn(options).await?;
     let mut known = settings;
--- a/crates/tanagergw/src/status.rs
+++ b/crates/tanagergw/src/status.rs
@@ -31,6 +31,13 @@
     query: String,
     /// Log files of VMs: the story is read from them, and no VM is asked.
     files: Vec<PathBuf>,
+    /// When the caller sent it, as the beginning of an RFC 3339 time: tells what the VMs did then if
+    /// none of them logged the request.
+    #[arg(long)]
+    at: Option<String>,
+    /// The VM that the caller was led to, if that is known; with --at.
+    #[arg(long, requires = "at")]
+    vm: Option<String>,
     #[command(flatten)]
     asked: Asked,
 }
@@ -49,8 +56,10 @@
 }
 
 /// Tells a request's story from log files.
-fn story(request: &str, files: &[PathBuf]) -> anyhow::Result<ExitCode> {
-    let story = story::read(request, files).context("cannot read the logs")?;
+fn story(args: &Explain) -> anyhow::Result<ExitCode> {
+    let asked =
+        story::Asked { request: &args.query, at: args.at.as_deref(), vm: args.vm.as_deref() };
+    let story = story::read(asked, &args.files).context("cannot read the logs")?;
     println!("what the VMs believed:");
     story.before.iter().for_each(|line| println!("  {line}"));
     println!("what was decided:");
@@ -61,7 +70,7 @@
 
 pub(crate) fn explain(args: &Explain) -> anyhow::Result<ExitCode> {
     if !args.files.is_empty() {
-        return story(&args.query, &args.files);
+        return story(args);
     }
     let access = have!(access::vms(&args.asked.platform, &args.asked.vms));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
--- a/crates/tgw-gateway/src/hop.rs
+++ b/crates/tgw-gateway/src/hop.rs
@@ -55,6 +55,11 @@
 }
 
 impl Hops {
+    /// Sends that run for other VMs.
+    pub(crate) fn hosted(&self) -> usize {
+        self.hosted.borrow().len()
+    }
+
     pub(crate) fn set_hosts(&self, hosts: Hosts) {
         self.hosts.replace(hosts);
     }
--- a/crates/tgw-gateway/src/lib.rs
+++ b/crates/tgw-gateway/src/lib.rs
@@ -19,6 +19,8 @@
 mod headers;
 /// Sends made by other VMs, and for them.
 mod hop;
+/// Structured logs.
+pub mod log;
 /// Meeting other VMs through the store.
 mod meeting;
 /// Counters and histograms.
--- a/crates/tgw-gateway/src/note.rs
+++ b/crates/tgw-gateway/src/note.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     exchange::{Outgoing, Sent},
+    governor::Rank,
     shared::Shared,
 };
 use tgw_clock::Millis;
@@ -18,7 +19,7 @@
     let upstream = core.fleet.get(order.ticket.upstream);
     let distance = upstream.map_or(Distance::Far, |u| u.distance);
     shared.meters.send(order.why, distance, order.hop);
-    if order.why == Why::First || !shared.governor.notable(now) {
+    if order.why == Why::First || !shared.governor.allows(now, Rank::Detail) {
         return;
     }
     tracing::info!(
@@ -43,7 +44,7 @@
     plan: &Plan,
     withheld: Withheld,
 ) {
-    if !shared.governor.notable(now) {
+    if !shared.governor.allows(now, Rank::Detail) {
         return;
     }
     tracing::info!(
@@ -61,7 +62,8 @@
 /// A send ended without a good reply.
 pub(crate) fn ended(shared: &Shared, request: &Outgoing, sent: &Sent, sign: Sign) {
     let now = shared.now();
-    if matches!(sign, Sign::Reply | Sign::Dropped) || !shared.governor.notable(now) {
+    let quiet = matches!(sign, Sign::Reply | Sign::Dropped);
+    if quiet || !shared.governor.allows(now, Rank::Detail) {
         return;
     }
     let core = shared.core.borrow();
@@ -100,9 +102,8 @@
     };
     shared.meters.request(&route.name, outcome, cause, plan.age(now));
     let late = plan.age(now) > route.aim;
-    let logged =
-        if plain && !late { shared.governor.ordinary(now) } else { shared.governor.notable(now) };
-    if !logged {
+    let rank = if plain && !late { Rank::Ordinary } else { Rank::Outcome };
+    if !shared.governor.allows(now, rank) {
         return;
     }
     let (sends, got, parts) = plan.progress();
@@ -134,7 +135,7 @@
     version: u64,
 ) {
     shared.meters.request("", "refused", "no route", Millis::ZERO);
-    if shared.governor.notable(now) {
+    if shared.governor.allows(now, Rank::Outcome) {
         let since = shared.config.borrow().since;
         tracing::info!(
             request,
@@ -152,7 +153,7 @@
 /// A request came before any configuration.
 pub(crate) fn unconfigured(shared: &Shared, now: Millis, request: Option<&str>) {
     shared.meters.request("", "refused", "no configuration", Millis::ZERO);
-    if shared.governor.notable(now) {
+    if shared.governor.allows(now, Rank::Outcome) {
         let blind = shared.blind.get();
         tracing::info!(request, outcome = "refused", cause = "no configuration", blind, "request");
     }
@@ -162,7 +163,7 @@
 pub(crate) fn abandoned(shared: &Shared, request: &Outgoing, sends: usize) {
     let now = shared.now();
     shared.meters.request("", "abandoned", "caller left", Millis::ZERO);
-    if shared.governor.notable(now) {
+    if shared.governor.allows(now, Rank::Outcome) {
         let request = identity(request);
         tracing::info!(request, outcome = "abandoned", cause = "caller left", sends, "request");
     }
--- a/crates/tgw-gateway/src/serve.rs
+++ b/crates/tgw-gateway/src/serve.rs
@@ -1,7 +1,9 @@
 //! Starting and stopping.
 
 use crate::{
-    Dialect, Settings, callers, meeting,
+    Dialect, Settings, callers,
+    log::Dropped,
+    meeting,
     packets::Packets,
     peers::Peers,
     ready,
@@ -35,6 +37,8 @@
     pub dialect: Box<dyn Dialect>,
     /// The platform's store.
     pub store: Rc<dyn Store>,
+    /// Counts log lines that were dropped.
+    pub dropped: Option<Dropped>,
 }
 
 /// A running process.
@@ -60,14 +64,14 @@
 /// Binds the sockets and starts serving on the current thread. Must run within a local task set.
 /// Errors: an address is in use or not this machine's.
 pub async fn spawn(options: Options) -> anyhow::Result<Handle> {
-    let Options { settings, dialect, store } = options;
+    let Options { settings, dialect, store, dropped } = options;
     let callers = bind(settings.callers, "callers").await?;
     let readiness = bind(settings.ready, "readiness").await?;
     let (callers_addr, ready) = (callers.local_addr()?, readiness.local_addr()?);
     let peers = bind(settings.peer.listen, "peers").await?;
     let keys = Keys::new(settings.peer.key, None);
     let packets = Packets::bind(peers.local_addr()?, keys).await?;
-    let shared = Shared::new(settings, dialect, packets)?;
+    let shared = Shared::new(settings, dialect, packets, dropped)?;
     tracing::info!(vm = shared.settings.vm, callers = %shared.settings.callers,
         seeds = ?shared.settings.peer.seeds, "start");
     tokio::task::spawn_local(watch::configuration(shared.clone(), store.clone()));
--- a/crates/tgw-gateway/src/shared.rs
+++ b/crates/tgw-gateway/src/shared.rs
@@ -1,5 +1,6 @@
 use crate::{
-    Dialect, Settings, governor::Governor, hop::Hops, meters::Meters, packets::Packets, pool::Pools,
+    Dialect, Settings, governor::Governor, hop::Hops, log::Dropped, meters::Meters,
+    packets::Packets, pool::Pools,
 };
 use std::{
     cell::{Cell, RefCell},
@@ -59,6 +60,7 @@
     pub(crate) news: Notify,
     pub(crate) phase: watch::Sender<Phase>,
     pub(crate) governor: Governor,
+    pub(crate) dropped: Option<Dropped>,
     pub(crate) meters: Meters,
     pub(crate) running: Cell<u32>,
     requests: Cell<u32>,
@@ -69,6 +71,7 @@
         settings: Settings,
         dialect: Box<dyn Dialect>,
         packets: Packets,
+        dropped: Option<Dropped>,
     ) -> anyhow::Result<Rc<Self>> {
         let core = Core::new(settings.place.clone(), settings.budget);
         Ok(Rc::new(Self {
@@ -89,6 +92,7 @@
             news: Notify::new(),
             phase: watch::Sender::new(Phase::Serving),
             governor: Governor::default(),
+            dropped,
             running: Cell::new(0),
             requests: Cell::new(rand::random()),
             meters: Meters::open()?,
@@ -155,6 +159,8 @@
         set(&gauges.running, u64::from(self.running.get()));
         set(&gauges.idle, self.pools.len() as u64);
         set(&gauges.lines_left_out, self.governor.left_out());
+        set(&gauges.lines_dropped, self.dropped.as_ref().map_or(0, Dropped::count));
+        set(&gauges.hosted, self.hops.hosted() as u64);
         set(&gauges.ready, u64::from(self.ready()));
     }
 
--- a/crates/tgw-operate/src/story.rs
+++ b/crates/tgw-operate/src/story.rs
@@ -14,7 +14,7 @@
     "start",
     "stop",
     "reload",
-    "leaving: not ready, still accepting",
+    LEAVING,
     "configuration in force",
     "store lost",
     "store regained",
@@ -24,8 +24,14 @@
     "VMs counted",
     "this VM was paused",
     "watching the platform's store for the failure domain",
-    "log lines left out in the last interval",
+    LEFT_OUT,
 ];
+/// The message of a VM that was told to stop.
+const LEAVING: &str = "leaving: not ready, still accepting";
+/// The message that counts lines which were left out.
+const LEFT_OUT: &str = "log lines left out in the last interval";
+/// Messages that tell whether a VM ran, and whether it logged everything.
+const LIFE: [&str; 4] = ["start", "stop", LEAVING, LEFT_OUT];
 /// Fields that are not told again with a line's message.
 const PLAIN: [&str; 5] = ["timestamp", "level", "message", "target", "request"];
 
@@ -79,15 +85,76 @@
     pub cause: String,
 }
 
-/// Reads the logs of VMs and tells the story of `request`. Text before a line's JSON is passed over.
+/// The request that is asked about.
+#[derive(Copy, Clone, Debug)]
+pub struct Asked<'a> {
+    /// Its identity.
+    pub request: &'a str,
+    /// When its caller sent it, as the beginning of an RFC 3339 time; for requests that no VM logged.
+    pub at: Option<&'a str>,
+    /// The VM that its caller was led to, if that is known.
+    pub vm: Option<&'a str>,
+}
+
+/// Reads the logs of VMs and tells the story of a request. Text before a line's JSON is passed over.
 /// Errors: a file cannot be read.
-pub fn read(request: &str, files: &[impl AsRef<Path>]) -> io::Result<Story> {
+pub fn read(asked: Asked<'_>, files: &[impl AsRef<Path>]) -> io::Result<Story> {
     let mut lines = Vec::new();
     for file in files {
         read_file(file.as_ref(), &mut lines)?;
     }
     lines.sort_by(|a, b| a.at().cmp(b.at()));
-    Ok(tell(request, &lines))
+    let story = tell(asked.request, &lines);
+    Ok(match asked.at {
+        Some(at) if story.lines.is_empty() => absent(at, asked.vm, &lines),
+        _ => story,
+    })
+}
+
+/// The story of a request that no VM logged: what the VMs did round the time it was sent.
+fn absent(at: &str, vm: Option<&str>, lines: &[Line]) -> Story {
+    let of = |line: &&Line| vm.is_none_or(|vm| line.vm == vm);
+    let lives = lines.iter().filter(of).filter(|l| LIFE.contains(&l.message()));
+    let mut last: BTreeMap<&str, (Option<&Line>, Option<&Line>)> = BTreeMap::new();
+    for line in lives {
+        let (before, after) = last.entry(line.vm.as_str()).or_default();
+        if line.at() <= at {
+            *before = Some(line);
+        } else if after.is_none() {
+            *after = Some(line);
+        }
+    }
+    let mut causes = Vec::new();
+    let mut told = Vec::new();
+    for (vm, (before, after)) in last {
+        told.extend([before, after].into_iter().flatten().map(Line::told));
+        causes.extend(life(vm, before, after));
+    }
+    let cause = match causes.is_empty() {
+        true => {
+            "no VM logged this request, and all that are named here ran: it reached none".into()
+        }
+        false => causes.join("; "),
+    };
+    Story { before: told, lines: Vec::new(), cause }
+}
+
+/// What the lines before and after a moment say of a VM's life at that moment.
+fn life(vm: &str, before: Option<&Line>, after: Option<&Line>) -> Option<String> {
+    let message = |line: Option<&Line>| line.map_or("", Line::message).to_owned();
+    let when = after.map_or("", Line::at);
+    match (message(before).as_str(), message(after).as_str()) {
+        ("", "start") => Some(format!("{vm} had not started, which it did at {when}")),
+        ("stop", "start") => Some(format!("{vm} had stopped, and started again at {when}")),
+        ("stop", _) => Some(format!("{vm} had stopped for good")),
+        // A process that starts without having said that it stops was killed or lost power.
+        ("start", "start") => {
+            Some(format!("{vm} ended without a word, at some time before it started at {when}"))
+        }
+        (LEAVING, _) => Some(format!("{vm} was leaving, and stopped taking callers")),
+        (_, LEFT_OUT) => Some(format!("{vm} left lines out then")),
+        _ => None,
+    }
 }
 
 fn read_file(path: &Path, lines: &mut Vec<Line>) -> io::Result<()> {
@@ -142,7 +209,9 @@
 fn cause(own: &[&Line]) -> String {
     let Some(end) = own.iter().rev().find(|l| l.message() == "request") else {
         return match own.len() {
-            0 => "no VM logged this request: it reached none, or its lines were left out".into(),
+            0 => "no VM logged this request: it reached none, or its lines were left out; --at tells \
+                  what the VMs did then"
+                .into(),
             _ => "no VM logged an answer: the VM ended while the request ran".into(),
         };
     };
--- a/crates/tgw-operate/tests/operate/story.rs
+++ b/crates/tgw-operate/tests/operate/story.rs
@@ -2,7 +2,7 @@
 
 use std::{fs, path::PathBuf};
 use test_case::test_case;
-use tgw_operate::story;
+use tgw_operate::story::{self, Asked};
 
 const LOG: &str = r#"
 {"timestamp":"T01","message":"start","vm":"vm-1"}
@@ -24,14 +24,18 @@
     path
 }
 
+fn asked(request: &str) -> Asked<'_> {
+    Asked { request, at: None, vm: None }
+}
+
 #[test_case("lost", "failed after 9 ms: i-1 of s broken after 4 ms; no retry to s: budget used up"; "a lost reply and no budget")]
 #[test_case("unknown-route", "refused after 0 ms: no route takes it in configuration 5"; "no route")]
 #[test_case("cut", "no VM logged an answer: the VM ended while the request ran"; "a VM that ended")]
 #[test_case("partial", "merged after 140 ms, 2 of 10 parts left out: nothing went wrong at upstreams"; "a partial answer")]
-#[test_case("nobody", "no VM logged this request: it reached none, or its lines were left out"; "an id that no VM saw")]
+#[test_case("nobody", "no VM logged this request: it reached none, or its lines were left out; --at tells what the VMs did then"; "an id that no VM saw")]
 fn the_cause_follows_from_the_lines(request: &str, cause: &str) {
     let path = file(&format!("vm-{request}.log"), LOG);
-    assert_eq!(story::read(request, &[path]).unwrap().cause, cause);
+    assert_eq!(story::read(asked(request), &[path]).unwrap().cause, cause);
 }
 
 // An engineer has the logs of all VMs in one file, each line with its VM's name before it. What the
@@ -39,9 +43,25 @@
 #[test]
 fn what_a_vm_believed_is_its_last_word_before_the_request() {
     let text: String = LOG.lines().map(|l| format!("  1.0 vm-7 {l}\n")).collect();
-    let story = story::read("lost", &[file("all.log", &text)]).unwrap();
+    let story = story::read(asked("lost"), &[file("all.log", &text)]).unwrap();
     assert_eq!(story.before.len(), 3, "{:?}", story.before);
     assert!(story.before[1].contains("config=5"));
     assert!(story.lines.iter().all(|l| l.contains("vm-7")));
     assert_eq!(story.lines.len(), 3);
 }
+
+// A caller found no connection. No VM has a line of its request, but the VM that it was led to says why:
+// it had been killed, had left, or left out lines for a while.
+#[test_case("start", 10, "start", 14, "vm-1 ended without a word, at some time before it started at 14"; "killed")]
+#[test_case("stop", 10, "start", 14, "vm-1 had stopped, and started again at 14"; "stopped")]
+#[test_case("start", 10, "log lines left out in the last interval", 13, "vm-1 left lines out then"; "left out")]
+#[test_case("start", 10, "stop", 30, "no VM logged this request, and all that are named here ran: it reached none"; "it ran")]
+fn a_request_that_no_vm_logged(before: &str, since: u32, after: &str, then: u32, cause: &str) {
+    let line = |vm: &str, message: &str, at: u32| {
+        format!("{vm} {{\"timestamp\":\"{at}\",\"message\":\"{message}\"}}\n")
+    };
+    let text = line("vm-1", before, since) + &line("vm-1", after, then) + &line("vm-2", "stop", 11);
+    let asked = Asked { request: "none", at: Some("12"), vm: Some("vm-1") };
+    let name = format!("absent-{then}-{}.log", before.len());
+    assert_eq!(story::read(asked, &[file(&name, &text)]).unwrap().cause, cause);
+}
