feat(gateway): heads have a time limit of their own, memory for request bodies is bounded

Cause: the operators' limit for a head was not in force, as the HTTP library has one time-out for a kept connection that rests and a head that does not end (15 s). Request bodies were bounded one by one, not together: 700 callers with 256 KB each are more than a VM of 160 MB holds. Ruled out: streaming a body to the upstream as it comes. What is idempotent may be sent twice, so it would have to be held all the same, and the users' largest body (256 KB) is small against the memory.

--- a/crates/tgw-gateway/src/callers.rs
+++ b/crates/tgw-gateway/src/callers.rs
@@ -1,5 +1,6 @@
 use crate::{
     handle,
+    heads::Timed,
     shared::{Phase, Shared},
     socket,
 };
@@ -42,16 +43,25 @@
         return;
     }
     let limits = shared.config.borrow().limits;
+    let watched = shared.heads.watch();
+    let head = watched.head.clone();
     let service = {
-        let shared = shared.clone();
+        let (shared, head) = (shared.clone(), head.clone());
         service_fn(move |request| {
-            let shared = shared.clone();
-            async move { Ok::<_, Infallible>(handle::handle(shared, request).await) }
+            let (shared, head) = (shared.clone(), head.clone());
+            async move {
+                head.complete();
+                let response = handle::handle(shared, request).await;
+                head.answered();
+                Ok::<_, Infallible>(response)
+            }
         })
     };
+    let stream = Timed { stream, head: head.clone(), shared: shared.clone() };
     let serving = http1::Builder::new()
         .timer(TokioTimer::new())
-        // The library counts the idle time of a kept connection as reading the next head.
+        // The library counts the idle time of a kept connection as reading the next head; heads that
+        // take too long are found by the sweep.
         .header_read_timeout(Duration::from(limits.idle_timeout))
         .max_buf_size(limits.head.max(LEAST_HEAD))
         .serve_connection(TokioIo::new(stream), service);
@@ -59,6 +69,7 @@
     let mut phase = shared.phase.subscribe();
     tokio::select! {
         result = serving.as_mut() => return log(result),
+        () = head.overdue.notified() => return,
         _ = phase.wait_for(|p| *p == Phase::Closing) => serving.as_mut().graceful_shutdown(),
     }
     log(serving.await);
--- a/crates/tgw-gateway/src/exchange.rs
+++ b/crates/tgw-gateway/src/exchange.rs
@@ -1,6 +1,7 @@
 use crate::{
     headers, hop, note,
     pool::{self, Connection},
+    room::Taken,
     shared::Shared,
 };
 use bytes::Bytes;
@@ -26,6 +27,8 @@
     /// End-to-end headers.
     pub(crate) headers: http::HeaderMap,
     pub(crate) body: Bytes,
+    /// The memory that the body takes; given back with the request.
+    pub(crate) _held: Option<Taken>,
     pub(crate) identity: HeaderValue,
     pub(crate) deadline: Millis,
 }
--- a/crates/tgw-gateway/src/handle.rs
+++ b/crates/tgw-gateway/src/handle.rs
@@ -1,6 +1,7 @@
 use crate::{
     exchange::{self, Outgoing},
     headers, note,
+    room::Taken,
     shared::{Phase, Shared},
 };
 use bytes::Bytes;
@@ -22,6 +23,8 @@
 
 /// What a caller is told to wait, in ms, while this VM knows no configuration.
 const UNCONFIGURED_RETRY: Millis = Millis::new(300);
+/// What a caller is told to wait, in ms, while this VM has no memory for its body: others end meanwhile.
+const ROOM_RETRY: Millis = Millis::new(100);
 
 /// Answers one request.
 pub(crate) async fn handle(
@@ -68,14 +71,14 @@
         .authority()
         .map(http::uri::Authority::as_str)
         .or_else(|| text(&head.headers, &header::HOST));
-    let (route, version, limits) = {
+    let (route, version) = {
         let config = shared.config.borrow();
         let Some(version) = config.version else {
             note::unconfigured(shared, arrived, text(&head.headers, &names.request));
             return Err(refuse(StatusCode::SERVICE_UNAVAILABLE, Some(UNCONFIGURED_RETRY)));
         };
         let route = host.and_then(|h| config.table.find(h, head.uri.path())).cloned();
-        (route, version, config.limits)
+        (route, version)
     };
     let Some(route) = route else {
         let path = head.uri.path();
@@ -87,11 +90,7 @@
     };
     let patience =
         text(&head.headers, &names.deadline).and_then(|t| t.parse().ok()).map(Millis::new);
-    let body = if body.is_end_stream() {
-        Bytes::new()
-    } else {
-        read(body, limits.body, patience.unwrap_or(route.timeout)).await?
-    };
+    let (body, held) = read(shared, body, patience.unwrap_or(route.timeout)).await?;
     let mut headers = head.headers;
     headers::strip(&mut headers);
     let outgoing = Outgoing {
@@ -99,15 +98,34 @@
         uri: head.uri,
         headers,
         body,
+        _held: held,
         identity,
         deadline: Millis::ZERO,
     };
     Ok(Accepted { route, version, arrived, patience, outgoing })
 }
 
-async fn read(body: Incoming, limit: usize, within: Millis) -> Result<Bytes, Refusal> {
+/// A body that is held, and the memory that it takes.
+type Held = (Bytes, Option<Taken>);
+
+async fn read(shared: &Shared, body: Incoming, within: Millis) -> Result<Held, Refusal> {
+    if body.is_end_stream() {
+        return Ok((Bytes::new(), None));
+    }
+    let limit = shared.config.borrow().limits.body;
+    let stated = body.size_hint().upper().and_then(|size| usize::try_from(size).ok());
+    if stated.is_some_and(|size| size > limit) {
+        return Err(refuse(StatusCode::PAYLOAD_TOO_LARGE, None));
+    }
+    // Nothing was sent yet, so the caller may come back once others have gone.
+    let full = || refuse(StatusCode::SERVICE_UNAVAILABLE, Some(ROOM_RETRY));
+    let mut taken = shared.room.take(stated.unwrap_or(limit)).ok_or_else(full)?;
     match timeout(Duration::from(within), Limited::new(body, limit).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Ok(body)) => {
+            let body = body.to_bytes();
+            taken.shrink(body.len());
+            Ok((body, Some(taken)))
+        }
         Ok(Err(error)) if error.is::<LengthLimitError>() => {
             Err(refuse(StatusCode::PAYLOAD_TOO_LARGE, None))
         }
--- a/crates/tgw-gateway/src/hop.rs
+++ b/crates/tgw-gateway/src/hop.rs
@@ -261,6 +261,7 @@
         uri: request.uri.parse().ok()?,
         headers,
         body: request.body.into(),
+        _held: None,
         identity,
         deadline: shared.now() + Millis::new(request.left),
     })
--- a/crates/tgw-gateway/src/lib.rs
+++ b/crates/tgw-gateway/src/lib.rs
@@ -17,6 +17,8 @@
 mod handle;
 /// Headers that are forwarded.
 mod headers;
+/// Heads that callers send slowly.
+mod heads;
 /// Sends made by other VMs, and for them.
 mod hop;
 /// Structured logs.
@@ -35,6 +37,8 @@
 mod pool;
 /// Readiness.
 mod ready;
+/// Memory for bodies.
+pub mod room;
 /// Starting and stopping.
 pub mod serve;
 /// What one process is told at its start.
--- a/crates/tgw-gateway/src/meters.rs
+++ b/crates/tgw-gateway/src/meters.rs
@@ -33,12 +33,13 @@
     pub(crate) lines_left_out: AtomicU64,
     pub(crate) lines_dropped: AtomicU64,
     pub(crate) hosted: AtomicU64,
+    pub(crate) room: AtomicU64,
     pub(crate) ready: AtomicU64,
 }
 
 type Reading = (&'static str, &'static str, fn(&Gauges) -> &AtomicU64);
 
-const READINGS: [Reading; 10] = [
+const READINGS: [Reading; 11] = [
     ("tgw_config_version", "version of the configuration in force", |g| &g.config),
     ("tgw_config_since_ms", "when it came into force, in ms since the start", |g| &g.config_since),
     ("tgw_upstreams", "upstreams known", |g| &g.upstreams),
@@ -47,6 +48,7 @@
     ("tgw_connections_idle", "idle connections to upstreams", |g| &g.idle),
     ("tgw_log_lines_left_out", "log lines left out since the start", |g| &g.lines_left_out),
     ("tgw_log_lines_dropped", "log lines that the ring had no place for", |g| &g.lines_dropped),
+    ("tgw_body_bytes_free", "memory that is free for bodies", |g| &g.room),
     ("tgw_sends_hosted", "sends that run for other VMs", |g| &g.hosted),
     ("tgw_ready", "1 while the balancer may send callers", |g| &g.ready),
 ];
--- a/crates/tgw-gateway/src/serve.rs
+++ b/crates/tgw-gateway/src/serve.rs
@@ -95,6 +95,11 @@
         sleep(SWEEP).await;
         let now = shared.now();
         shared.hops.sweep(now);
+        let limit = shared.config.borrow().limits.head_timeout;
+        let slow = shared.heads.sweep(now, limit);
+        if slow > 0 {
+            tracing::info!(callers = slow, limit_ms = limit.whole(), "heads took too long");
+        }
         let core = shared.core.borrow();
         shared.pools.sweep(now, |key| core.fleet.get(key).is_some());
     }
--- a/crates/tgw-gateway/src/settings.rs
+++ b/crates/tgw-gateway/src/settings.rs
@@ -16,6 +16,8 @@
     pub ready: SocketAddr,
     /// Extra sends that all VMs together may make.
     pub budget: Budget,
+    /// Memory for bodies of requests and replies that are held, in bytes.
+    pub bodies: usize,
     /// How other VMs are reached.
     pub peer: Peer,
     /// Time from SIGTERM until the process is killed.
--- a/crates/tgw-gateway/src/shared.rs
+++ b/crates/tgw-gateway/src/shared.rs
@@ -1,6 +1,6 @@
 use crate::{
-    Dialect, Settings, governor::Governor, hop::Hops, log::Dropped, meters::Meters,
-    packets::Packets, pool::Pools,
+    Dialect, Settings, governor::Governor, heads::Heads, hop::Hops, log::Dropped, meters::Meters,
+    packets::Packets, pool::Pools, room::Room,
 };
 use std::{
     cell::{Cell, RefCell},
@@ -44,6 +44,8 @@
     pub(crate) pools: Pools,
     pub(crate) packets: Packets,
     pub(crate) hops: Hops,
+    pub(crate) heads: Heads,
+    pub(crate) room: Room,
     pub(crate) config: RefCell<Configured>,
     /// What is told to other VMs.
     pub(crate) world: RefCell<World>,
@@ -73,6 +75,7 @@
         packets: Packets,
         dropped: Option<Dropped>,
     ) -> anyhow::Result<Rc<Self>> {
+        let room = Room::new(settings.bodies);
         let core = Core::new(settings.place.clone(), settings.budget);
         Ok(Rc::new(Self {
             core: RefCell::new(core),
@@ -82,6 +85,8 @@
             pools: Pools::default(),
             packets,
             hops: Hops::default(),
+            heads: Heads::default(),
+            room,
             config: RefCell::default(),
             world: RefCell::default(),
             catalog: RefCell::default(),
@@ -160,6 +165,7 @@
         set(&gauges.idle, self.pools.len() as u64);
         set(&gauges.lines_left_out, self.governor.left_out());
         set(&gauges.lines_dropped, self.dropped.as_ref().map_or(0, Dropped::count));
+        set(&gauges.room, self.room.free() as u64);
         set(&gauges.hosted, self.hops.hosted() as u64);
         set(&gauges.ready, u64::from(self.ready()));
     }
--- a/crates/tgw-gateway/tests/gateway.rs
+++ b/crates/tgw-gateway/tests/gateway.rs
@@ -7,7 +7,10 @@
     sync::mpsc,
 };
 use tgw_clock::Millis;
-use tgw_gateway::log::{self, Governor, Log, RING, Rank};
+use tgw_gateway::{
+    log::{self, Governor, Log, RING, Rank},
+    room::Room,
+};
 
 /// A pipe that nobody reads: the first write waits until the test lets go.
 struct Stuck(mpsc::Receiver<()>);
@@ -57,3 +60,16 @@
     assert_eq!(governor.left_out(), 10_000 - details as u64);
     assert!(governor.allows(now + Millis::new(1_000), Rank::Detail));
 }
+
+// Callers send bodies until the memory that is set aside for them is taken. The next one is turned away
+// instead of the process being killed, and is taken as soon as another has gone.
+#[test]
+fn memory_for_bodies_is_bounded_and_given_back() {
+    let room = Room::new(1_000);
+    let mut first = room.take(600).unwrap();
+    assert!(room.take(600).is_none());
+    first.shrink(100);
+    let second = room.take(600).unwrap();
+    drop((first, second));
+    assert_eq!(room.free(), 1_000);
+}
