feat(gateway): a request that could not be taken in is logged and counted with its cause

Cause: requests without identity, and bodies that were too long, broken, late or found no memory, were answered without a line, so that explain could name no cause.

--- a/crates/tgw-gateway/src/handle.rs
+++ b/crates/tgw-gateway/src/handle.rs
@@ -86,11 +86,16 @@
         return Err(refuse(StatusCode::NOT_FOUND, None));
     };
     let Some(identity) = head.headers.get(&names.request).cloned() else {
+        note::unread(shared, arrived, None, "no identity");
         return Err(refuse(StatusCode::BAD_REQUEST, None));
     };
     let patience =
         text(&head.headers, &names.deadline).and_then(|t| t.parse().ok()).map(Millis::new);
-    let (body, held) = read(shared, body, patience.unwrap_or(route.timeout)).await?;
+    let within = patience.unwrap_or(route.timeout);
+    let (body, held) = read(shared, body, within).await.map_err(|unread| {
+        note::unread(shared, arrived, identity.to_str().ok(), unread.cause());
+        unread.answer()
+    })?;
     let mut headers = head.headers;
     headers::strip(&mut headers);
     let outgoing = Outgoing {
@@ -108,29 +113,58 @@
 /// A body that is held, and the memory that it takes.
 type Held = (Bytes, Option<Taken>);
 
-async fn read(shared: &Shared, body: Incoming, within: Millis) -> Result<Held, Refusal> {
+/// Why a body was not read. Nothing was sent for its request.
+#[derive(Copy, Clone, Debug)]
+enum Unread {
+    /// It is longer than the operators allow.
+    TooLong,
+    /// There is no memory for it now.
+    NoRoom,
+    /// It ended early or is malformed.
+    Broken,
+    /// It did not come in time.
+    Late,
+}
+
+impl Unread {
+    fn cause(self) -> &'static str {
+        match self {
+            Self::TooLong => "body too long",
+            Self::NoRoom => "no memory for the body",
+            Self::Broken => "body broken",
+            Self::Late => "body late",
+        }
+    }
+
+    fn answer(self) -> Refusal {
+        match self {
+            Self::TooLong => refuse(StatusCode::PAYLOAD_TOO_LARGE, None),
+            Self::NoRoom => refuse(StatusCode::SERVICE_UNAVAILABLE, Some(ROOM_RETRY)),
+            Self::Broken => refuse(StatusCode::BAD_REQUEST, None),
+            Self::Late => refuse(StatusCode::REQUEST_TIMEOUT, None),
+        }
+    }
+}
+
+async fn read(shared: &Shared, body: Incoming, within: Millis) -> Result<Held, Unread> {
     if body.is_end_stream() {
         return Ok((Bytes::new(), None));
     }
     let limit = shared.config.borrow().limits.body;
     let stated = body.size_hint().upper().and_then(|size| usize::try_from(size).ok());
     if stated.is_some_and(|size| size > limit) {
-        return Err(refuse(StatusCode::PAYLOAD_TOO_LARGE, None));
+        return Err(Unread::TooLong);
     }
-    // Nothing was sent yet, so the caller may come back once others have gone.
-    let full = || refuse(StatusCode::SERVICE_UNAVAILABLE, Some(ROOM_RETRY));
-    let mut taken = shared.room.take(stated.unwrap_or(limit)).ok_or_else(full)?;
+    let mut taken = shared.room.take(stated.unwrap_or(limit)).ok_or(Unread::NoRoom)?;
     match timeout(Duration::from(within), Limited::new(body, limit).collect()).await {
         Ok(Ok(body)) => {
             let body = body.to_bytes();
             taken.shrink(body.len());
             Ok((body, Some(taken)))
         }
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            Err(refuse(StatusCode::PAYLOAD_TOO_LARGE, None))
-        }
-        Ok(Err(_)) => Err(refuse(StatusCode::BAD_REQUEST, None)),
-        Err(_) => Err(refuse(StatusCode::REQUEST_TIMEOUT, None)),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Unread::TooLong),
+        Ok(Err(_)) => Err(Unread::Broken),
+        Err(_) => Err(Unread::Late),
     }
 }
 
--- a/crates/tgw-gateway/src/note.rs
+++ b/crates/tgw-gateway/src/note.rs
@@ -150,6 +150,14 @@
     }
 }
 
+/// A request could not be taken in.
+pub(crate) fn unread(shared: &Shared, now: Millis, request: Option<&str>, cause: &'static str) {
+    shared.meters.request("", "refused", cause, Millis::ZERO);
+    if shared.governor.allows(now, Rank::Outcome) {
+        tracing::info!(request, outcome = "refused", cause, free = shared.room.free(), "request");
+    }
+}
+
 /// A request came before any configuration.
 pub(crate) fn unconfigured(shared: &Shared, now: Millis, request: Option<&str>) {
     shared.meters.request("", "refused", "no configuration", Millis::ZERO);
--- a/crates/tgw-operate/src/story.rs
+++ b/crates/tgw-operate/src/story.rs
@@ -219,6 +219,11 @@
         "no route" => format!("no route takes it in configuration {}", end.number("config")),
         "no configuration" => "the VM knew no configuration: the store had not answered".into(),
         "no upstream" => "a service of the route had no upstream that was not leaving".into(),
+        "no identity" => "it bore no identity".into(),
+        "no memory for the body" => "bodies of other requests took the memory set aside".into(),
+        "body too long" => "its body is longer than the operators allow".into(),
+        "body broken" => "its body ended early or is malformed".into(),
+        "body late" => "its body did not come in time".into(),
         "caller left" => "the caller left before its answer".into(),
         _ => trouble(own),
     };
