feat(forward): a part that finds no room is tried again while the answer waits; the last upstream is insisted on

Change: what a peer did not send is told apart from what could not be sent, and its upstream is asked again when no other is left, then whatever the peer thinks of it. A part without room is tried again each 20 ms up to the aim; one whose service has no upstream is not.

--- a/crates/tgw-forward/src/message.rs
+++ b/crates/tgw-forward/src/message.rs
@@ -35,6 +35,8 @@
     Declined,
     /// No connection was made, so nothing was sent.
     Unsent,
+    /// The VM that was asked to send it did not: it had no room, or doubts the upstream.
+    Busy,
     /// The reply was cut, spoiled or reset: the request may have run.
     Broken,
     /// No reply by the deadline: the request may have run.
@@ -82,6 +84,8 @@
     pub why: Why,
     /// The way to the upstream.
     pub hop: Hop,
+    /// There is no other upstream left: it is to be sent also where it is doubted.
+    pub insist: bool,
     /// The upstream of the send that it makes up for.
     pub after: Option<Key>,
 }
--- a/crates/tgw-forward/src/plan.rs
+++ b/crates/tgw-forward/src/plan.rs
@@ -25,8 +25,11 @@
 const HEDGE_LEAST: Millis = Millis::new(8);
 /// The part of the aim after which a second send could no longer meet it.
 const HEDGE_MOST: f64 = 0.4;
-/// Upstreams to which a connection is tried for one part; none of these tries is a send.
-const TRIES: usize = 4;
+/// Tries to send one part, most of which came to no send: no connection, or no room at a peer.
+const TRIES: u32 = 6;
+/// Time in ms after which a part that found no upstream with room is tried again: about the work of a
+/// request, after which a connection is free.
+const PARK: Millis = Millis::new(20);
 /// What a refused caller is told to wait, in ms; spread over one to three times this, so that those
 /// refused together do not return together.
 const RETRY_AFTER: Millis = Millis::new(60);
@@ -43,15 +46,29 @@
     service: Rc<str>,
     state: State,
     tried: SmallVec<[Key; 2]>,
+    /// Upstreams that a peer did not send to.
+    busy: SmallVec<[Key; 2]>,
+    tries: u32,
     sends: u32,
     open: u32,
     hedge_at: Option<Millis>,
+    /// When it is tried again, while nothing is under way for it.
+    parked: Option<Millis>,
 }
 
 impl Part {
     fn new(service: Rc<str>) -> Self {
-        let (tried, state) = (SmallVec::new(), State::Waiting);
-        Self { service, state, tried, sends: 0, open: 0, hedge_at: None }
+        Self {
+            service,
+            state: State::Waiting,
+            tried: SmallVec::new(),
+            busy: SmallVec::new(),
+            tries: 0,
+            sends: 0,
+            open: 0,
+            hedge_at: None,
+            parked: None,
+        }
     }
 
     fn waiting(&self) -> bool {
@@ -74,14 +91,18 @@
     why: Why,
     route: &Route,
     core: &mut Core,
-) -> Result<Choice, Reason> {
-    if part.sends >= route.attempts.max(1) || part.tried.len() >= TRIES {
+) -> Result<(Choice, bool), Reason> {
+    if part.sends >= route.attempts.max(1) || part.tries >= TRIES {
         return Err(Reason::Attempts);
     }
     let most = most(core, route, &part.service);
-    let choice = core.fleet.pick(now, &part.service, most, &part.tried).ok_or(Reason::Upstream)?;
+    let passed: SmallVec<[Key; 4]> = part.tried.iter().chain(&part.busy).copied().collect();
+    let fresh = core.fleet.pick(now, &part.service, most, &passed);
+    let insist = fresh.is_none();
+    let again = || core.fleet.pick(now, &part.service, most, &part.tried);
+    let choice = fresh.or_else(again).ok_or(Reason::Upstream)?;
     let allowed = part.sends == 0 || core.spend(now, &part.service, why);
-    allowed.then_some(choice).ok_or(Reason::Budget)
+    allowed.then_some((choice, insist)).ok_or(Reason::Budget)
 }
 
 /// Whether `count` of `all` parts make a success.
@@ -167,7 +188,9 @@
 
     /// When [`Event::Tick`] is due.
     pub fn wake(&self, now: Millis) -> Millis {
-        let hedges = self.parts.iter().filter(|p| p.waiting()).filter_map(|p| p.hedge_at);
+        let waiting = || self.parts.iter().filter(|p| p.waiting());
+        let parked = waiting().filter_map(|p| p.parked);
+        let hedges = waiting().filter_map(|p| p.hedge_at).chain(parked);
         let answer = Some(self.answer_by).filter(|at| *at > now && self.parts.len() > 1);
         hedges.chain(answer).min().unwrap_or(Millis::MAX).min(self.deadline)
     }
@@ -186,7 +209,10 @@
         match event {
             Event::Start => self.start(now, core, out),
             Event::Ended { part, ended } => self.ended(now, part, ended, core, out),
-            Event::Tick => self.hedge(now, core, out),
+            Event::Tick => {
+                self.unpark(now, core, out);
+                self.hedge(now, core, out);
+            }
         }
         let answer = self.conclude(now, core);
         self.finished = answer.is_some();
@@ -214,6 +240,7 @@
         }
         for index in 0..self.parts.len() {
             self.place(now, index, Why::First, core, out);
+            self.give_up(now, index, core);
         }
     }
 
@@ -249,12 +276,17 @@
                 part.sends = part.sends.saturating_sub(1);
                 again = true;
             }
+            Ended::Busy => {
+                part.sends = part.sends.saturating_sub(1);
+                part.busy.extend(part.tried.pop());
+                again = true;
+            }
             Ended::Broken | Ended::Silent => self.ran = true,
         }
         if self.parts[index].waiting() && again {
             self.place(now, index, Why::Retry, core, out);
         }
-        self.give_up(index);
+        self.give_up(now, index, core);
     }
 
     /// Takes a reply in; false if it serves the caller only if nothing better comes.
@@ -281,12 +313,39 @@
         !doubled
     }
 
-    fn give_up(&mut self, index: usize) {
+    /// Gives a part up for which nothing is under way, or parks it while it may still come in time.
+    fn give_up(&mut self, now: Millis, index: usize, core: &Core) {
+        let parks = self.parks(now);
         if let Some(part) = self.parts.get_mut(index)
             && part.waiting()
             && part.open == 0
         {
-            part.state = State::GivenUp;
+            let park = parks && core.fleet.serves(&part.service);
+            let again = park && part.sends < self.route.attempts.max(1) && part.tries < TRIES;
+            part.parked = again.then_some(now + PARK);
+            if !again {
+                part.state = State::GivenUp;
+            }
+        }
+    }
+
+    /// Whether a part that finds no upstream with room is tried again later. An answer waits for late
+    /// parts up to the aim in any case; a part that was given up at once for want of a free connection
+    /// was missing from answers that left 50 ms later, and failed queries that lacked one part.
+    fn parks(&self, now: Millis) -> bool {
+        matches!(self.route.target, Target::Shards(_)) && now + PARK < self.answer_by
+    }
+
+    /// Tries the parts again that found no upstream with room.
+    fn unpark(&mut self, now: Millis, core: &mut Core, out: &mut Vec<Order>) {
+        for index in 0..self.parts.len() {
+            let part = &mut self.parts[index];
+            if part.waiting() && part.parked.is_some_and(|at| now >= at) {
+                part.parked = None;
+                let why = if part.sends == 0 { Why::First } else { Why::Retry };
+                self.place(now, index, why, core, out);
+                self.give_up(now, index, core);
+            }
         }
     }
 
@@ -317,18 +376,16 @@
     ) {
         let route = self.route.clone();
         let part = &mut self.parts[index];
-        let Choice { key, hop } = match choose(now, part, why, &route, core) {
-            Ok(choice) => choice,
+        let (Choice { key, hop }, insist) = match choose(now, part, why, &route, core) {
+            Ok(chosen) => chosen,
             Err(reason) => {
                 self.withheld.push(Withheld { part: index, why, reason });
-                if why == Why::First {
-                    part.state = State::GivenUp;
-                }
                 return;
             }
         };
         let after = part.tried.last().copied();
         part.tried.push(key);
+        part.tries += 1;
         part.sends += 1;
         part.open += 1;
         let ticket = core.fleet.send(now, key);
@@ -342,7 +399,7 @@
             let delay = hedge.delay().min(route.aim.scale(HEDGE_MOST)).max(HEDGE_LEAST);
             part.hedge_at = Some(now + delay);
         }
-        out.push(Order { part: index, ticket, why, hop, after });
+        out.push(Order { part: index, ticket, why, hop, insist, after });
     }
 
     fn count(&self, what: impl Fn(&Part) -> bool) -> usize {
--- a/crates/tgw-forward/tests/forward.rs
+++ b/crates/tgw-forward/tests/forward.rs
@@ -429,3 +429,72 @@
     world.pass(100);
     assert!(world.core.fleet.get(key).unwrap().doubtful(world.now));
 }
+
+// One region's upstream of a shard pauses, and the VM asked to send to the other doubts that one. With
+// the part given up there, queries failed that lacked nothing else: the last upstream is insisted on.
+#[test]
+fn the_last_upstream_is_insisted_on() {
+    let mut world = World::new(1);
+    world.core.fleet.set_manned(["r2".into()].into());
+    world.start(&route(shards(1), Safety::Idempotent));
+    world.wake();
+    assert_eq!((&*world.upstream(1), world.orders[1].insist), ("s0-far", false));
+    assert!(world.end(1, Ended::Busy, Sign::Busy).is_none());
+    assert_eq!((&*world.upstream(2), world.orders[2].insist), ("s0-far", true));
+    world.core.fleet.put(world.now, entry("s0-third", "s0", FAR));
+    world.end(2, Ended::Busy, Sign::Busy);
+    assert_eq!((&*world.upstream(3), world.orders[3].insist), ("s0-third", false));
+}
+
+// All connections of a shard's upstreams are in use for a moment when a query arrives. Its other parts
+// take 60 ms in any case: the part is tried again meanwhile, and the answer is whole.
+#[test]
+fn a_part_without_a_connection_is_tried_again_while_the_answer_waits() {
+    let mut world = World::new(4);
+    world.core.fleet.remove("s0-far");
+    world.core.set_vms(Vms { all: 32, near: 32 });
+    let most = world.core.most("s0", Way::Peers);
+    let key = world.core.fleet.pick(world.now, "s0", most, &[]).unwrap().key;
+    let busy = world.core.fleet.send(world.now, key);
+    world.start(&route(shards(4), Safety::Idempotent));
+    assert_eq!(world.orders.len(), 3);
+    world.core.fleet.end(world.now, busy, Sign::Reply);
+    assert!(world.wake().is_none());
+    assert_eq!((&*world.upstream(3), world.orders[3].why), ("s0-near", Why::First));
+    let answers: Vec<_> = (0..4).filter_map(|index| world.reply(index, &record(1))).collect();
+    assert!(matches!(answers[..], [Answer::Merged { missing: 0, .. }]), "{answers:?}");
+}
+
+// The same, but no connection becomes free. The answer leaves at the aim without that part, and the
+// caller is not held any longer for it.
+#[test]
+fn a_part_that_finds_no_connection_holds_no_answer_beyond_the_aim() {
+    let mut world = World::new(4);
+    world.core.fleet.remove("s0-far");
+    world.core.set_vms(Vms { all: 32, near: 32 });
+    let most = world.core.most("s0", Way::Peers);
+    let key = world.core.fleet.pick(world.now, "s0", most, &[]).unwrap().key;
+    world.core.fleet.send(world.now, key);
+    world.start(&route(shards(4), Safety::Idempotent));
+    for index in 0..3 {
+        assert!(world.reply(index, &record(1)).is_none());
+    }
+    let answer = loop {
+        if let Some(answer) = world.wake() {
+            break answer;
+        }
+    };
+    assert!(matches!(answer, Answer::Merged { missing: 1, .. }), "{answer:?}");
+    assert!(world.now <= Millis::new(1_000 + 150), "at {}", world.now);
+}
+
+// A shard has no upstream left at all. Nothing can come for it, so the answer does not wait.
+#[test]
+fn a_part_without_any_upstream_is_not_waited_for() {
+    let mut world = World::new(4);
+    world.core.fleet.remove("s0-far");
+    world.core.fleet.remove("s0-near");
+    world.start(&route(shards(4), Safety::Idempotent));
+    let answers: Vec<_> = (0..3).filter_map(|index| world.reply(index, &record(1))).collect();
+    assert!(matches!(answers[..], [Answer::Merged { missing: 1, .. }]), "{answers:?}");
+}
--- a/crates/tgw-gateway/src/exchange.rs
+++ b/crates/tgw-gateway/src/exchange.rs
@@ -42,6 +42,8 @@
     pub(crate) entry: Entry,
     pub(crate) sent: Millis,
     pub(crate) hop: Hop,
+    /// It is to be sent also where the upstream is doubted.
+    pub(crate) insist: bool,
     sign: Sign,
 }
 
@@ -67,11 +69,19 @@
     Reset,
 }
 
-/// Sends a request to the upstream of `ticket` and reads its reply.
+/// How a send gets to its upstream.
+#[derive(Copy, Clone)]
+pub(crate) struct Way {
+    pub(crate) ticket: Ticket,
+    pub(crate) hop: Hop,
+    /// It is to be sent also where the upstream is doubted.
+    pub(crate) insist: bool,
+}
+
+/// Sends a request to the upstream of its ticket and reads its reply.
 pub(crate) async fn run(
     shared: Rc<Shared>,
-    ticket: Ticket,
-    hop: Hop,
+    Way { ticket, hop, insist }: Way,
     request: Rc<Outgoing>,
 ) -> Ended {
     let entry = shared.core.borrow().fleet.get(ticket.upstream).map(|u| u.entry.clone());
@@ -84,6 +94,7 @@
         entry,
         sent: shared.now(),
         hop,
+        insist,
         sign: Sign::Dropped,
     };
     let left = Duration::from(request.deadline - shared.now());
--- a/crates/tgw-gateway/src/handle.rs
+++ b/crates/tgw-gateway/src/handle.rs
@@ -193,10 +193,11 @@
 
     fn start(&mut self, order: &Order) {
         let (shared, request) = (self.shared.clone(), self.request.clone());
-        let Order { part, ticket, hop, .. } = *order;
+        let Order { part, ticket, hop, insist, .. } = *order;
+        let way = exchange::Way { ticket, hop, insist };
         let ended = self.ended.clone();
         let task = tokio::task::spawn_local(async move {
-            let result = exchange::run(shared, ticket, hop, request).await;
+            let result = exchange::run(shared, way, request).await;
             // Nobody listens once the answer has left.
             let _ = ended.send((part, result));
         });
--- a/crates/tgw-gateway/src/hop.rs
+++ b/crates/tgw-gateway/src/hop.rs
@@ -166,6 +166,7 @@
     Some(Request {
         number,
         upstream: entry.id.clone(),
+        insist: sent.insist,
         left: (request.deadline - shared.now()).whole(),
         method: request.method.to_string(),
         uri,
@@ -184,7 +185,7 @@
             let (headers, body) = (HeaderMap::new(), Bytes::from(body));
             exchange::judge(Response { status, headers, seal, body })
         }
-        Outcome::Busy | Outcome::Full => (Sign::Busy, Ended::Unsent),
+        Outcome::Busy | Outcome::Full => (Sign::Busy, Ended::Busy),
         Outcome::Unsent => (Sign::Unreachable, Ended::Unsent),
         Outcome::Declined => (Sign::Shed, Ended::Declined),
         Outcome::Broken => (Sign::Broken, Ended::Broken),
@@ -224,10 +225,12 @@
         shared.core.borrow_mut().fleet.end(shared.now(), ticket, Sign::Dropped);
         return Outcome::Unsent;
     };
-    match exchange::run(shared.clone(), ticket, Hop::Direct, Rc::new(outgoing)).await {
+    let way = exchange::Way { ticket, hop: Hop::Direct, insist: true };
+    match exchange::run(shared.clone(), way, Rc::new(outgoing)).await {
         Ended::Answered(response) => answered(*response),
         Ended::Declined => Outcome::Declined,
         Ended::Unsent => Outcome::Unsent,
+        Ended::Busy => Outcome::Busy,
         Ended::Broken => Outcome::Broken,
         Ended::Silent => Outcome::Silent,
     }
@@ -251,7 +254,8 @@
     let key = core.fleet.key(&request.upstream).ok_or(Outcome::Unsent)?;
     let upstream = core.fleet.get(key).ok_or(Outcome::Unsent)?;
     let most = core.most(&upstream.entry.service, Way::Peers);
-    if upstream.doubtful(now) || !upstream.open(now, most.near) {
+    let doubted = !request.insist && upstream.doubtful(now);
+    if doubted || !upstream.open(now, most.near) {
         return Err(Outcome::Busy);
     }
     Ok(core.fleet.send(now, key))
--- a/crates/tgw-spread/src/hop.rs
+++ b/crates/tgw-spread/src/hop.rs
@@ -10,6 +10,8 @@
     pub number: u64,
     /// The identity of the upstream.
     pub upstream: Rc<str>,
+    /// Send also if the upstream is doubted: there is no other left.
+    pub insist: bool,
     /// Time left for its reply, in whole ms.
     pub left: u64,
     /// The method.
