fix(forward): what reached no upstream is not charged to the operators' budget

Change: a send that ends unsent or busy and was not the first of its part is given back. Test: failed first (no hedge after the budget of ten was used up by sends that were not made).

--- a/crates/tgw-forward/src/core.rs
+++ b/crates/tgw-forward/src/core.rs
@@ -159,6 +159,13 @@
         self.windows.entry(service.clone()).or_default().spend(now, share, constant)
     }
 
+    /// Gives back one extra send to a service that reached no upstream.
+    pub(crate) fn refund(&mut self, service: &str) {
+        if let Some(window) = self.windows.get_mut(service) {
+            window.refund();
+        }
+    }
+
     /// The second sends of a route to upstreams at a distance.
     pub(crate) fn hedge(&mut self, route: &Route, distance: Distance) -> &mut Hedge {
         let start = route.aim.scale(HEDGE_START);
--- a/crates/tgw-forward/src/plan.rs
+++ b/crates/tgw-forward/src/plan.rs
@@ -71,6 +71,15 @@
         }
     }
 
+    /// A send reached no upstream. If it was not the first, the budget was charged for it: peers that doubt
+    /// an upstream would else use up what retries need (4 sends a query while shards were slow).
+    fn unsend(&mut self, core: &mut Core) {
+        self.sends = self.sends.saturating_sub(1);
+        if self.sends > 0 {
+            core.refund(&self.service);
+        }
+    }
+
     fn waiting(&self) -> bool {
         matches!(self.state, State::Waiting)
     }
@@ -273,11 +282,11 @@
             }
             Ended::Declined => again = true,
             Ended::Unsent => {
-                part.sends = part.sends.saturating_sub(1);
+                part.unsend(core);
                 again = true;
             }
             Ended::Busy => {
-                part.sends = part.sends.saturating_sub(1);
+                part.unsend(core);
                 part.busy.extend(part.tried.pop());
                 again = true;
             }
--- a/crates/tgw-forward/src/window.rs
+++ b/crates/tgw-forward/src/window.rs
@@ -42,6 +42,14 @@
         true
     }
 
+    /// Gives back one extra send that was not made after all. Taken back from the newest seconds, it may
+    /// count for a second less than it would have; what is not used of the budget is more than that.
+    pub fn refund(&mut self) {
+        if let Some(bucket) = self.extra.iter_mut().find(|bucket| **bucket > 0) {
+            *bucket -= 1;
+        }
+    }
+
     /// Extra sends in the window.
     pub fn spent(&self) -> u32 {
         self.extra.iter().sum()
--- a/crates/tgw-forward/tests/forward.rs
+++ b/crates/tgw-forward/tests/forward.rs
@@ -498,3 +498,24 @@
     let answers: Vec<_> = (0..3).filter_map(|index| world.reply(index, &record(1))).collect();
     assert!(matches!(answers[..], [Answer::Merged { missing: 1, .. }]), "{answers:?}");
 }
+
+// A peer doubts an upstream and sends nothing, again and again. Were the operators' budget charged for
+// that, nothing would be left for a reply that is lost.
+#[test]
+fn what_reached_no_upstream_is_not_charged_to_the_budget() {
+    let mut world = World::with_budget(1, Budget { share: 0.0, constant: 10.0 });
+    world.core.set_vms(Vms { all: 1, near: 1 });
+    world.core.fleet.set_manned(["r2".into()].into());
+    for _ in 0..40 {
+        world.start(&route(shards(1), Safety::Idempotent));
+        world.wake();
+        assert_eq!(world.orders[1].why, Why::Hedge, "the budget is used up");
+        let mut index = 1;
+        while index < world.orders.len() {
+            world.end(index, Ended::Busy, Sign::Busy);
+            index += 1;
+        }
+        world.reply(0, &[]);
+        world.pass(100);
+    }
+}
