feat(forward): a VM tells its region of upstreams that reply slowly

Only overdue sends were told to the region; an upstream that works seven times as long replies, and as its known latency grows its sends are overdue no more, so each of 30 VMs found out for itself and again each 4 s. Change: a reply of an upstream that is slower than 2.5 times what its distance lets expect is told, twice a second at most; it counts for the latency alone, not as a pause. Test: a VM that is told passes the upstream over; fails without the word.

--- a/crates/tgw-forward/src/fleet.rs
+++ b/crates/tgw-forward/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     core::Most,
-    upstream::{Distance, Entry, Sign, Upstream},
+    upstream::{Distance, Entry, Sign, Upstream, Word},
 };
 use derive_more::Display;
 use smallvec::SmallVec;
@@ -191,17 +191,17 @@
         Ticket { upstream: key, number }
     }
 
-    /// What other VMs should be told of a late upstream: its identity and the latency expected of it.
-    pub fn tell(&mut self, now: Millis, key: Key) -> Option<(Rc<str>, f64)> {
+    /// What other VMs should be told of an upstream, with its identity.
+    pub fn tell(&mut self, now: Millis, key: Key) -> Option<(Rc<str>, Word)> {
         let upstream = self.upstreams.get_mut(&key)?;
-        let expected = upstream.tell(now)?;
-        Some((upstream.entry.id.clone(), expected))
+        let word = upstream.tell(now)?;
+        Some((upstream.entry.id.clone(), word))
     }
 
-    /// Another VM of the region says that an upstream is late.
-    pub fn told(&mut self, now: Millis, id: &str, expected: f64) {
+    /// Another VM of the region tells of an upstream.
+    pub fn told(&mut self, now: Millis, id: &str, word: Word) {
         if let Some(upstream) = self.keys.get(id).and_then(|k| self.upstreams.get_mut(k)) {
-            upstream.told(now, expected);
+            upstream.told(now, word);
         }
     }
 
--- a/crates/tgw-forward/src/upstream.rs
+++ b/crates/tgw-forward/src/upstream.rs
@@ -123,13 +123,26 @@
 const CROWDED_MOST_MS: u64 = 640;
 /// Time in ms between two words to other VMs about one upstream.
 const TELL_MS: u64 = 120;
-/// Time in ms for which such a word counts: what is left of a pause of 200 ms once it shows.
+/// Time in ms between two words about one that replies, but slowly.
+const TELL_SLOW_MS: u64 = 500;
+/// An upstream is slow from this many times the latency that is assumed at its distance.
+const SLOW_FACTOR: f64 = 2.5;
+/// Time in ms for which word of a late one counts: what is left of a pause of 200 ms once it shows.
 const LATE_FOR_MS: u64 = 150;
 /// Age in ms of the latest reply up to which this VM knows better how slow an upstream is.
 const FRESH_MS: u64 = 400;
 /// What being passed over costs in ms: more than any other reason, so that it is the last choice.
 const AVOID_COST_MS: f64 = 2_000.0;
 
+/// What one VM tells others, as near to an upstream as itself, about it.
+#[derive(Copy, Clone, Debug, PartialEq)]
+pub struct Word {
+    /// A send to it is overdue now.
+    pub overdue: bool,
+    /// The latency that is expected of it, in ms.
+    pub expected: f64,
+}
+
 /// One upstream with what its replies told.
 #[derive(Clone, Debug)]
 pub struct Upstream {
@@ -304,23 +317,25 @@
         (age.as_f64() > self.expected(now) * LATE_FACTOR + LATE_MS).then_some(age)
     }
 
-    /// What other VMs should be told of it: that a send to it is overdue, and how slow it is known to
-    /// be, in ms. At most once in a while.
-    pub fn tell(&mut self, now: Millis) -> Option<f64> {
-        let due = now >= self.told_at + Millis::new(TELL_MS);
-        let late = due && self.overdue(now).is_some();
-        late.then(|| {
+    /// What other VMs should be told of it, if it is late or slow. At most once in a while.
+    pub fn tell(&mut self, now: Millis) -> Option<Word> {
+        let overdue = self.overdue(now).is_some();
+        let due = now >= self.told_at + Millis::new(if overdue { TELL_MS } else { TELL_SLOW_MS });
+        let expected = self.expected(now);
+        let slow = expected > self.distance.expected() * SLOW_FACTOR;
+        (due && (overdue || slow)).then(|| {
             self.told_at = now;
-            self.expected(now)
+            Word { overdue, expected }
         })
     }
 
-    /// Another VM, as near to it as this one, says that a send to it is overdue and that it expects
-    /// `expected` ms of it.
-    pub fn told(&mut self, now: Millis, expected: f64) {
+    /// Another VM, as near to it as this one, tells of it.
+    pub fn told(&mut self, now: Millis, Word { overdue, expected }: Word) {
         // A VM that sends an upstream two requests a second meets most pauses and slow upstreams
         // unwarned. What one VM of a region has just found out spares the others the same.
-        self.late_until = now + Millis::new(LATE_FOR_MS);
+        if overdue {
+            self.late_until = now + Millis::new(LATE_FOR_MS);
+        }
         let fresh = self.sampled.is_some_and(|at| now - at < Millis::new(FRESH_MS));
         if !fresh && expected > self.expected(now) {
             self.latency = expected;
--- a/crates/tgw-forward/tests/forward.rs
+++ b/crates/tgw-forward/tests/forward.rs
@@ -14,7 +14,7 @@
     fleet::{Hop, Place},
     merge,
     plan::{Answer, Cause, Ended, Why},
-    upstream::Sign,
+    upstream::{Sign, Word},
 };
 use tgw_route::{Safety, Target};
 use world::{FAR, NEAR, World, answered, entry, record, route, shards};
@@ -368,7 +368,7 @@
     let mut world = World::new(1);
     world.core.fleet.put(world.now, entry("s0-spare", "s0", NEAR));
     let route = route(one(), Safety::Idempotent);
-    world.core.fleet.told(world.now, "s0-near", 12.0);
+    world.core.fleet.told(world.now, "s0-near", Word { overdue: true, expected: 12.0 });
     world.start(&route);
     assert_eq!(&*world.upstream(0), "s0-spare");
     world.reply(0, &[]);
@@ -519,3 +519,28 @@
         world.pass(100);
     }
 }
+
+// An upstream works ten times as long for seconds. It replies, so nothing is overdue, and each of thirty
+// VMs found out for itself, one late query each, again and again. What one has measured spares the others.
+#[test]
+fn a_slow_upstream_that_replies_is_told_and_passed_over() {
+    let (mut one_vm, mut other) = (World::new(1), World::new(1));
+    let route = route(one(), Safety::Idempotent);
+    for world in [&mut one_vm, &mut other] {
+        world.start(&route);
+        world.pass(10);
+        world.reply(0, &[]);
+    }
+    for _ in 0..8 {
+        one_vm.start(&route);
+        one_vm.pass(100);
+        one_vm.reply(0, &[]);
+    }
+    let near = one_vm.core.fleet.key("s0-near").unwrap();
+    let (id, word) = one_vm.core.fleet.tell(one_vm.now, near).unwrap();
+    assert!(!word.overdue && word.expected > 45.0, "{word:?}");
+    other.pass(800);
+    other.core.fleet.told(other.now, &id, word);
+    other.start(&route);
+    assert_eq!(&*other.upstream(0), "s0-far");
+}
--- a/crates/tgw-gateway/src/exchange.rs
+++ b/crates/tgw-gateway/src/exchange.rs
@@ -53,6 +53,9 @@
         self.shared.meters.end(self.sign);
         note::ended(&self.shared, &self.request, self, self.sign);
         self.shared.core.borrow_mut().fleet.end(now, self.ticket, self.sign);
+        if self.sign == Sign::Reply {
+            self.shared.tell_late(now, &[self.ticket.upstream]);
+        }
     }
 }
 
--- a/crates/tgw-gateway/src/peers.rs
+++ b/crates/tgw-gateway/src/peers.rs
@@ -11,10 +11,13 @@
     time::{Duration, SystemTime},
 };
 use tgw_clock::Millis;
-use tgw_forward::core::Vms;
+use tgw_forward::{core::Vms, upstream::Word};
 use tgw_member::{Action, Event, Member};
 use tgw_owner::Directory;
-use tgw_spread::{Message, Update, message::Datagram};
+use tgw_spread::{
+    Message, Update,
+    message::{Datagram, Late},
+};
 use tgw_topology::Vm;
 use tgw_wire::{Error, FRAME_LIMIT, LENGTH};
 use tokio::{
@@ -138,7 +141,9 @@
                 let now = self.shared.now();
                 let mut core = self.shared.core.borrow_mut();
                 for late in upstreams {
-                    core.fleet.told(now, &late.upstream, f64::from(late.expected));
+                    let Late { upstream, overdue, expected } = late;
+                    let word = Word { overdue, expected: f64::from(expected) };
+                    core.fleet.told(now, &upstream, word);
                 }
             }
             Ok(Datagram::Hop(request)) => hop::host(&self.shared, from, *request),
--- a/crates/tgw-gateway/src/shared.rs
+++ b/crates/tgw-gateway/src/shared.rs
@@ -8,7 +8,7 @@
     sync::atomic::{AtomicU64, Ordering},
 };
 use tgw_clock::{Clock, Millis, Monotonic};
-use tgw_forward::{Catalog, Core, fleet::Key};
+use tgw_forward::{Catalog, Core, fleet::Key, upstream::Word};
 use tgw_route::{Config, Limits, Table};
 use tgw_spread::{World, message::Late};
 use tokio::sync::{Notify, watch};
@@ -140,12 +140,16 @@
         self.news.notify_one();
     }
 
-    /// Tells other VMs of upstreams that are late.
+    /// Tells other VMs of upstreams that are late or slow.
     pub(crate) fn tell_late(&self, now: Millis, keys: &[Key]) {
         let mut core = self.core.borrow_mut();
         let told = keys.iter().filter_map(|key| core.fleet.tell(now, *key));
         let mut late = self.late.borrow_mut();
-        late.extend(told.map(|(upstream, ms)| Late { upstream, expected: ms as f32 }));
+        late.extend(told.map(|(upstream, Word { overdue, expected })| Late {
+            upstream,
+            overdue,
+            expected: expected as f32,
+        }));
         if !late.is_empty() {
             self.news.notify_one();
         }
--- a/crates/tgw-spread/src/message.rs
+++ b/crates/tgw-spread/src/message.rs
@@ -27,7 +27,7 @@
 pub enum Datagram {
     /// Membership.
     Member(Box<tgw_member::Packet>),
-    /// Upstreams that are late.
+    /// Upstreams that are late or slow.
     Late(Vec<Late>),
     /// A send that the receiver is asked to make.
     Hop(Box<hop::Request>),
@@ -37,11 +37,13 @@
     HopCancelled(u64),
 }
 
-/// An upstream at which a send is overdue.
+/// An upstream that is late or slow.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Late {
     /// Its identity.
     pub upstream: std::rc::Rc<str>,
+    /// A send to it is overdue now.
+    pub overdue: bool,
     /// The latency that is expected of it, in ms.
     pub expected: f32,
 }
