feat(bench): what forwarding and sends through peers cost

Cause: the forwarding path had no bench but the users' own. Change: bench slopes measures decisions and merge a part for 10 to 110 shards, the merge alone as what no decision can save, and the packets of a send through a peer.

--- /dev/null
+++ b/crates/tgw-bench/src/forward.rs
@@ -0,0 +1,184 @@
+//! What forwarding costs on the users' platform: decisions and merge a part, and frames of sends through
+//! peers. No I/O, so that it repeats on any machine.
+
+use crate::slopes::Slope;
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, StatusCode};
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    rc::Rc,
+    time::Instant,
+};
+use tgw_clock::Millis;
+use tgw_forward::{
+    Core, Plan,
+    core::Budget,
+    fleet::Place,
+    merge,
+    plan::{Ended, Event, Options, Response},
+    upstream::{Entry, Sign},
+};
+use tgw_route::{Config, Route, Safety, Service, Target, config::Shards};
+use tgw_spread::{
+    hop::{Outcome, Reply, Request},
+    message::Datagram,
+};
+use tgw_wire::Keys;
+
+/// Shards of a query: today's sites, the grown ones, the target.
+const SHARDS: [usize; 4] = [10, 36, 54, 110];
+/// Parts that are decided for each figure.
+const PARTS: usize = 200_000;
+/// Bytes of a part, as the users' surveys have.
+const PART: usize = 400;
+/// Records of an answer.
+const LIMIT: usize = 20;
+
+/// Measures decisions, merge and frames.
+pub(crate) fn slopes() -> Vec<Slope> {
+    let by_shards = |what, cost: fn(usize) -> f64| Slope {
+        what,
+        unit: "us a part",
+        values: SHARDS.iter().map(|shards| (format!("{shards} shards"), cost(*shards))).collect(),
+    };
+    let mut slopes = vec![
+        by_shards("forwarding, decisions and merge", decide),
+        by_shards("forwarding, merge alone", merge_alone),
+    ];
+    slopes.extend(frames());
+    slopes
+}
+
+fn route(shards: usize) -> Rc<Route> {
+    let services = (0..shards).map(|i| format!("s{i}").into()).collect();
+    Rc::new(Route {
+        name: "route".into(),
+        host: "a.example".into(),
+        prefix: "/".into(),
+        target: Target::Shards(Shards { services, limit: LIMIT, least: 0.75 }),
+        safety: Safety::Idempotent,
+        timeout: Millis::new(800),
+        aim: Millis::new(150),
+        attempts: 2,
+        priority: 1,
+    })
+}
+
+/// A core that knows three upstreams of each shard, one in each of three regions.
+fn core(shards: usize) -> Core {
+    let domains = ["d0", "d1", "d2"];
+    let regions = domains.iter().map(|d| ((*d).into(), format!("r-{d}"))).collect();
+    let budget = Budget { share: 0.2, constant: 50.0 };
+    let mut core = Core::new(Place { domain: "d0".into(), regions }, budget);
+    let mut config = Config::default();
+    for shard in 0..shards {
+        let service: Rc<str> = format!("s{shard}").into();
+        config.services.insert(service.clone(), Service { connections: 77 });
+        for domain in domains {
+            let entry = Entry {
+                id: format!("i-{shard}-{domain}").into(),
+                service: service.clone(),
+                addr: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+                domain: domain.into(),
+                slots: 4,
+                draining: false,
+                warmup: Millis::ZERO,
+            };
+            core.fleet.put(Millis::ZERO, entry);
+        }
+    }
+    core.configure(&config);
+    core
+}
+
+fn part(shard: usize) -> Bytes {
+    (0..PART).map(|i| (i * 31 + shard * 17) as u8).collect()
+}
+
+/// Microseconds a part of whole queries, from their arrival to their answer.
+fn decide(shards: usize) -> f64 {
+    let (route, mut core) = (route(shards), core(shards));
+    let bodies: Vec<Bytes> = (0..shards).map(part).collect();
+    let seals: Vec<HeaderValue> = (0..shards).map(|i| HeaderValue::from(i as u64)).collect();
+    let queries = PARTS / shards;
+    let (mut orders, mut answered) = (Vec::new(), 0);
+    let start = Instant::now();
+    for query in 0..queries {
+        let now = Millis::new(20 * query as u64);
+        let options = Options { route: route.clone(), patience: None, spread: query as u32 };
+        let mut plan = Plan::new(now, &options);
+        let mut answer = plan.on(now, Event::Start, &mut core, &mut orders);
+        let later = now + Millis::new(10);
+        for order in orders.drain(..) {
+            core.fleet.end(later, order.ticket, Sign::Reply);
+            let response = Response {
+                status: StatusCode::OK,
+                headers: HeaderMap::new(),
+                seal: Some(seals[order.part].clone()),
+                body: bodies[order.part].clone(),
+            };
+            let ended = Ended::Answered(Box::new(response));
+            let event = Event::Ended { part: order.part, ended };
+            answer = answer.or(plan.on(later, event, &mut core, &mut Vec::new()));
+        }
+        answered += usize::from(answer.is_some());
+    }
+    let took = start.elapsed();
+    debug_assert_eq!(answered, queries);
+    took.as_secs_f64() * 1e6 / (queries * shards) as f64
+}
+
+/// Microseconds a part of the merge, which no decision can save.
+fn merge_alone(shards: usize) -> f64 {
+    let bodies: Vec<Bytes> = (0..shards).map(part).collect();
+    let queries = PARTS / shards;
+    let start = Instant::now();
+    let bytes: usize =
+        (0..queries).map(|_| merge::greatest(bodies.iter().map(|b| &b[..]), LIMIT).len()).sum();
+    let took = start.elapsed();
+    debug_assert!(bytes > 0);
+    took.as_secs_f64() * 1e6 / (queries * shards) as f64
+}
+
+/// Bytes and microseconds of the two packets of a send through a peer.
+fn frames() -> Vec<Slope> {
+    let headers = ["host", "x-request", "x-deadline", "accept"];
+    let request = Datagram::Hop(Box::new(Request {
+        number: 7,
+        upstream: "i-7f3a91c2aa".into(),
+        insist: false,
+        left: 700,
+        method: "GET".into(),
+        uri: "/nono601/no91/2f".into(),
+        headers: headers.map(|name| (name.into(), b"9c41d07be2a35f68".to_vec())).into(),
+        body: Vec::new(),
+    }));
+    let outcome = Outcome::Answered {
+        status: 200,
+        seal: Some(b"3e1b.07.5a2.600.0.c9f2a4d1".to_vec()),
+        body: part(1).to_vec(),
+    };
+    let reply = Datagram::HopEnded(Box::new(Reply { number: 7, outcome }));
+    let both = [("request", request), ("reply", reply)];
+    let measured: Vec<(&str, (f64, f64))> = both.iter().map(|(n, d)| (*n, frame(d))).collect();
+    let values = |of: fn(&(f64, f64)) -> f64| {
+        measured.iter().map(|(name, cost)| ((*name).into(), of(cost))).collect()
+    };
+    vec![
+        Slope { what: "send through a peer, packet", unit: "bytes", values: values(|c| c.0) },
+        Slope { what: "send through a peer, made and read", unit: "us", values: values(|c| c.1) },
+    ]
+}
+
+/// The size of a packet, and what it takes to make and to read it.
+fn frame(datagram: &Datagram) -> (f64, f64) {
+    const ROUNDS: u32 = 20_000;
+    let keys = Keys::new([7; 32], None);
+    let mut size = 0;
+    let start = Instant::now();
+    for _ in 0..ROUNDS {
+        let Ok(frame) = tgw_wire::seal(&keys, datagram) else { continue };
+        size = tgw_wire::open::<Datagram>(&keys, &frame).map_or(0, |_| frame.len());
+    }
+    (size as f64, start.elapsed().as_secs_f64() * 1e6 / f64::from(ROUNDS))
+}
--- a/crates/tgw-bench/src/lib.rs
+++ b/crates/tgw-bench/src/lib.rs
@@ -8,6 +8,8 @@
 mod faults;
 /// What one run yields.
 pub mod figures;
+/// What forwarding on the users' platform costs.
+mod forward;
 /// Membership of many VMs under a virtual clock.
 pub mod members;
 /// The upstreams' model.
--- a/crates/tgw-bench/src/slopes.rs
+++ b/crates/tgw-bench/src/slopes.rs
@@ -1,7 +1,7 @@
 //! What one unit of state or work costs, measured on the real code, from which `docs/CAPACITY.md` is
 //! worked out.
 
-use crate::{Policy, Setup, members, run};
+use crate::{Policy, Setup, forward, members, run};
 use serde::Serialize;
 use std::{
     collections::BTreeMap,
@@ -40,6 +40,7 @@
     let mut slopes = membership();
     slopes.push(core());
     slopes.extend(ownership());
+    slopes.extend(forward::slopes());
     slopes.extend(frames());
     slopes.extend(documents());
     slopes
