feat(operate): what a VM did round a request that it never logged is told apart

Change: with --at and --vm, lines that were left out no longer hide that the VM was killed; a VM that had started less than 1.5 s before is named, as a connection begun while it was down is lost; a request that found all upstreams full says so.

--- a/crates/tgw-operate/src/story.rs
+++ b/crates/tgw-operate/src/story.rs
@@ -30,8 +30,10 @@
 const LEAVING: &str = "leaving: not ready, still accepting";
 /// The message that counts lines which were left out.
 const LEFT_OUT: &str = "log lines left out in the last interval";
-/// Messages that tell whether a VM ran, and whether it logged everything.
-const LIFE: [&str; 4] = ["start", "stop", LEAVING, LEFT_OUT];
+/// Time in s that callers allow for a connection, and that their report may lie after its begin.
+const CONNECT_S: f64 = 1.5;
+/// Messages that tell whether a VM ran.
+const LIFE: [&str; 3] = ["start", "stop", LEAVING];
 /// Fields that are not told again with a line's message.
 const PLAIN: [&str; 5] = ["timestamp", "level", "message", "target", "request"];
 
@@ -114,21 +116,25 @@
 /// The story of a request that no VM logged: what the VMs did round the time it was sent.
 fn absent(at: &str, vm: Option<&str>, lines: &[Line]) -> Story {
     let of = |line: &&Line| vm.is_none_or(|vm| line.vm == vm);
-    let lives = lines.iter().filter(of).filter(|l| LIFE.contains(&l.message()));
-    let mut last: BTreeMap<&str, (Option<&Line>, Option<&Line>)> = BTreeMap::new();
-    for line in lives {
-        let (before, after) = last.entry(line.vm.as_str()).or_default();
-        if line.at() <= at {
-            *before = Some(line);
-        } else if after.is_none() {
-            *after = Some(line);
+    let mut last: BTreeMap<&str, Round<'_>> = BTreeMap::new();
+    for line in lines.iter().filter(of) {
+        let round = last.entry(line.vm.as_str()).or_default();
+        let later = line.at() > at;
+        if line.message() == LEFT_OUT && later {
+            round.left_out.get_or_insert(line);
+        } else if LIFE.contains(&line.message()) && later {
+            round.after.get_or_insert(line);
+        } else if LIFE.contains(&line.message()) {
+            round.before = Some(line);
         }
     }
     let mut causes = Vec::new();
     let mut told = Vec::new();
-    for (vm, (before, after)) in last {
-        told.extend([before, after].into_iter().flatten().map(Line::told));
-        causes.extend(life(vm, before, after));
+    for (vm, Round { before, after, left_out }) in last {
+        told.extend([before, left_out, after].into_iter().flatten().map(Line::told));
+        let next = left_out.filter(|l| after.is_none_or(|a| l.at() < a.at()));
+        causes.extend(life(vm, before, after).or_else(|| fresh(vm, before, at)));
+        causes.extend(next.map(|l| format!("{vm} had left lines out by {}", l.at())));
     }
     let cause = match causes.is_empty() {
         true => {
@@ -139,6 +145,30 @@
     Story { before: told, lines: Vec::new(), cause }
 }
 
+/// A VM that had just started: a connection that was begun while it was down is lost.
+fn fresh(vm: &str, before: Option<&Line>, at: &str) -> Option<String> {
+    let started = before.filter(|l| l.message() == "start")?;
+    let ago = seconds(at)? - seconds(started.at())?;
+    let lost = (0.0..CONNECT_S).contains(&ago);
+    lost.then(|| {
+        format!("{vm} had started only {ago:.1} s before: what was begun earlier was lost")
+    })
+}
+
+/// The second of the day of an RFC 3339 time.
+fn seconds(time: &str) -> Option<f64> {
+    let (_, clock) = time.trim_end_matches('Z').split_once('T')?;
+    clock.split(':').try_fold(0.0, |sum, part| Some(sum * 60.0 + part.parse::<f64>().ok()?))
+}
+
+/// What one VM logged of itself round a moment.
+#[derive(Default)]
+struct Round<'a> {
+    before: Option<&'a Line>,
+    after: Option<&'a Line>,
+    left_out: Option<&'a Line>,
+}
+
 /// What the lines before and after a moment say of a VM's life at that moment.
 fn life(vm: &str, before: Option<&Line>, after: Option<&Line>) -> Option<String> {
     let message = |line: Option<&Line>| line.map_or("", Line::message).to_owned();
@@ -152,7 +182,6 @@
             Some(format!("{vm} ended without a word, at some time before it started at {when}"))
         }
         (LEAVING, _) => Some(format!("{vm} was leaving, and stopped taking callers")),
-        (_, LEFT_OUT) => Some(format!("{vm} left lines out then")),
         _ => None,
     }
 }
@@ -225,6 +254,7 @@
         "body broken" => "its body ended early or is malformed".into(),
         "body late" => "its body did not come in time".into(),
         "caller left" => "the caller left before its answer".into(),
+        "all upstreams full" => "all upstreams hold as many sends as this VM may make".into(),
         _ => trouble(own),
     };
     let (outcome, age) = (end.text("outcome"), end.number("age_ms"));
--- a/crates/tgw-operate/tests/operate/story.rs
+++ b/crates/tgw-operate/tests/operate/story.rs
@@ -54,7 +54,7 @@
 // it had been killed, had left, or left out lines for a while.
 #[test_case("start", 10, "start", 14, "vm-1 ended without a word, at some time before it started at 14"; "killed")]
 #[test_case("stop", 10, "start", 14, "vm-1 had stopped, and started again at 14"; "stopped")]
-#[test_case("start", 10, "log lines left out in the last interval", 13, "vm-1 left lines out then"; "left out")]
+#[test_case("start", 10, "log lines left out in the last interval", 13, "vm-1 had left lines out by 13"; "left out")]
 #[test_case("start", 10, "stop", 30, "no VM logged this request, and all that are named here ran: it reached none"; "it ran")]
 fn a_request_that_no_vm_logged(before: &str, since: u32, after: &str, then: u32, cause: &str) {
     let line = |vm: &str, message: &str, at: u32| {
@@ -65,3 +65,20 @@
     let name = format!("absent-{then}-{}.log", before.len());
     assert_eq!(story::read(asked, &[file(&name, &text)]).unwrap().cause, cause);
 }
+
+// The same, and the VM had come back the moment before: the caller's connection was begun while it was
+// down, and nothing of it arrived.
+#[test_case(
+    "2026-09-07T10:23:26.7Z",
+    "vm-1 had started only 0.6 s before: what was begun earlier was lost"
+)]
+#[test_case(
+    "2026-09-07T10:23:46.7Z",
+    "no VM logged this request, and all that are named here ran: it reached none"
+)]
+fn a_request_to_a_vm_that_had_just_started(at: &str, cause: &str) {
+    let text = r#"vm-1 {"timestamp":"2026-09-07T10:23:26.1Z","message":"start"}"#;
+    let asked = Asked { request: "none", at: Some(at), vm: None };
+    let file = file(&format!("fresh-{}.log", &at[17..19]), text);
+    assert_eq!(story::read(asked, &[file]).unwrap().cause, cause);
+}
