feat(clock): time goes on through a suspend

Cause: a machine may be suspended for seconds, in which the usual monotonic clock stands still: after it a VM took idle connections for fresh, membership saw no pause, and upstreams were handed time that callers no longer had. Change: the clock reads the time since boot, and the usual one where a machine has none. Ruled out: a look at both clocks after each wait, as every deadline is computed from one clock anyway.

--- a/crates/tgw-clock/src/clock.rs
+++ b/crates/tgw-clock/src/clock.rs
@@ -1,7 +1,8 @@
 use crate::Millis;
+use nix::time::{ClockId, clock_gettime};
 use std::{
     sync::atomic::{AtomicU64, Ordering},
-    time::Instant,
+    time::Duration,
 };
 
 /// A source of the current time.
@@ -10,10 +11,38 @@
     fn now(&self) -> Millis;
 }
 
-/// The machine's monotonic clock, counted from its construction.
+/// The time since the machine's boot, counted from the clock's construction.
+///
+/// A machine may be suspended for seconds. The usual monotonic clock stands still meanwhile, so that a
+/// process would take its idle connections for fresh, its peers' words for new, and hand upstreams time
+/// that their callers no longer have. This one goes on.
 #[derive(Debug)]
 pub struct Monotonic(Instant);
 
+/// A point of the clock that goes on through a suspend; where the machine has none, of the usual one.
+#[derive(Copy, Clone, Debug)]
+enum Instant {
+    Boot(Duration),
+    Steady(std::time::Instant),
+}
+
+impl Instant {
+    fn now() -> Self {
+        boot().map_or_else(|| Self::Steady(std::time::Instant::now()), Self::Boot)
+    }
+
+    fn elapsed(self) -> Duration {
+        match self {
+            Self::Boot(since) => boot().unwrap_or(since).saturating_sub(since),
+            Self::Steady(since) => since.elapsed(),
+        }
+    }
+}
+
+fn boot() -> Option<Duration> {
+    clock_gettime(ClockId::CLOCK_BOOTTIME).ok().map(Duration::from)
+}
+
 impl Default for Monotonic {
     fn default() -> Self {
         Self(Instant::now())
