fix(forward): the upstream that a peer passed over is named, not guessed; refactor: parts have a file

Cause: read as a newcomer: a send that a peer did not make took the upstream asked last off the list of those tried. With two sends under way that could be the other one, and the part went a second time to an upstream that was at work on it. Test: failed with the old rule (the second upstream asked again).

--- a/crates/tgw-bench/src/forward.rs
+++ b/crates/tgw-bench/src/forward.rs
@@ -118,7 +118,8 @@
                 body: bodies[order.part].clone(),
             };
             let ended = Ended::Answered(Box::new(response));
-            let event = Event::Ended { part: order.part, ended };
+            let upstream = order.ticket.upstream;
+            let event = Event::Ended { part: order.part, upstream, ended };
             answer = answer.or(plan.on(later, event, &mut core, &mut Vec::new()));
         }
         answered += usize::from(answer.is_some());
--- a/crates/tgw-forward/src/lib.rs
+++ b/crates/tgw-forward/src/lib.rs
@@ -14,6 +14,8 @@
 pub mod merge;
 /// What a plan is told and what it says.
 mod message;
+/// One part of a request.
+mod part;
 /// One request from its arrival to its answer.
 pub mod plan;
 /// One upstream: what the store says of it and what its replies told.
--- a/crates/tgw-forward/src/message.rs
+++ b/crates/tgw-forward/src/message.rs
@@ -52,6 +52,8 @@
     Ended {
         /// The part it was for.
         part: usize,
+        /// The upstream it was meant for.
+        upstream: Key,
         /// How.
         ended: Ended,
     },
--- /dev/null
+++ b/crates/tgw-forward/src/part.rs
@@ -0,0 +1,113 @@
+use crate::{
+    Core,
+    core::{Most, Way},
+    fleet::{Choice, Key},
+    message::{Reason, Why},
+};
+use bytes::Bytes;
+use http::HeaderValue;
+use smallvec::SmallVec;
+use std::rc::Rc;
+use tgw_clock::Millis;
+use tgw_route::{Route, Target};
+
+/// Tries to send one part, most of which came to no send: no connection, or no room at a peer.
+pub(crate) const TRIES: u32 = 6;
+
+/// How far a part is.
+#[derive(Debug)]
+pub(crate) enum State {
+    /// It may still come.
+    Waiting,
+    /// It is in.
+    Got { seal: HeaderValue, body: Bytes },
+    /// It is not waited for any more.
+    GivenUp,
+}
+
+/// What one service contributes to an answer, and what was done for it.
+#[derive(Debug)]
+pub(crate) struct Part {
+    pub(crate) service: Rc<str>,
+    pub(crate) state: State,
+    /// Upstreams that it was sent to.
+    pub(crate) tried: SmallVec<[Key; 2]>,
+    /// Upstreams that a peer did not send it to.
+    pub(crate) busy: SmallVec<[Key; 2]>,
+    pub(crate) tries: u32,
+    pub(crate) sends: u32,
+    /// Sends that have not ended.
+    pub(crate) open: u32,
+    pub(crate) hedge_at: Option<Millis>,
+    /// When it is tried again, while nothing is under way for it.
+    pub(crate) parked: Option<Millis>,
+}
+
+/// Sends that one upstream of a service may hold at once from this VM, for requests of `route`.
+pub(crate) fn most(core: &Core, route: &Route, service: &str) -> Most {
+    // Parts are small and may be asked twice. What may run once, or is passed on whole, goes on this
+    // VM's own connections: the answer of another VM can be lost.
+    let sharded = matches!(route.target, Target::Shards(_));
+    core.most(service, if sharded { Way::Peers } else { Way::Direct })
+}
+
+impl Part {
+    pub(crate) fn new(service: Rc<str>) -> Self {
+        Self {
+            service,
+            state: State::Waiting,
+            tried: SmallVec::new(),
+            busy: SmallVec::new(),
+            tries: 0,
+            sends: 0,
+            open: 0,
+            hedge_at: None,
+            parked: None,
+        }
+    }
+
+    pub(crate) fn waiting(&self) -> bool {
+        matches!(self.state, State::Waiting)
+    }
+
+    /// Whether the route allows one more send.
+    pub(crate) fn sendable(&self, route: &Route) -> bool {
+        self.sends < route.attempts.max(1) && self.tries < TRIES
+    }
+
+    /// A send reached no upstream. If it was not the first, the budget was charged for it: peers that doubt
+    /// an upstream would else use up what retries need (4 sends a query while shards were slow).
+    pub(crate) fn unsend(&mut self, core: &mut Core) {
+        self.sends = self.sends.saturating_sub(1);
+        if self.sends > 0 {
+            core.refund(&self.service);
+        }
+    }
+
+    /// A peer did not send it to `upstream`, which may be asked again when no other is left.
+    pub(crate) fn passed_over(&mut self, upstream: Key) {
+        self.tried.retain(|key| *key != upstream);
+        self.busy.push(upstream);
+    }
+
+    /// The upstream for one more send, and whether that is to be insisted on as no other is left.
+    pub(crate) fn choose(
+        &self,
+        now: Millis,
+        why: Why,
+        route: &Route,
+        core: &mut Core,
+    ) -> Result<(Choice, bool), Reason> {
+        if !self.sendable(route) {
+            return Err(Reason::Attempts);
+        }
+        let most = most(core, route, &self.service);
+        let passed: SmallVec<[Key; 4]> = self.tried.iter().chain(&self.busy).copied().collect();
+        let fresh = core.fleet.pick(now, &self.service, most, &passed);
+        let insist = fresh.is_none();
+        let again = || core.fleet.pick(now, &self.service, most, &self.tried);
+        let choice = fresh.or_else(again).ok_or(Reason::Upstream)?;
+        let allowed = self.sends == 0 || core.spend(now, &self.service, why);
+        allowed.then_some((choice, insist)).ok_or(Reason::Budget)
+    }
+}
--- a/crates/tgw-forward/src/plan.rs
+++ b/crates/tgw-forward/src/plan.rs
@@ -2,13 +2,11 @@
 
 use crate::{
     Core,
-    core::{Most, Way},
     fleet::{Choice, Key},
     merge,
+    part::{self, Part, State},
     upstream::Distance,
 };
-use bytes::Bytes;
-use http::HeaderValue;
 use smallvec::SmallVec;
 use std::rc::Rc;
 use tgw_clock::Millis;
@@ -25,8 +23,6 @@
 const HEDGE_LEAST: Millis = Millis::new(8);
 /// The part of the aim after which a second send could no longer meet it.
 const HEDGE_MOST: f64 = 0.4;
-/// Tries to send one part, most of which came to no send: no connection, or no room at a peer.
-const TRIES: u32 = 6;
 /// Time in ms after which a part that found no upstream with room is tried again: about the work of a
 /// request, after which a connection is free.
 const PARK: Millis = Millis::new(20);
@@ -34,86 +30,6 @@
 /// refused together do not return together.
 const RETRY_AFTER: Millis = Millis::new(60);
 
-#[derive(Debug)]
-enum State {
-    Waiting,
-    Got { seal: HeaderValue, body: Bytes },
-    GivenUp,
-}
-
-#[derive(Debug)]
-struct Part {
-    service: Rc<str>,
-    state: State,
-    tried: SmallVec<[Key; 2]>,
-    /// Upstreams that a peer did not send to.
-    busy: SmallVec<[Key; 2]>,
-    tries: u32,
-    sends: u32,
-    open: u32,
-    hedge_at: Option<Millis>,
-    /// When it is tried again, while nothing is under way for it.
-    parked: Option<Millis>,
-}
-
-impl Part {
-    fn new(service: Rc<str>) -> Self {
-        Self {
-            service,
-            state: State::Waiting,
-            tried: SmallVec::new(),
-            busy: SmallVec::new(),
-            tries: 0,
-            sends: 0,
-            open: 0,
-            hedge_at: None,
-            parked: None,
-        }
-    }
-
-    /// A send reached no upstream. If it was not the first, the budget was charged for it: peers that doubt
-    /// an upstream would else use up what retries need (4 sends a query while shards were slow).
-    fn unsend(&mut self, core: &mut Core) {
-        self.sends = self.sends.saturating_sub(1);
-        if self.sends > 0 {
-            core.refund(&self.service);
-        }
-    }
-
-    fn waiting(&self) -> bool {
-        matches!(self.state, State::Waiting)
-    }
-}
-
-/// Sends that one upstream of a service may hold at once from this VM, for requests of `route`.
-fn most(core: &Core, route: &Route, service: &str) -> Most {
-    // Parts are small and may be asked twice. What may run once, or is passed on whole, goes on this
-    // VM's own connections: the answer of another VM can be lost.
-    let sharded = matches!(route.target, Target::Shards(_));
-    core.most(service, if sharded { Way::Peers } else { Way::Direct })
-}
-
-/// The upstream for one more send of a part.
-fn choose(
-    now: Millis,
-    part: &Part,
-    why: Why,
-    route: &Route,
-    core: &mut Core,
-) -> Result<(Choice, bool), Reason> {
-    if part.sends >= route.attempts.max(1) || part.tries >= TRIES {
-        return Err(Reason::Attempts);
-    }
-    let most = most(core, route, &part.service);
-    let passed: SmallVec<[Key; 4]> = part.tried.iter().chain(&part.busy).copied().collect();
-    let fresh = core.fleet.pick(now, &part.service, most, &passed);
-    let insist = fresh.is_none();
-    let again = || core.fleet.pick(now, &part.service, most, &part.tried);
-    let choice = fresh.or_else(again).ok_or(Reason::Upstream)?;
-    let allowed = part.sends == 0 || core.spend(now, &part.service, why);
-    allowed.then_some((choice, insist)).ok_or(Reason::Budget)
-}
-
 /// Whether `count` of `all` parts make a success.
 fn enough(shards: &Shards, count: usize, all: usize) -> bool {
     // The share may be a rounded decimal, as 0.89 for eight of nine.
@@ -217,7 +133,9 @@
         }
         match event {
             Event::Start => self.start(now, core, out),
-            Event::Ended { part, ended } => self.ended(now, part, ended, core, out),
+            Event::Ended { part, upstream, ended } => {
+                self.ended(now, part, upstream, ended, core, out);
+            }
             Event::Tick => {
                 self.unpark(now, core, out);
                 self.hedge(now, core, out);
@@ -256,7 +174,7 @@
     /// Whether enough parts find an upstream for an answer to be a success.
     fn feasible(&self, now: Millis, core: &Core) -> bool {
         let Target::Shards(shards) = &self.route.target else { return true };
-        let most = |part: &Part| most(core, &self.route, &part.service);
+        let most = |part: &Part| part::most(core, &self.route, &part.service);
         let found = self.count(|p| core.fleet.pick(now, &p.service, most(p), &[]).is_some());
         enough(shards, found, self.parts.len())
     }
@@ -265,6 +183,7 @@
         &mut self,
         now: Millis,
         index: usize,
+        upstream: Key,
         ended: Ended,
         core: &mut Core,
         out: &mut Vec<Order>,
@@ -287,7 +206,7 @@
             }
             Ended::Busy => {
                 part.unsend(core);
-                part.busy.extend(part.tried.pop());
+                part.passed_over(upstream);
                 again = true;
             }
             Ended::Broken | Ended::Silent => self.ran = true,
@@ -330,7 +249,7 @@
             && part.open == 0
         {
             let park = parks && core.fleet.serves(&part.service);
-            let again = park && part.sends < self.route.attempts.max(1) && part.tries < TRIES;
+            let again = park && part.sendable(&self.route);
             part.parked = again.then_some(now + PARK);
             if !again {
                 part.state = State::GivenUp;
@@ -385,7 +304,7 @@
     ) {
         let route = self.route.clone();
         let part = &mut self.parts[index];
-        let (Choice { key, hop }, insist) = match choose(now, part, why, &route, core) {
+        let (Choice { key, hop }, insist) = match part.choose(now, why, &route, core) {
             Ok(chosen) => chosen,
             Err(reason) => {
                 self.withheld.push(Withheld { part: index, why, reason });
--- a/crates/tgw-forward/tests/forward.rs
+++ b/crates/tgw-forward/tests/forward.rs
@@ -544,3 +544,19 @@
     other.start(&route);
     assert_eq!(&*other.upstream(0), "s0-far");
 }
+
+// Two sends of a part are under way when the peer asked for the first says that it did not send. The
+// part must not go a second time to the upstream of the other send, which is at work on it.
+#[test]
+fn the_upstream_that_was_passed_over_is_the_one_that_may_be_asked_again() {
+    let mut world = World::new(1);
+    world.core.fleet.remove("s0-near");
+    world.core.fleet.put(world.now, entry("s0-second", "s0", FAR));
+    world.core.fleet.set_manned(["r2".into()].into());
+    world.start(&route(shards(1), Safety::Idempotent));
+    world.wake();
+    let (first, second) = (world.upstream(0), world.upstream(1));
+    assert_ne!(first, second);
+    world.end(0, Ended::Busy, Sign::Busy);
+    assert_eq!((world.upstream(2), world.orders[2].insist), (first, true));
+}
--- a/crates/tgw-forward/tests/world/mod.rs
+++ b/crates/tgw-forward/tests/world/mod.rs
@@ -104,7 +104,7 @@
     pub(crate) fn end(&mut self, index: usize, ended: Ended, sign: Sign) -> Option<Answer> {
         let order = self.orders[index].clone();
         self.core.fleet.end(self.now, order.ticket, sign);
-        self.on(Event::Ended { part: order.part, ended })
+        self.on(Event::Ended { part: order.part, upstream: order.ticket.upstream, ended })
     }
 
     pub(crate) fn reply(&mut self, index: usize, records: &[u8]) -> Option<Answer> {
--- a/crates/tgw-gateway/src/handle.rs
+++ b/crates/tgw-gateway/src/handle.rs
@@ -12,7 +12,7 @@
 use tgw_clock::Millis;
 use tgw_forward::{
     Plan,
-    plan::{self, Answer, Ended, Event, Order, Response as Reply},
+    plan::{self, Answer, Event, Order, Response as Reply},
 };
 use tgw_route::Route;
 use tokio::{
@@ -177,15 +177,12 @@
 struct Sends {
     shared: Rc<Shared>,
     request: Rc<Outgoing>,
-    ended: UnboundedSender<(usize, Ended)>,
+    ended: UnboundedSender<Event>,
     tasks: Vec<AbortHandle>,
 }
 
 impl Sends {
-    fn open(
-        shared: Rc<Shared>,
-        request: Rc<Outgoing>,
-    ) -> (Self, UnboundedReceiver<(usize, Ended)>) {
+    fn open(shared: Rc<Shared>, request: Rc<Outgoing>) -> (Self, UnboundedReceiver<Event>) {
         // Holds at most one value for each send, which the route's attempts bound.
         let (ended, results) = mpsc::unbounded_channel();
         (Self { shared, request, ended, tasks: Vec::new() }, results)
@@ -199,7 +196,7 @@
         let task = tokio::task::spawn_local(async move {
             let result = exchange::run(shared, way, request).await;
             // Nobody listens once the answer has left.
-            let _ = ended.send((part, result));
+            let _ = ended.send(Event::Ended { part, upstream: ticket.upstream, ended: result });
         });
         self.tasks.push(task.abort_handle());
     }
@@ -247,10 +244,7 @@
         let rest = Duration::from(plan.wake(now) - now);
         event = tokio::select! {
             biased;
-            result = results.recv() => match result {
-                Some((part, ended)) => Event::Ended { part, ended },
-                None => Event::Tick,
-            },
+            ended = results.recv() => ended.unwrap_or(Event::Tick),
             () = sleep(rest) => Event::Tick,
         };
     };
