fix(gateway): an answer that was not asked for reaches no caller

The answer to a send that an earlier process of the VM had asked for may arrive after its restart, and would have been taken for the answer to another request: a caller would get records that are not its own. Ruled out: a look at the request's identity in the answer alone, as two parts of one request share it. Change: numbers begin at random, and an answer counts only from the VM that was asked.

--- a/crates/tgw-gateway/src/hop.rs
+++ b/crates/tgw-gateway/src/hop.rs
@@ -39,10 +39,10 @@
 const SPARED: Millis = Millis::new(3_000);
 
 /// Sends made by other VMs for this one, and by this one for others.
-#[derive(Default)]
 pub(crate) struct Hops {
     next: Cell<u64>,
-    waiting: RefCell<HashMap<u64, oneshot::Sender<Outcome>>>,
+    /// Who waits, by number, for which VM.
+    waiting: RefCell<HashMap<u64, (SocketAddr, oneshot::Sender<Outcome>)>>,
     hosted: RefCell<HashMap<(SocketAddr, u64), AbortHandle>>,
     /// Live VMs of other regions: by failure domain, and by region.
     hosts: RefCell<Hosts>,
@@ -58,6 +58,20 @@
     pub(crate) regions: BTreeMap<String, Vec<SocketAddr>>,
 }
 
+impl Default for Hops {
+    fn default() -> Self {
+        Self {
+            // The reply to a send that an earlier process of this VM asked for may still be on its way. If
+            // both counted from one, it would be taken for the reply to another request.
+            next: Cell::new(rand::random()),
+            waiting: RefCell::default(),
+            hosted: RefCell::default(),
+            hosts: RefCell::default(),
+            spared: RefCell::default(),
+        }
+    }
+}
+
 impl Hops {
     /// Sends that run for other VMs.
     pub(crate) fn hosted(&self) -> usize {
@@ -81,11 +95,15 @@
         open(hosts.domains.get(domain)).or_else(|| open(hosts.regions.get(region?)))
     }
 
-    /// A send that another VM made has ended.
-    pub(crate) fn ended(&self, reply: Reply) {
-        if let Some(waiting) = self.waiting.borrow_mut().remove(&reply.number) {
+    /// A send that the VM at `from` was asked for has ended.
+    pub(crate) fn ended(&self, from: SocketAddr, reply: Reply) {
+        let mut waiting = self.waiting.borrow_mut();
+        if waiting.get(&reply.number).is_none_or(|(host, _)| *host != from) {
+            return;
+        }
+        if let Some((_, sender)) = waiting.remove(&reply.number) {
             // Its task may just have been dropped: then nobody waits.
-            let _ = waiting.send(reply.outcome);
+            let _ = sender.send(reply.outcome);
         }
     }
 
@@ -138,7 +156,7 @@
     };
     let number = message.number;
     let (sender, answer) = oneshot::channel();
-    shared.hops.waiting.borrow_mut().insert(number, sender);
+    shared.hops.waiting.borrow_mut().insert(number, (host, sender));
     let _asked = Asked { shared, host, number, since: now };
     shared.packets.send(host, &Datagram::Hop(Box::new(message)));
     // The sender stays in the table until it is used.
--- a/crates/tgw-gateway/src/peers.rs
+++ b/crates/tgw-gateway/src/peers.rs
@@ -147,7 +147,7 @@
                 }
             }
             Ok(Datagram::Hop(request)) => hop::host(&self.shared, from, *request),
-            Ok(Datagram::HopEnded(reply)) => self.shared.hops.ended(*reply),
+            Ok(Datagram::HopEnded(reply)) => self.shared.hops.ended(from, *reply),
             Ok(Datagram::HopCancelled(number)) => self.shared.hops.cancel(from, number),
             Err(error) => tracing::debug!(%error, %from, "packet refused"),
         }
