fix(spread): gaps that become one leave nothing out

Cause: read as a newcomer: beyond eight gaps the two oldest became one by taking the first one's start. Gaps that peers tell come in no order, so that the end of the first could be forgotten, and versions in it counted as followed. Change: the one gap reaches from the lower start to the higher end. Test: ten gaps in no order; failed first (a VM at version 120 was told only what changed since).

--- a/crates/tgw-spread/src/ledger.rs
+++ b/crates/tgw-spread/src/ledger.rs
@@ -127,8 +127,9 @@
             self.gaps.push((from, to));
         }
         if self.gaps.len() > GAPS {
-            let (start, _) = self.gaps.remove(0);
-            self.gaps[0].0 = start;
+            let (start, end) = self.gaps.remove(0);
+            let (next_start, next_end) = self.gaps[0];
+            self.gaps[0] = (start.min(next_start), end.max(next_end));
         }
     }
 
--- a/crates/tgw-spread/tests/spread.rs
+++ b/crates/tgw-spread/tests/spread.rs
@@ -124,6 +124,24 @@
     assert_eq!(reading.since(2).from, Some(2));
 }
 
+// A VM has read the store anew more often than it tells readings apart, and learned of some of the gaps from
+// peers, in no order. Where two become one, nothing of either may count as followed.
+#[test]
+fn gaps_that_become_one_leave_nothing_out() {
+    let mut telling = ledger(100, &[("a", 100, 1)]);
+    for end in [200, 160, 180, 300, 310, 320, 330, 340, 350, 360] {
+        let delta = Delta { from: Some(telling.version()), to: telling.version() + 30, ..empty() };
+        telling.apply(Delta { gaps: vec![(end - 45, end)], ..delta });
+    }
+    for version in [120, 140, 158, 170, 190] {
+        assert_eq!(telling.since(version).from, None, "at {version}");
+    }
+}
+
+fn empty() -> Delta<u32> {
+    Delta { from: None, to: 0, changed: vec![], removed: vec![], gaps: vec![] }
+}
+
 fn config(version: u64, routes: &[&str]) -> Config {
     let route = |name: &&str| Route {
         name: (*name).into(),
