--- a/crates/tgw-bench/src/forward.rs
+++ b/crates/tgw-bench/src/forward.rs
@@ -77,6 +77,7 @@
         for domain in domains {
             let entry = Entry {
                 id: format!("i-{shard}-{domain}").into(),
+                started: 0,
                 service: service.clone(),
                 addr: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
                 domain: domain.into(),
@@ -147,6 +148,7 @@
     let request = Datagram::Hop(Box::new(Request {
         number: 7,
         upstream: "i-7f3a91c2aa".into(),
+        started: 1_700_000_000_000,
         insist: false,
         left: 700,
         method: "GET".into(),
--- a/crates/tgw-forward/src/catalog.rs
+++ b/crates/tgw-forward/src/catalog.rs
@@ -23,14 +23,23 @@
         self.away = true;
     }
 
-    /// The whole list was read.
-    pub fn listed(&mut self, now: Millis, entries: Vec<Entry>, fleet: &mut Fleet) {
+    /// The whole list was read; `unreadable` names entries of it that nobody can use.
+    pub fn listed(
+        &mut self,
+        now: Millis,
+        entries: Vec<Entry>,
+        unreadable: &[Rc<str>],
+        fleet: &mut Fleet,
+    ) {
         if std::mem::take(&mut self.away) {
             self.doubt_until = now + Millis::new(GRACE_MS);
         }
         let named: HashSet<Rc<str>> = entries.iter().map(|e| e.id.clone()).collect();
         let missing: Vec<Rc<str>> =
             fleet.ids().filter(|id| !named.contains(&**id)).cloned().collect();
+        for id in unreadable {
+            self.unreadable(id, fleet);
+        }
         for id in missing {
             self.removed(now, &id, fleet);
         }
@@ -50,13 +59,19 @@
         // Heartbeats cannot reach a store that is away, so entries of upstreams that live lapse, and
         // all of a service would be gone at the store's return. They are kept until those that live
         // had time to write theirs again.
-        if now < self.doubt_until {
+        if now < self.doubt_until && fleet.key(id).is_some() {
             self.doubted.entry(id.clone()).or_insert(self.doubt_until);
         } else {
             fleet.remove(id);
         }
     }
 
+    /// One entry cannot be read any more. It did not lapse, so it is not waited for.
+    pub fn unreadable(&mut self, id: &Rc<str>, fleet: &mut Fleet) {
+        self.doubted.remove(id);
+        fleet.remove(id);
+    }
+
     /// Whether entries are kept that the store no longer holds.
     pub fn doubts(&self) -> bool {
         !self.doubted.is_empty()
--- a/crates/tgw-forward/src/fleet.rs
+++ b/crates/tgw-forward/src/fleet.rs
@@ -103,10 +103,18 @@
     /// Adds an upstream or takes over its newer entry.
     pub fn put(&mut self, now: Millis, entry: Entry) {
         if let Some(upstream) = self.keys.get(&entry.id).and_then(|k| self.upstreams.get_mut(k)) {
-            if upstream.entry.service == entry.service && upstream.entry.addr == entry.addr {
+            if entry.precedes(&upstream.entry) {
+                return;
+            }
+            let known = &upstream.entry;
+            let same = (known.started, &known.service, known.addr);
+            if same == (entry.started, &entry.service, entry.addr) {
                 upstream.renew(now, entry);
                 return;
             }
+            // Another process, though it bears the identity: it has none of the connections, was sent
+            // nothing, and is as slow as any that has just started. Sends to the one before keep their key,
+            // so that what becomes of them says nothing of this one.
             self.remove(&entry.id);
         }
         let key = Key(self.next_key);
@@ -191,16 +199,17 @@
         Ticket { upstream: key, number }
     }
 
-    /// What other VMs should be told of an upstream, with its identity.
-    pub fn tell(&mut self, now: Millis, key: Key) -> Option<(Rc<str>, Word)> {
+    /// What other VMs should be told of an upstream, with its entry.
+    pub fn tell(&mut self, now: Millis, key: Key) -> Option<(&Entry, Word)> {
         let upstream = self.upstreams.get_mut(&key)?;
         let word = upstream.tell(now)?;
-        Some((upstream.entry.id.clone(), word))
+        Some((&upstream.entry, word))
     }
 
-    /// Another VM of the region tells of an upstream.
-    pub fn told(&mut self, now: Millis, id: &str, word: Word) {
-        if let Some(upstream) = self.keys.get(id).and_then(|k| self.upstreams.get_mut(k)) {
+    /// Another VM of the region tells of an upstream that started at `started`.
+    pub fn told(&mut self, now: Millis, id: &str, started: u64, word: Word) {
+        let upstream = self.keys.get(id).and_then(|k| self.upstreams.get_mut(k));
+        if let Some(upstream) = upstream.filter(|u| u.entry.started == started) {
             upstream.told(now, word);
         }
     }
--- a/crates/tgw-forward/src/upstream.rs
+++ b/crates/tgw-forward/src/upstream.rs
@@ -9,8 +9,11 @@
 /// What the store says of an upstream's incarnation.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
-    /// The identity of the incarnation; no other process ever bears it.
+    /// Its identity; a process that starts again may bear it too.
     pub id: Rc<str>,
+    /// When the process started, in ms of Unix time; zero where the entry does not say. With `id` it names
+    /// the incarnation.
+    pub started: u64,
     /// The service it belongs to.
     pub service: Rc<str>,
     /// Where it listens.
@@ -25,6 +28,16 @@
     pub warmup: Millis,
 }
 
+impl Entry {
+    /// Whether it tells of an earlier process than `other`, which bears the same identity.
+    ///
+    /// An earlier process may have written its last heartbeat after the later one's first, and peers may
+    /// tell of the two in any order.
+    pub fn precedes(&self, other: &Self) -> bool {
+        self.id == other.id && self.started < other.started
+    }
+}
+
 /// How far an upstream is from this VM.
 #[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Distance {
--- a/crates/tgw-forward/tests/forward.rs
+++ b/crates/tgw-forward/tests/forward.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::expect_used, clippy::unwrap_used, clippy::panic)] // A test fails by panic.
 
 mod peers;
+mod restart;
 mod world;
 
 use http::StatusCode;
@@ -312,7 +313,7 @@
 fn catalogued() -> (Fleet, Catalog, Vec<tgw_forward::upstream::Entry>) {
     let (mut fleet, mut catalog) = (Fleet::new(Place::default()), Catalog::default());
     let entries = vec![entry("a", "s", NEAR), entry("b", "s", NEAR)];
-    catalog.listed(Millis::ZERO, entries.clone(), &mut fleet);
+    catalog.listed(Millis::ZERO, entries.clone(), &[], &mut fleet);
     (fleet, catalog, entries)
 }
 
@@ -323,7 +324,7 @@
     let (mut fleet, mut catalog, entries) = catalogued();
     catalog.lost();
     let back = Millis::new(10_000);
-    catalog.listed(back, vec![], &mut fleet);
+    catalog.listed(back, vec![], &[], &mut fleet);
     assert_eq!(fleet.len(), 2);
     catalog.changed(back + Millis::new(900), entries[0].clone(), &mut fleet);
     catalog.tick(back + Millis::new(2_000), &mut fleet);
@@ -337,7 +338,7 @@
     let (mut fleet, mut catalog, entries) = catalogued();
     catalog.removed(Millis::new(5_000), &"a".into(), &mut fleet);
     assert_eq!(fleet.len(), 1);
-    catalog.listed(Millis::new(6_000), entries[..1].to_vec(), &mut fleet);
+    catalog.listed(Millis::new(6_000), entries[..1].to_vec(), &[], &mut fleet);
     assert_eq!(fleet.ids().map(Rc::to_string).collect::<Vec<_>>(), ["a"]);
 }
 
@@ -361,7 +362,7 @@
     let mut world = World::new(1);
     world.core.fleet.put(world.now, entry("s0-spare", "s0", NEAR));
     let route = route(one(), Safety::Idempotent);
-    world.core.fleet.told(world.now, "s0-near", Word { overdue: true, expected: 12.0 });
+    world.core.fleet.told(world.now, "s0-near", 0, Word { overdue: true, expected: 12.0 });
     world.start(&route);
     assert_eq!(&*world.upstream(0), "s0-spare");
     world.reply(0, &[]);
@@ -378,8 +379,8 @@
     let key = world.orders[0].ticket.upstream;
     assert!(world.core.fleet.tell(world.now, key).is_none(), "told before it was late");
     world.pass(80);
-    let (id, _) = world.core.fleet.tell(world.now, key).unwrap();
-    assert_eq!(&*id, "s0-near");
+    let (entry, _) = world.core.fleet.tell(world.now, key).unwrap();
+    assert_eq!(&*entry.id, "s0-near");
     world.pass(50);
     assert!(world.core.fleet.tell(world.now, key).is_none(), "told again at once");
 }
--- a/crates/tgw-forward/tests/peers/mod.rs
+++ b/crates/tgw-forward/tests/peers/mod.rs
@@ -156,10 +156,10 @@
         one_vm.reply(0, &[]);
     }
     let near = one_vm.core.fleet.key("s0-near").unwrap();
-    let (id, word) = one_vm.core.fleet.tell(one_vm.now, near).unwrap();
+    let (entry, word) = one_vm.core.fleet.tell(one_vm.now, near).unwrap();
     assert!(!word.overdue && word.expected > 45.0, "{word:?}");
     other.pass(800);
-    other.core.fleet.told(other.now, &id, word);
+    other.core.fleet.told(other.now, &entry.id, entry.started, word);
     other.start(&route);
     assert_eq!(&*other.upstream(0), "s0-far");
 }
--- a/crates/tgw-gateway/src/hop.rs
+++ b/crates/tgw-gateway/src/hop.rs
@@ -184,6 +184,7 @@
     Some(Request {
         number,
         upstream: entry.id.clone(),
+        started: entry.started,
         insist: sent.insist,
         left: (request.deadline - shared.now()).whole(),
         method: request.method.to_string(),
@@ -273,7 +274,9 @@
     let upstream = core.fleet.get(key).ok_or(Outcome::Unsent)?;
     let most = core.most(&upstream.entry.service, Way::Peers);
     let doubted = !request.insist && upstream.doubtful(now);
-    if doubted || !upstream.open(now, most.near) {
+    // One of the two VMs has not heard yet that the upstream has started again.
+    let other = upstream.entry.started != request.started;
+    if doubted || other || !upstream.open(now, most.near) {
         return Err(Outcome::Busy);
     }
     Ok(core.fleet.send(now, key))
--- a/crates/tgw-gateway/src/meters.rs
+++ b/crates/tgw-gateway/src/meters.rs
@@ -35,11 +35,12 @@
     pub(crate) hosted: AtomicU64,
     pub(crate) room: AtomicU64,
     pub(crate) ready: AtomicU64,
+    pub(crate) unreadable: AtomicU64,
 }
 
 type Reading = (&'static str, &'static str, fn(&Gauges) -> &AtomicU64);
 
-const READINGS: [Reading; 11] = [
+const READINGS: [Reading; 12] = [
     ("tgw_config_version", "version of the configuration in force", |g| &g.config),
     ("tgw_config_since_ms", "when it came into force, in ms since the start", |g| &g.config_since),
     ("tgw_upstreams", "upstreams known", |g| &g.upstreams),
@@ -50,6 +51,7 @@
     ("tgw_log_lines_dropped", "log lines that the ring had no place for", |g| &g.lines_dropped),
     ("tgw_body_bytes_free", "memory that is free for bodies", |g| &g.room),
     ("tgw_sends_hosted", "sends that run for other VMs", |g| &g.hosted),
+    ("tgw_entries_unreadable", "entries that name no upstream", |g| &g.unreadable),
     ("tgw_ready", "1 while the balancer may send callers", |g| &g.ready),
 ];
 
@@ -142,6 +144,11 @@
         self.store.add(1, &[KeyValue::new("call", call), KeyValue::new("outcome", outcome)]);
     }
 
+    /// Sets the number of entries that name no upstream.
+    pub(crate) fn unreadable(&self, entries: usize) {
+        self.gauges.unreadable.store(entries as u64, Ordering::Relaxed);
+    }
+
     /// The Prometheus text.
     pub(crate) fn text(&self) -> anyhow::Result<String> {
         Ok(TextEncoder::new().encode_to_string(&self.registry.gather())?)
--- a/crates/tgw-gateway/src/peers.rs
+++ b/crates/tgw-gateway/src/peers.rs
@@ -141,9 +141,9 @@
                 let now = self.shared.now();
                 let mut core = self.shared.core.borrow_mut();
                 for late in upstreams {
-                    let Late { upstream, overdue, expected } = late;
+                    let Late { upstream, started, overdue, expected } = late;
                     let word = Word { overdue, expected: f64::from(expected) };
-                    core.fleet.told(now, &upstream, word);
+                    core.fleet.told(now, &upstream, started, word);
                 }
             }
             Ok(Datagram::Hop(request)) => hop::host(&self.shared, from, *request),
--- a/crates/tgw-gateway/src/shared.rs
+++ b/crates/tgw-gateway/src/shared.rs
@@ -143,13 +143,14 @@
     /// Tells other VMs of upstreams that are late or slow.
     pub(crate) fn tell_late(&self, now: Millis, keys: &[Key]) {
         let mut core = self.core.borrow_mut();
-        let told = keys.iter().filter_map(|key| core.fleet.tell(now, *key));
         let mut late = self.late.borrow_mut();
-        late.extend(told.map(|(upstream, Word { overdue, expected })| Late {
-            upstream,
-            overdue,
-            expected: expected as f32,
-        }));
+        for key in keys {
+            let Some((entry, Word { overdue, expected })) = core.fleet.tell(now, *key) else {
+                continue;
+            };
+            let (upstream, started) = (entry.id.clone(), entry.started);
+            late.push(Late { upstream, started, overdue, expected: expected as f32 });
+        }
         if !late.is_empty() {
             self.news.notify_one();
         }
--- a/crates/tgw-gateway/src/watch.rs
+++ b/crates/tgw-gateway/src/watch.rs
@@ -1,4 +1,8 @@
-use crate::{dialect::Decoded, shared::Shared};
+use crate::{
+    dialect::{Decoded, Finding},
+    shared::Shared,
+    unreadable::Unreadable,
+};
 use std::{rc::Rc, time::Duration};
 use tgw_clock::Millis;
 use tgw_forward::upstream::Entry;
@@ -45,7 +49,12 @@
 /// Follows the list of upstreams for as long as the process runs.
 pub(crate) async fn upstreams(shared: Rc<Shared>, store: Rc<dyn Store>) {
     let kind = shared.dialect.kinds().upstreams.clone();
-    follow(&shared.clone(), &*store, &mut Upstreams { shared, kind }).await;
+    follow(
+        &shared.clone(),
+        &*store,
+        &mut Upstreams { shared, kind, unreadable: Unreadable::default() },
+    )
+    .await;
 }
 
 /// Reads a kind once, and again and again while this VM is a relay; others learn from peers.
@@ -204,19 +213,32 @@
 struct Upstreams {
     shared: Rc<Shared>,
     kind: String,
+    unreadable: Unreadable,
 }
 
 impl Upstreams {
-    fn decode(&self, object: &Object) -> Option<Entry> {
-        match self.shared.dialect.upstream(&object.name, &object.value) {
-            Ok(entry) => Some(entry),
-            Err(findings) => {
-                for finding in findings {
-                    tracing::warn!(%finding, upstream = object.name, "entry not taken");
-                }
-                None
-            }
+    fn decode(&mut self, object: &Object) -> Result<Entry, Rc<str>> {
+        let read = self.shared.dialect.upstream(&object.name, &object.value);
+        let result = read.and_then(|entry| self.dated(entry)).map_err(|findings| {
+            self.unreadable.found(&object.name, &findings, object.version);
+            object.name.as_str().into()
+        });
+        if result.is_ok() {
+            self.unreadable.ended(&object.name);
+        }
+        self.shared.meters.unreadable(self.unreadable.len());
+        result
+    }
+
+    /// The entry, unless it says no start though the upstream's own did: somebody else wrote it.
+    fn dated(&self, entry: Entry) -> Result<Entry, Vec<Finding>> {
+        let core = self.shared.core.borrow();
+        let known = core.fleet.key(&entry.id).and_then(|key| core.fleet.get(key));
+        if entry.started == 0 && known.is_some_and(|u| u.entry.started > 0) {
+            let place = format!("upstream {}", entry.id);
+            return Err(vec![Finding { place, what: "the start is missing".into() }]);
         }
+        Ok(entry)
     }
 }
 
@@ -226,41 +248,69 @@
     }
 
     fn listed(&mut self, version: Version, objects: Vec<Object>) {
-        let entries: Vec<(Version, Entry)> =
-            objects.iter().filter_map(|o| Some((o.version, self.decode(o)?))).collect();
-        tracing::info!(upstreams = entries.len(), "upstreams listed");
+        self.unreadable.keep(|name| objects.iter().any(|o| o.name == name));
+        let (mut entries, mut unreadable): (Vec<(Version, Entry)>, Vec<Rc<str>>) =
+            Default::default();
+        for object in &objects {
+            match self.decode(object) {
+                Ok(entry) => entries.push((object.version, entry)),
+                Err(id) => unreadable.push(id),
+            }
+        }
+        tracing::info!(
+            upstreams = entries.len(),
+            unreadable = unreadable.len(),
+            "upstreams listed"
+        );
         let now = self.shared.now();
         let list = entries.iter().map(|(_, e)| e.clone()).collect();
         let mut core = self.shared.core.borrow_mut();
         let mut catalog = self.shared.catalog.borrow_mut();
-        catalog.listed(now, list, &mut core.fleet);
+        catalog.listed(now, list, &unreadable, &mut core.fleet);
         let kept = core.fleet.ids().cloned().collect();
-        let values = entries.into_iter().map(|(v, e)| (e.id.clone(), v, e)).collect();
         let mut world = self.shared.world.borrow_mut();
         world.upstreams().hold(catalog.doubts());
-        world.upstreams().replace(version, values, &kept);
+        world.list_upstreams(version, entries, &kept);
         self.shared.listed.set(true);
         self.shared.news.notify_one();
     }
 
     fn changed(&mut self, version: Version, object: Object) {
         let now = self.shared.now();
+        let removed = object.value.is_null();
+        if removed {
+            self.unreadable.ended(&object.name);
+        }
+        let entry = (!removed).then(|| self.decode(&object));
         let mut core = self.shared.core.borrow_mut();
         let mut catalog = self.shared.catalog.borrow_mut();
         let mut world = self.shared.world.borrow_mut();
-        if object.value.is_null() {
-            tracing::info!(upstream = object.name, revision = object.version, "upstream removed");
-            let id: Rc<str> = object.name.into();
-            catalog.removed(now, &id, &mut core.fleet);
-            world.upstreams().hold(catalog.doubts());
-            if !core.fleet.ids().any(|known| *known == id) {
+        match entry {
+            Some(Ok(entry)) => {
+                tracing::info!(upstream = object.name, service = &*entry.service,
+                    addr = %entry.addr, started = entry.started, draining = entry.draining,
+                    revision = object.version, "upstream changed");
+                world.put_upstream(object.version, entry.clone());
+                catalog.changed(now, entry, &mut core.fleet);
+            }
+            Some(Err(id)) => {
+                catalog.unreadable(&id, &mut core.fleet);
+                world.upstreams().hold(catalog.doubts());
                 world.upstreams().remove(version, &id);
             }
-        } else if let Some(entry) = self.decode(&object) {
-            tracing::info!(upstream = object.name, service = &*entry.service, addr = %entry.addr,
-                draining = entry.draining, revision = object.version, "upstream changed");
-            world.upstreams().put(object.version, entry.id.clone(), entry.clone());
-            catalog.changed(now, entry, &mut core.fleet);
+            None => {
+                tracing::info!(
+                    upstream = object.name,
+                    revision = object.version,
+                    "upstream removed"
+                );
+                let id: Rc<str> = object.name.into();
+                catalog.removed(now, &id, &mut core.fleet);
+                world.upstreams().hold(catalog.doubts());
+                if !core.fleet.ids().any(|known| *known == id) {
+                    world.upstreams().remove(version, &id);
+                }
+            }
         }
     }
 
--- a/crates/tgw-spread/src/hop.rs
+++ b/crates/tgw-spread/src/hop.rs
@@ -10,6 +10,8 @@
     pub number: u64,
     /// The identity of the upstream.
     pub upstream: Rc<str>,
+    /// When its process started, in ms of Unix time.
+    pub started: u64,
     /// Send also if the upstream is doubted: there is no other left.
     pub insist: bool,
     /// Time left for its reply, in whole ms.
--- a/crates/tgw-spread/src/ledger.rs
+++ b/crates/tgw-spread/src/ledger.rs
@@ -89,6 +89,11 @@
         self.values.iter().map(|(name, (_, value))| (name, value))
     }
 
+    /// The value of a name.
+    pub fn get(&self, name: &str) -> Option<&T> {
+        self.values.get(name).map(|(_, value)| value)
+    }
+
     /// Up to this version the store itself told everything.
     pub fn complete(&self) -> u64 {
         self.complete
--- a/crates/tgw-spread/src/message.rs
+++ b/crates/tgw-spread/src/message.rs
@@ -42,6 +42,8 @@
 pub struct Late {
     /// Its identity.
     pub upstream: std::rc::Rc<str>,
+    /// When its process started, in ms of Unix time.
+    pub started: u64,
     /// A send to it is overdue now.
     pub overdue: bool,
     /// The latency that is expected of it, in ms.
--- a/crates/tgw-spread/src/world.rs
+++ b/crates/tgw-spread/src/world.rs
@@ -3,7 +3,10 @@
     ledger::Applied,
     message::{ConfigNews, News},
 };
-use std::rc::Rc;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+};
 use tgw_forward::upstream::Entry;
 use tgw_route::{Config, Limits, Route, Service};
 
@@ -37,6 +40,33 @@
         &mut self.upstreams
     }
 
+    /// Takes over an entry that the store tells, written at `version`.
+    pub fn put_upstream(&mut self, version: u64, entry: Entry) -> bool {
+        let entry = self.latest(entry);
+        self.upstreams.put(version, entry.id.clone(), entry)
+    }
+
+    /// Takes over all entries that the store holds as of `complete`, each with its version. Those in `kept`
+    /// are not removed though they are missing.
+    pub fn list_upstreams(
+        &mut self,
+        complete: u64,
+        entries: Vec<(u64, Entry)>,
+        kept: &BTreeSet<Rc<str>>,
+    ) {
+        let latest =
+            |(version, entry): (u64, Entry)| (entry.id.clone(), version, self.latest(entry));
+        let values = entries.into_iter().map(latest).collect();
+        self.upstreams.replace(complete, values, kept);
+    }
+
+    /// The entry, or the one that is known of a later process with its identity. What an earlier process
+    /// wrote can reach the store, or this VM through a peer, after the first word of the later one.
+    fn latest(&self, entry: Entry) -> Entry {
+        let known = self.upstreams.get(&entry.id);
+        known.filter(|known| entry.precedes(known)).cloned().unwrap_or(entry)
+    }
+
     /// The version of the list of upstreams.
     pub fn upstreams_version(&self) -> u64 {
         self.upstreams.version()
@@ -86,7 +116,10 @@
             self.limits = news.limits;
             update.config = Some(self.current());
         }
-        if let Some(delta) = news.upstreams {
+        if let Some(mut delta) = news.upstreams {
+            for (_, _, entry) in &mut delta.changed {
+                *entry = self.latest(entry.clone());
+            }
             update.upstreams = self.upstreams.apply(delta);
         }
         update
@@ -115,7 +148,7 @@
     version: u64,
     values: &[(Rc<str>, T)],
 ) {
-    let known: std::collections::BTreeMap<Rc<str>, T> =
+    let known: BTreeMap<Rc<str>, T> =
         ledger.values().map(|(name, value)| (name.clone(), value.clone())).collect();
     let first = known.is_empty();
     let changed = values.iter().filter(|(name, value)| known.get(name) != Some(value));
--- a/crates/tgw-spread/tests/spread.rs
+++ b/crates/tgw-spread/tests/spread.rs
@@ -3,8 +3,13 @@
 #![allow(clippy::expect_used, clippy::unwrap_used, clippy::panic)] // A test fails by panic.
 
 use proptest::prelude::*;
-use std::{collections::BTreeSet, rc::Rc};
+use std::{
+    collections::BTreeSet,
+    net::{Ipv4Addr, SocketAddr},
+    rc::Rc,
+};
 use tgw_clock::Millis;
+use tgw_forward::upstream::Entry;
 use tgw_route::{Config, Route, Safety, Target};
 use tgw_spread::{Delta, Ledger, World};
 
@@ -193,6 +198,53 @@
     vm.hold(false);
 }
 
+fn upstream(started: u64) -> Entry {
+    Entry {
+        id: "u".into(),
+        started,
+        service: "s".into(),
+        addr: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+        domain: "d".into(),
+        slots: 1,
+        draining: false,
+        warmup: Millis::ZERO,
+    }
+}
+
+fn start_of(vm: &mut World) -> Option<u64> {
+    vm.upstreams().get("u").map(|entry| entry.started)
+}
+
+proptest! {
+    // An upstream is restarted again and again, and heartbeats of earlier processes take effect late. VMs
+    // hear of them from the store, by changes and by lists, and from one another, in any order. None
+    // that has heard of a process goes back to an earlier one.
+    #[test]
+    fn no_vm_goes_back_to_an_earlier_process(
+        steps in prop::collection::vec((0usize..3, 0usize..3, 0u8..3, 1u64..6), 1..40),
+    ) {
+        let mut vms = [World::default(), World::default(), World::default()];
+        for (version, (teller, hearer, how, started)) in (1u64..).zip(steps) {
+            let before: Vec<_> = vms.iter_mut().map(start_of).collect();
+            match how {
+                0 => { vms[hearer].put_upstream(version, upstream(started)); }
+                1 => {
+                    let listed = vec![(version, upstream(started))];
+                    vms[hearer].list_upstreams(version, listed, &nothing_kept());
+                }
+                _ => {
+                    let at = vms[hearer].upstreams_version();
+                    let news = vms[teller].news(0, at);
+                    vms[hearer].apply(news);
+                }
+            }
+            for (vm, before) in vms.iter_mut().zip(before) {
+                prop_assert!(start_of(vm) >= before, "from {before:?} to {:?}", start_of(vm));
+            }
+        }
+    }
+}
+
 proptest! {
     // Changes reach VMs through the store or through one another, in any order of asking, and a VM may
     // hold back removals for a while. Whoever is at the store's version holds what the store holds.
