--- a/crates/tanagergw/src/gateway.rs
+++ b/crates/tanagergw/src/gateway.rs
@@ -2,6 +2,7 @@
 
 use anyhow::Context;
 use std::{io, process::ExitCode, rc::Rc, time::Duration};
+use tgw_forward::Policy;
 use tgw_gateway::{
     Options,
     log::{self, Dropped, Log},
@@ -20,6 +21,9 @@
     /// Filter of log lines, as `info` or `tgw_gateway=debug`.
     #[arg(long, default_value = "info")]
     log: String,
+    /// For experiments: one mechanism or weight of the decisions, as `hedges=no`. May be given again.
+    #[arg(long = "set", value_name = "NAME=VALUE")]
+    set: Vec<String>,
 }
 
 pub(crate) fn run(args: &Args) -> anyhow::Result<ExitCode> {
@@ -32,8 +36,13 @@
             return Err(error);
         }
     };
+    let mut policy = Policy::default();
+    for setting in &args.set {
+        policy.set(setting).with_context(|| format!("--set {setting}"))?;
+        tracing::warn!(setting, "an experiment decides differently");
+    }
     let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, serve(&args.settings, settings, dropped))
+    LocalSet::new().block_on(&runtime, serve(&args.settings, settings, dropped, policy))
 }
 
 fn read(path: &str) -> anyhow::Result<Settings> {
@@ -44,7 +53,12 @@
     })
 }
 
-async fn serve(path: &str, settings: Settings, dropped: Dropped) -> anyhow::Result<ExitCode> {
+async fn serve(
+    path: &str,
+    settings: Settings,
+    dropped: Dropped,
+    policy: Policy,
+) -> anyhow::Result<ExitCode> {
     let mut term = unix::signal(unix::SignalKind::terminate())?;
     let mut hup = unix::signal(unix::SignalKind::hangup())?;
     let store = Rc::new(Objects::open(settings.store));
@@ -53,6 +67,7 @@
         dialect: Box::new(Site::default()),
         store: store.clone(),
         dropped: Some(dropped),
+        policy,
     };
     let mut handle = tgw_gateway::spawn(options).await?;
     let mut known = settings;
--- a/crates/tanagergw/src/status.rs
+++ b/crates/tanagergw/src/status.rs
@@ -3,7 +3,7 @@
 use crate::access::{self, Platform, Vms, have};
 use anyhow::Context;
 use std::{path::PathBuf, process::ExitCode};
-use tgw_operate::{explain, status, story};
+use tgw_operate::{explain, losses, status, story};
 
 /// The VMs, the table in force in each failure domain, and the upstreams with owner and state.
 #[derive(clap::Args)]
@@ -28,7 +28,8 @@
 #[derive(clap::Args)]
 pub(crate) struct Explain {
     /// The query's identity, or the caller's own name for it.
-    query: String,
+    #[arg(required_unless_present = "losses")]
+    query: Option<String>,
     /// Log files of VMs: the story is read from them, and no VM is asked.
     files: Vec<PathBuf>,
     /// When the caller sent it, as the beginning of an RFC 3339 time: tells what the VMs did then if
@@ -38,6 +39,9 @@
     /// The VM that the caller was led to, if that is known; with --at.
     #[arg(long, requires = "at")]
     vm: Option<String>,
+    /// Instead of one query, count from these log files where requests were lost.
+    #[arg(long, num_args = 1.., value_name = "FILE", conflicts_with = "query")]
+    losses: Vec<PathBuf>,
     #[command(flatten)]
     asked: Asked,
 }
@@ -56,9 +60,8 @@
 }
 
 /// Tells a request's story from log files.
-fn story(args: &Explain) -> anyhow::Result<ExitCode> {
-    let asked =
-        story::Asked { request: &args.query, at: args.at.as_deref(), vm: args.vm.as_deref() };
+fn story(args: &Explain, query: &str) -> anyhow::Result<ExitCode> {
+    let asked = story::Asked { request: query, at: args.at.as_deref(), vm: args.vm.as_deref() };
     let story = story::read(asked, &args.files).context("cannot read the logs")?;
     println!("what the VMs believed:");
     story.before.iter().for_each(|line| println!("  {line}"));
@@ -68,13 +71,28 @@
     Ok(if story.lines.is_empty() { ExitCode::FAILURE } else { ExitCode::SUCCESS })
 }
 
+/// Counts where requests were lost.
+fn losses(args: &Explain) -> anyhow::Result<ExitCode> {
+    let losses = losses::read(&args.losses).context("cannot read the logs")?;
+    if args.asked.json {
+        println!("{}", serde_json::to_string(&losses)?);
+    } else {
+        print!("{losses}");
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
 pub(crate) fn explain(args: &Explain) -> anyhow::Result<ExitCode> {
+    if !args.losses.is_empty() {
+        return losses(args);
+    }
+    let query = args.query.as_deref().unwrap_or_default();
     if !args.files.is_empty() {
-        return story(args);
+        return story(args, query);
     }
     let access = have!(access::vms(&args.asked.platform, &args.asked.vms));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let lines = runtime.block_on(explain::fetch(&access, &args.query));
+    let lines = runtime.block_on(explain::fetch(&access, query));
     if args.asked.json {
         println!("{}", serde_json::to_string(&lines)?);
     } else {
@@ -82,9 +100,8 @@
     }
     if lines.is_empty() {
         eprintln!(
-            "no decisions are kept for {}: it is too old, was not sampled (settings log.sample), or \
-             went through a VM that was not asked (--operators)",
-            args.query
+            "no decisions are kept for {query}: it is too old, was not sampled (settings log.sample), \
+             or went through a VM that was not asked (--operators)"
         );
         return Ok(ExitCode::FAILURE);
     }
--- a/crates/tgw-bench/src/forward.rs
+++ b/crates/tgw-bench/src/forward.rs
@@ -11,7 +11,7 @@
 };
 use tgw_clock::Millis;
 use tgw_forward::{
-    Core, Plan,
+    Core, Plan, Policy,
     core::Budget,
     fleet::Place,
     merge,
@@ -69,7 +69,7 @@
     let domains = ["d0", "d1", "d2"];
     let regions = domains.iter().map(|d| ((*d).into(), format!("r-{d}"))).collect();
     let budget = Budget { share: 0.2, constant: 50.0 };
-    let mut core = Core::new(Place { domain: "d0".into(), regions }, budget);
+    let mut core = Core::new(Place { domain: "d0".into(), regions }, budget, Policy::default());
     let mut config = Config::default();
     for shard in 0..shards {
         let service: Rc<str> = format!("s{shard}").into();
@@ -150,6 +150,8 @@
         upstream: "i-7f3a91c2aa".into(),
         started: 1_700_000_000_000,
         insist: false,
+        limit: 50,
+        floor: None,
         left: 700,
         method: "GET".into(),
         uri: "/nono601/no91/2f".into(),
--- a/crates/tgw-forward/src/core.rs
+++ b/crates/tgw-forward/src/core.rs
@@ -1,7 +1,7 @@
 use crate::{
-    Fleet, Window,
+    Fleet, Policy, Window,
     fleet::{Key, Place},
-    plan::Why,
+    plan::{Need, Why},
     upstream::Distance,
 };
 use std::{collections::HashMap, rc::Rc};
@@ -9,9 +9,6 @@
 use tgw_route::{Config, Route, Share};
 use tgw_tail::Hedge;
 
-/// The share of a route's sends that may become late enough for a second send: the tail beyond p92
-/// holds the pauses (200 ms in 4.5 s, 4.4 %), the slow upstreams and the long requests.
-const HEDGE_SHARE: f64 = 0.08;
 /// The part of a route's aim after which a second send is made before latencies were seen: sooner
 /// ones fell on requests that were on their way (a route of 90 ms of work has an aim of 400 ms).
 const HEDGE_START: f64 = 0.35;
@@ -21,13 +18,6 @@
 /// The part of the operators' budget that is used: requests that callers sent and that never
 /// arrived count on neither side, and a restarted VM forgets what it spent.
 const BUDGET_USED: f64 = 0.92;
-/// The part of it that hedges may use: a hedge makes a late answer timely, a retry makes a failed one
-/// whole, and where replies are lost in numbers hedges had left nothing for retries.
-const BUDGET_HEDGES: f64 = 0.8;
-
-/// Sends through other VMs that may run at one upstream: its slots today. What would wait there is
-/// better sent elsewhere.
-const PEER_MOST: u32 = 4;
 
 /// The operators' budget for extra sends, over all VMs.
 #[derive(Copy, Clone, Debug, Default, PartialEq)]
@@ -78,6 +68,7 @@
     /// The upstreams.
     pub fleet: Fleet,
     budget: Budget,
+    policy: Policy,
     vms: Vms,
     connections: HashMap<Rc<str>, u32>,
     windows: HashMap<Rc<str>, Window>,
@@ -87,10 +78,11 @@
 
 impl Core {
     /// Knows nothing yet.
-    pub fn new(place: Place, budget: Budget) -> Self {
+    pub fn new(place: Place, budget: Budget, policy: Policy) -> Self {
         Self {
-            fleet: Fleet::new(place),
+            fleet: Fleet::new(place, policy),
             budget,
+            policy,
             vms: Vms { all: VMS_ASSUMED, near: 1 },
             ..Self::default()
         }
@@ -116,6 +108,11 @@
         self.vms = Vms { all: vms.all.max(near), near };
     }
 
+    /// What it decides by.
+    pub fn policy(&self) -> Policy {
+        self.policy
+    }
+
     /// The live VMs.
     pub fn vms(&self) -> Vms {
         self.vms
@@ -134,8 +131,13 @@
         let direct = Most { near: (rest / near).max(1), far: far.max(1), peer: 0 };
         match way {
             Way::Direct => direct,
+            Way::Peers if !self.policy.peers => direct,
             // Other regions make no connections, so that those of the upstream's region share all.
-            Way::Peers => Most { near: (connections / near).max(1), peer: PEER_MOST, ..direct },
+            Way::Peers => Most {
+                near: (connections / near).max(1),
+                peer: self.policy.peer_most as u32,
+                ..direct
+            },
         }
     }
 
@@ -153,11 +155,26 @@
     }
 
     /// Takes one extra send to a service from the budget.
-    pub(crate) fn spend(&mut self, now: Millis, service: &Rc<str>, why: Why) -> bool {
-        let part = if why == Why::Hedge { BUDGET_USED * BUDGET_HEDGES } else { BUDGET_USED };
-        let share = self.budget.share * part;
-        let constant = self.budget.constant * part / f64::from(self.vms.all);
-        self.windows.entry(service.clone()).or_default().spend(now, share, constant)
+    pub(crate) fn spend(&mut self, now: Millis, service: &Rc<str>, why: Why, need: Need) -> bool {
+        let hedges = why == Why::Hedge && self.policy.split;
+        let most = if hedges { self.policy.hedge_budget } else { 1.0 };
+        let share = self.budget.share * BUDGET_USED;
+        let constant = self.budget.constant * BUDGET_USED / f64::from(self.vms.all);
+        let window = self.windows.entry(service.clone()).or_default();
+        let part = match need {
+            Need::Least => {
+                window.need(now);
+                1.0
+            }
+            Need::Raise if !self.policy.judged => 1.0,
+            Need::Raise => {
+                let reserve = 1.0 - self.policy.raise_share;
+                let pressure = window.pressure(now, share, constant) * self.policy.pressure_gain;
+                1.0 - pressure.min(1.0) * reserve
+            }
+        };
+        let part = part.min(most);
+        window.spend(now, share * part, constant * part)
     }
 
     /// Gives back one extra send to a service that reached no upstream.
@@ -170,10 +187,11 @@
     /// The second sends of a route to upstreams at a distance.
     pub(crate) fn hedge(&mut self, route: &Route, distance: Distance) -> &mut Hedge {
         let start = route.aim.scale(HEDGE_START);
+        let share = self.policy.hedge_share;
         let hedges = self
             .hedges
             .entry(route.name.clone())
-            .or_insert_with(|| std::array::from_fn(|_| Hedge::new(HEDGE_SHARE).starting(start)));
+            .or_insert_with(|| std::array::from_fn(|_| Hedge::new(share).starting(start)));
         match distance {
             Distance::Domain => &mut hedges[0],
             Distance::Region => &mut hedges[1],
--- a/crates/tgw-forward/src/fleet.rs
+++ b/crates/tgw-forward/src/fleet.rs
@@ -1,6 +1,7 @@
 //! The upstreams and the choice among them.
 
 use crate::{
+    Policy,
     core::Most,
     upstream::{Distance, Entry, Sign, Upstream, Word},
 };
@@ -75,6 +76,7 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     place: Place,
+    policy: Policy,
     upstreams: HashMap<Key, Upstream>,
     keys: HashMap<Rc<str>, Key>,
     services: HashMap<Rc<str>, SmallVec<[Key; 4]>>,
@@ -86,8 +88,8 @@
 
 impl Fleet {
     /// No upstreams, seen from `place`.
-    pub fn new(place: Place) -> Self {
-        Self { place, ..Self::default() }
+    pub fn new(place: Place, policy: Policy) -> Self {
+        Self { place, policy, ..Self::default() }
     }
 
     /// Sets the regions in which another VM lives.
@@ -122,7 +124,7 @@
         self.keys.insert(entry.id.clone(), key);
         self.services.entry(entry.service.clone()).or_default().push(key);
         let distance = self.place.distance(&entry.domain);
-        self.upstreams.insert(key, Upstream::new(now, entry, distance));
+        self.upstreams.insert(key, Upstream::new(now, entry, distance, self.policy));
     }
 
     /// Forgets an upstream; its sends may still end.
--- a/crates/tgw-forward/src/lib.rs
+++ b/crates/tgw-forward/src/lib.rs
@@ -18,6 +18,8 @@
 mod part;
 /// One request from its arrival to its answer.
 pub mod plan;
+/// What an experiment may change.
+pub mod policy;
 /// One upstream: what the store says of it and what its replies told.
 pub mod upstream;
 /// Sliding budgets for extra sends.
@@ -27,5 +29,6 @@
 pub use core::Core;
 pub use fleet::Fleet;
 pub use plan::Plan;
+pub use policy::Policy;
 pub use upstream::Upstream;
 pub use window::Window;
--- a/crates/tgw-forward/src/message.rs
+++ b/crates/tgw-forward/src/message.rs
@@ -1,6 +1,9 @@
 //! What a plan is told and what it says.
 
-use crate::fleet::{Hop, Key, Ticket};
+use crate::{
+    fleet::{Hop, Key, Ticket},
+    merge::Cut,
+};
 use bytes::Bytes;
 use derive_more::Display;
 use http::{HeaderMap, HeaderValue, StatusCode};
@@ -75,6 +78,15 @@
     Retry,
 }
 
+/// What a part is to its answer.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub enum Need {
+    /// Without it the answer is no success.
+    Least,
+    /// Without it the answer is a success that covers less.
+    Raise,
+}
+
 /// A send to be made.
 #[derive(Clone, Debug)]
 pub struct Order {
@@ -90,6 +102,8 @@
     pub insist: bool,
     /// The upstream of the send that it makes up for.
     pub after: Option<Key>,
+    /// What the answer takes of the part; `None` where the reply is passed on whole.
+    pub cut: Option<Cut>,
 }
 
 /// What the caller is answered.
--- a/crates/tgw-forward/src/part.rs
+++ b/crates/tgw-forward/src/part.rs
@@ -2,7 +2,7 @@
     Core,
     core::{Most, Way},
     fleet::{Choice, Key},
-    message::{Reason, Why},
+    message::{Need, Reason, Why},
 };
 use bytes::Bytes;
 use http::HeaderValue;
@@ -36,8 +36,14 @@
     pub(crate) busy: SmallVec<[Key; 2]>,
     pub(crate) tries: u32,
     pub(crate) sends: u32,
+    /// Sends that were declined unrun.
+    pub(crate) declined: u32,
+    /// Upstreams that declined it since it was last parked.
+    pub(crate) declined_by: SmallVec<[Key; 2]>,
     /// Sends that have not ended.
     pub(crate) open: u32,
+    /// When its latest send is late.
+    pub(crate) late_at: Option<Millis>,
     pub(crate) hedge_at: Option<Millis>,
     /// When it is tried again, while nothing is under way for it.
     pub(crate) parked: Option<Millis>,
@@ -60,7 +66,10 @@
             busy: SmallVec::new(),
             tries: 0,
             sends: 0,
+            declined: 0,
+            declined_by: SmallVec::new(),
             open: 0,
+            late_at: None,
             hedge_at: None,
             parked: None,
         }
@@ -72,7 +81,7 @@
 
     /// Whether the route allows one more send.
     pub(crate) fn sendable(&self, route: &Route) -> bool {
-        self.sends < route.attempts.max(1) && self.tries < TRIES
+        self.sends - self.declined < route.attempts.max(1) && self.tries < TRIES
     }
 
     /// A send reached no upstream. If it was not the first, the budget was charged for it: peers that doubt
@@ -90,11 +99,25 @@
         self.busy.push(upstream);
     }
 
+    /// An upstream declined it unrun: the send is none of those that the route allows.
+    pub(crate) fn declined(&mut self, upstream: Key) {
+        self.declined += 1;
+        self.declined_by.push(upstream);
+    }
+
+    /// It was parked for a while: upstreams that had no room for it then may be asked again.
+    pub(crate) fn unpark(&mut self) {
+        self.parked = None;
+        for upstream in std::mem::take(&mut self.declined_by) {
+            self.passed_over(upstream);
+        }
+    }
+
     /// The upstream for one more send, and whether that is to be insisted on as no other is left.
     pub(crate) fn choose(
         &self,
         now: Millis,
-        why: Why,
+        (why, need): (Why, Need),
         route: &Route,
         core: &mut Core,
     ) -> Result<(Choice, bool), Reason> {
@@ -104,10 +127,10 @@
         let most = most(core, route, &self.service);
         let passed: SmallVec<[Key; 4]> = self.tried.iter().chain(&self.busy).copied().collect();
         let fresh = core.fleet.pick(now, &self.service, most, &passed);
-        let insist = fresh.is_none();
+        let insist = fresh.is_none() && core.policy().insists;
         let again = || core.fleet.pick(now, &self.service, most, &self.tried);
         let choice = fresh.or_else(again).ok_or(Reason::Upstream)?;
-        let allowed = self.sends == 0 || core.spend(now, &self.service, why);
+        let allowed = self.sends == 0 || core.spend(now, &self.service, why, need);
         allowed.then_some((choice, insist)).ok_or(Reason::Budget)
     }
 }
--- a/crates/tgw-forward/src/plan.rs
+++ b/crates/tgw-forward/src/plan.rs
@@ -2,17 +2,20 @@
 
 use crate::{
     Core,
-    fleet::{Choice, Key},
-    merge,
+    fleet::{Choice, Hop, Key},
+    merge::{self, Cut},
     part::{self, Part, State},
     upstream::Distance,
 };
+use http::HeaderValue;
 use smallvec::SmallVec;
 use std::rc::Rc;
 use tgw_clock::Millis;
 use tgw_route::{Route, Safety, Target, config::Shards};
 
-pub use crate::message::{Answer, Cause, Ended, Event, Order, Reason, Response, Why, Withheld};
+pub use crate::message::{
+    Answer, Cause, Ended, Event, Need, Order, Reason, Response, Why, Withheld,
+};
 
 /// Time in ms before the aim at which an answer leaves without its last parts: the way to the caller
 /// (1 to 3 ms), the opening of its connection, and the wait for a turn on a quarter of a core.
@@ -115,7 +118,8 @@
     pub fn wake(&self, now: Millis) -> Millis {
         let waiting = || self.parts.iter().filter(|p| p.waiting());
         let parked = waiting().filter_map(|p| p.parked);
-        let hedges = waiting().filter_map(|p| p.hedge_at).chain(parked);
+        let late = waiting().filter_map(|p| p.late_at);
+        let hedges = waiting().filter_map(|p| p.hedge_at).chain(parked).chain(late);
         let answer = Some(self.answer_by).filter(|at| *at > now && self.parts.len() > 1);
         hedges.chain(answer).min().unwrap_or(Millis::MAX).min(self.deadline)
     }
@@ -199,7 +203,12 @@
                     return;
                 }
             }
-            Ended::Declined => again = true,
+            Ended::Declined => {
+                if core.policy().declined_free {
+                    part.declined(upstream);
+                }
+                again = true;
+            }
             Ended::Unsent => {
                 part.unsend(core);
                 again = true;
@@ -211,7 +220,7 @@
             }
             Ended::Broken | Ended::Silent => self.ran = true,
         }
-        if self.parts[index].waiting() && again {
+        if self.parts[index].waiting() && again && core.policy().retries {
             self.place(now, index, Why::Retry, core, out);
         }
         self.give_up(now, index, core);
@@ -243,7 +252,7 @@
 
     /// Gives a part up for which nothing is under way, or parks it while it may still come in time.
     fn give_up(&mut self, now: Millis, index: usize, core: &Core) {
-        let parks = self.parks(now);
+        let parks = core.policy().parks && self.parks(now, core);
         if let Some(part) = self.parts.get_mut(index)
             && part.waiting()
             && part.open == 0
@@ -260,8 +269,21 @@
     /// Whether a part that finds no upstream with room is tried again later. An answer waits for late
     /// parts up to the aim in any case; a part that was given up at once for want of a free connection
     /// was missing from answers that left 50 ms later, and failed queries that lacked one part.
-    fn parks(&self, now: Millis) -> bool {
-        matches!(self.route.target, Target::Shards(_)) && now + PARK < self.answer_by
+    fn parks(&self, now: Millis, core: &Core) -> bool {
+        let Target::Shards(shards) = &self.route.target else { return false };
+        let got = self.count(|p| matches!(p.state, State::Got { .. }));
+        let late = core.policy().late && !enough(shards, got, self.parts.len());
+        now + PARK < if late { self.deadline } else { self.answer_by }
+    }
+
+    /// What a part is to the answer, as its other parts stand now.
+    fn need(&self, index: usize) -> Need {
+        let Target::Shards(shards) = &self.route.target else { return Need::Least };
+        let likely = |(i, p): &(usize, &Part)| {
+            *i != index && (matches!(p.state, State::Got { .. }) || (p.waiting() && p.open > 0))
+        };
+        let others = self.parts.iter().enumerate().filter(likely).count();
+        if enough(shards, others, self.parts.len()) { Need::Raise } else { Need::Least }
     }
 
     /// Tries the parts again that found no upstream with room.
@@ -269,7 +291,7 @@
         for index in 0..self.parts.len() {
             let part = &mut self.parts[index];
             if part.waiting() && part.parked.is_some_and(|at| now >= at) {
-                part.parked = None;
+                part.unpark();
                 let why = if part.sends == 0 { Why::First } else { Why::Retry };
                 self.place(now, index, why, core, out);
                 self.give_up(now, index, core);
@@ -280,16 +302,21 @@
     fn hedge(&mut self, now: Millis, core: &mut Core, out: &mut Vec<Order>) {
         for index in 0..self.parts.len() {
             let part = &mut self.parts[index];
-            if !part.waiting() || part.hedge_at.is_none_or(|at| now < at) {
-                continue;
+            if part.waiting() && part.late_at.is_some_and(|at| now >= at) {
+                part.late_at = None;
+                self.late.extend(part.tried.last().copied());
+                let slow = part.tried.last().and_then(|k| core.fleet.get(*k)).map(|u| u.distance);
+                if let Some(distance) = slow {
+                    core.hedge(&self.route, distance).late();
+                }
             }
-            part.hedge_at = None;
-            self.late.extend(part.tried.last().copied());
-            let slow = part.tried.last().and_then(|k| core.fleet.get(*k)).map(|u| u.distance);
-            if let Some(distance) = slow {
-                core.hedge(&self.route, distance).late();
+            let part = &mut self.parts[index];
+            if part.waiting() && part.hedge_at.is_some_and(|at| now >= at) {
+                part.hedge_at = None;
+                if core.policy().hedges {
+                    self.place(now, index, Why::Hedge, core, out);
+                }
             }
-            self.place(now, index, Why::Hedge, core, out);
         }
     }
 
@@ -303,8 +330,9 @@
         out: &mut Vec<Order>,
     ) {
         let route = self.route.clone();
+        let need = self.need(index);
         let part = &mut self.parts[index];
-        let (Choice { key, hop }, insist) = match part.choose(now, why, &route, core) {
+        let (Choice { key, hop }, insist) = match part.choose(now, (why, need), &route, core) {
             Ok(chosen) => chosen,
             Err(reason) => {
                 self.withheld.push(Withheld { part: index, why, reason });
@@ -318,16 +346,22 @@
         part.open += 1;
         let ticket = core.fleet.send(now, key);
         part.hedge_at = None;
-        if part.sends < route.attempts && route.safety == Safety::Idempotent {
+        part.late_at = None;
+        if part.sendable(&route) && route.safety == Safety::Idempotent {
             let distance = core.fleet.get(key).map_or(Distance::Far, |u| u.distance);
             let hedge = core.hedge(&route, distance);
             if why == Why::First {
                 hedge.request();
             }
             let delay = hedge.delay().min(route.aim.scale(HEDGE_MOST)).max(HEDGE_LEAST);
-            part.hedge_at = Some(now + delay);
+            part.late_at = Some(now + delay);
+            let reach = core.hedge(&route, Distance::Far).delay();
+            let last = (self.answer_by - now) - reach;
+            let put_off = (last - delay).scale(core.policy().hedge_wait);
+            part.hedge_at = Some(now + delay + put_off);
         }
-        out.push(Order { part: index, ticket, why, hop, insist, after });
+        let cut = if hop == Hop::Peer { self.cut() } else { None };
+        out.push(Order { part: index, ticket, why, hop, insist, after, cut });
     }
 
     fn count(&self, what: impl Fn(&Part) -> bool) -> usize {
@@ -365,18 +399,27 @@
         (due && enough(shards, got, all)).then(|| Some(self.merge(shards.limit, all - got)))
     }
 
-    fn merge(&mut self, limit: usize, missing: usize) -> Answer {
-        let in_parts = || {
-            self.parts.iter().filter_map(|p| match &p.state {
-                State::Got { seal, body } => Some((seal, body)),
-                State::Waiting | State::GivenUp => None,
-            })
-        };
-        let body = merge::greatest(in_parts().map(|(_, body)| &body[..]), limit).into();
-        let seals = in_parts().map(|(seal, _)| seal.clone()).collect();
+    /// The parts that are in: signature and records.
+    fn in_parts(&self) -> impl Iterator<Item = (&HeaderValue, &[u8])> {
+        self.parts.iter().filter_map(|p| match &p.state {
+            State::Got { seal, body } => Some((seal, &body[..])),
+            State::Waiting | State::GivenUp => None,
+        })
+    }
+
+    fn merge(&self, limit: usize, missing: usize) -> Answer {
+        let body = merge::greatest(self.in_parts().map(|(_, body)| body), limit).into();
+        let seals = self.in_parts().map(|(seal, _)| seal.clone()).collect();
         Answer::Merged { seals, missing, body }
     }
 
+    /// What the answer takes of a part that another VM asks for. Parts of other regions are a VM's dearest
+    /// bytes, and most are asked for late, when the parts that are in leave room for few of their records.
+    fn cut(&self) -> Option<Cut> {
+        let Target::Shards(shards) = &self.route.target else { return None };
+        Some(Cut::of(self.in_parts().map(|(_, body)| body), shards.limit))
+    }
+
     fn lost(&self, core: &Core) -> Answer {
         let sharded = self.parts.len() > 1;
         if self.ran {
--- /dev/null
+++ b/crates/tgw-forward/src/policy.rs
@@ -0,0 +1,166 @@
+//! What decides, where an experiment may change it.
+
+use derive_more::{Display, Error};
+
+/// Mechanisms and weights of the decisions. The default is what is served with; experiments switch one
+/// mechanism off or weigh one figure anew, and compare.
+#[derive(Copy, Clone, Debug, PartialEq)]
+pub struct Policy {
+    /// Second sends of parts that are late.
+    pub hedges: bool,
+    /// Second sends of parts that failed.
+    pub retries: bool,
+    /// Parts that found no upstream with room are tried again.
+    pub parks: bool,
+    /// The last upstream is asked also where it is doubted.
+    pub insists: bool,
+    /// Parts of other regions go through VMs that live there.
+    pub peers: bool,
+    /// VMs of a region tell each other of late and slow upstreams.
+    pub words: bool,
+    /// An upstream with an overdue send costs more.
+    pub overdue: bool,
+    /// An upstream that warms up costs more.
+    pub warmup: bool,
+    /// An upstream that refused or fell silent is passed over for a while.
+    pub avoids: bool,
+    /// Connections are made a few at a time, with a pause after a reset one.
+    pub spacing: bool,
+    /// Hedges leave a part of the budget to retries.
+    pub split: bool,
+    /// A send that was declined unrun is none of the route's attempts.
+    pub declined_free: bool,
+    /// A query that lacks parts for a success goes on after its aim.
+    pub late: bool,
+    /// The budget is spent first where it makes an answer a success.
+    pub judged: bool,
+    /// Sends through other VMs that may run at one upstream.
+    pub peer_most: f64,
+    /// What a failure costs, in ms.
+    pub failure_cost: f64,
+    /// Weight of a new sample in the share of failures.
+    pub failure_weight: f64,
+    /// Time in ms for which an upstream that turned a send away is passed over.
+    pub shed_avoid: f64,
+    /// The part of the budget that is spent on parts without which the answer is a success.
+    pub raise_share: f64,
+    /// Part of the budget for hedges.
+    pub hedge_budget: f64,
+    /// Share of sends that may become late enough for a hedge.
+    pub hedge_share: f64,
+    /// How far a hedge of a part is put off, from when the part is late (0) to when the hedge could just
+    /// meet the aim (1).
+    pub hedge_wait: f64,
+    /// From how much of the budget on, as its inverse, answers that fail without an extra send have it for
+    /// themselves.
+    pub pressure_gain: f64,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            hedges: true,
+            retries: true,
+            parks: true,
+            insists: true,
+            peers: true,
+            words: true,
+            overdue: true,
+            warmup: true,
+            avoids: true,
+            spacing: true,
+            split: true,
+            declined_free: true,
+            late: true,
+            judged: true,
+            peer_most: 4.0,
+            failure_cost: 120.0,
+            failure_weight: 0.25,
+            shed_avoid: 37.0,
+            raise_share: 0.1,
+            hedge_budget: 0.8,
+            hedge_share: 0.08,
+            hedge_wait: 0.5,
+            pressure_gain: 8.0,
+        }
+    }
+}
+
+/// Why an experiment's setting was not taken.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum Invalid {
+    /// It is not `name=value`.
+    #[display("{_0}: not NAME=VALUE")]
+    Form(#[error(not(source))] String),
+    /// Nothing bears that name.
+    #[display("{_0}: unknown; known are {}", Policy::names())]
+    Name(#[error(not(source))] String),
+    /// The value is neither yes or no, nor a number of zero or more, as the name asks.
+    #[display("{_0}: the value does not fit")]
+    Value(#[error(not(source))] String),
+}
+
+enum Slot<'a> {
+    Switch(&'a mut bool),
+    Weight(&'a mut f64),
+}
+
+impl Policy {
+    fn slots(&mut self) -> [(&'static str, Slot<'_>); 23] {
+        use Slot::{Switch, Weight};
+        [
+            ("hedges", Switch(&mut self.hedges)),
+            ("retries", Switch(&mut self.retries)),
+            ("parks", Switch(&mut self.parks)),
+            ("insists", Switch(&mut self.insists)),
+            ("peers", Switch(&mut self.peers)),
+            ("words", Switch(&mut self.words)),
+            ("overdue", Switch(&mut self.overdue)),
+            ("warmup", Switch(&mut self.warmup)),
+            ("avoids", Switch(&mut self.avoids)),
+            ("spacing", Switch(&mut self.spacing)),
+            ("split", Switch(&mut self.split)),
+            ("declined_free", Switch(&mut self.declined_free)),
+            ("late", Switch(&mut self.late)),
+            ("judged", Switch(&mut self.judged)),
+            ("peer_most", Weight(&mut self.peer_most)),
+            ("failure_cost", Weight(&mut self.failure_cost)),
+            ("failure_weight", Weight(&mut self.failure_weight)),
+            ("shed_avoid", Weight(&mut self.shed_avoid)),
+            ("raise_share", Weight(&mut self.raise_share)),
+            ("hedge_budget", Weight(&mut self.hedge_budget)),
+            ("hedge_share", Weight(&mut self.hedge_share)),
+            ("hedge_wait", Weight(&mut self.hedge_wait)),
+            ("pressure_gain", Weight(&mut self.pressure_gain)),
+        ]
+    }
+
+    fn names() -> String {
+        let mut policy = Self::default();
+        policy.slots().map(|(name, _)| name).join(", ")
+    }
+
+    /// Takes over a setting `name=value`, as `hedges=no`. Errors: there is no such name, or the value
+    /// does not fit it.
+    pub fn set(&mut self, setting: &str) -> Result<(), Invalid> {
+        let form = || Invalid::Form(setting.into());
+        let (name, value) = setting.split_once('=').ok_or_else(form)?;
+        let found = self.slots().into_iter().find(|(known, _)| *known == name);
+        let (_, slot) = found.ok_or_else(|| Invalid::Name(name.into()))?;
+        let misfit = || Invalid::Value(setting.into());
+        match slot {
+            Slot::Switch(switch) => {
+                *switch = match value {
+                    "yes" => true,
+                    "no" => false,
+                    _ => return Err(misfit()),
+                }
+            }
+            Slot::Weight(weight) => {
+                let number: f64 = value.parse().map_err(|_| misfit())?;
+                *weight = Some(number).filter(|n| n.is_finite() && *n >= 0.0).ok_or_else(misfit)?;
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/tgw-forward/src/upstream.rs
+++ b/crates/tgw-forward/src/upstream.rs
@@ -1,6 +1,6 @@
 //! One upstream.
 
-use crate::fleet::Hop;
+use crate::{Policy, fleet::Hop};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use std::{net::SocketAddr, rc::Rc};
@@ -110,10 +110,6 @@
 const OUTLIER_FACTOR: f64 = 2.0;
 /// See `OUTLIER_FACTOR`; in ms, a request's own spread of work.
 const OUTLIER_MS: f64 = 10.0;
-/// Weight of a new sample in the share of failures.
-const FAILURE_WEIGHT: f64 = 0.25;
-/// What a failure costs in ms: the second send that it takes.
-const FAILURE_COST_MS: f64 = 120.0;
 /// A send older than this many times the expected latency, and `LATE_MS` more, is overdue.
 const LATE_FACTOR: f64 = 2.0;
 /// See `LATE_FACTOR`; in ms, above the jitter of a VM with a quarter of a core.
@@ -163,6 +159,7 @@
     pub entry: Entry,
     /// How far it is.
     pub distance: Distance,
+    policy: Policy,
     warm_at: Millis,
     running: SmallVec<[(u64, Millis); 4]>,
     latency: f64,
@@ -180,11 +177,12 @@
 
 impl Upstream {
     /// An upstream of which nothing but its entry is known.
-    pub fn new(now: Millis, entry: Entry, distance: Distance) -> Self {
+    pub fn new(now: Millis, entry: Entry, distance: Distance, policy: Policy) -> Self {
         let warm_at = now + entry.warmup;
         Self {
             entry,
             distance,
+            policy,
             warm_at,
             running: SmallVec::new(),
             latency: distance.expected(),
@@ -231,6 +229,7 @@
         // Each connection costs the upstream some ms of a slot. Many at once, as after a restart,
         // or tries again and again at one that is full, take the time that requests need.
         running < self.connections
+            || (running < most && !self.policy.spacing)
             || (running < most
                 && running < self.connections + CONNECTING
                 && now >= self.connect_after)
@@ -270,7 +269,7 @@
             }
             Sign::Shed => {
                 self.fail(1.0);
-                self.avoid_until = now + Millis::new(AVOID_MS / 4);
+                self.avoid_until = now + Millis::from_f64(self.policy.shed_avoid);
             }
             Sign::Unreachable | Sign::Silent => {
                 self.fail(1.0);
@@ -286,7 +285,7 @@
     }
 
     fn fail(&mut self, sample: f64) {
-        self.failing += FAILURE_WEIGHT * (sample - self.failing);
+        self.failing += self.policy.failure_weight * (sample - self.failing);
     }
 
     fn strike(&mut self, now: Millis) {
@@ -333,7 +332,8 @@
     /// What other VMs should be told of it, if it is late or slow. At most once in a while.
     pub fn tell(&mut self, now: Millis) -> Option<Word> {
         let overdue = self.overdue(now).is_some();
-        let due = now >= self.told_at + Millis::new(if overdue { TELL_MS } else { TELL_SLOW_MS });
+        let due = self.policy.words
+            && now >= self.told_at + Millis::new(if overdue { TELL_MS } else { TELL_SLOW_MS });
         let expected = self.expected(now);
         let slow = expected > self.distance.expected() * SLOW_FACTOR;
         (due && (overdue || slow)).then(|| {
@@ -361,20 +361,20 @@
         let expected = self.expected(now);
         let slots = f64::from(self.entry.slots.max(1));
         let waiting = (f64::from(self.running()) + 1.0 - slots).max(0.0) / slots;
-        let mut cost = expected * (1.0 + waiting) + self.failing * FAILURE_COST_MS;
+        let mut cost = expected * (1.0 + waiting) + self.failing * self.policy.failure_cost;
         if hop == Hop::Direct && self.running() >= self.connections {
             cost += CONNECT_COST_MS;
         }
-        if let Some(age) = self.overdue(now) {
+        if let Some(age) = self.overdue(now).filter(|_| self.policy.overdue) {
             cost += age.as_f64() + OVERDUE_COST_MS;
         }
         if now < self.late_until && self.overdue(now).is_none() {
             cost += (self.late_until - now).as_f64() + OVERDUE_COST_MS;
         }
-        if now < self.warm_at {
+        if now < self.warm_at && self.policy.warmup {
             cost *= COLD_FACTOR;
         }
-        if now < self.avoid_until {
+        if now < self.avoid_until && self.policy.avoids {
             cost += AVOID_COST_MS;
         }
         cost
--- a/crates/tgw-forward/src/window.rs
+++ b/crates/tgw-forward/src/window.rs
@@ -17,6 +17,8 @@
     newest: u64,
     useful: [u32; USEFUL],
     extra: [u32; EXTRA],
+    /// Extra sends that were wanted for answers that fail without them.
+    needed: [u32; EXTRA],
 }
 
 impl Window {
@@ -42,6 +44,22 @@
         true
     }
 
+    /// Counts an extra send that is wanted for an answer that fails without it.
+    pub fn need(&mut self, now: Millis) {
+        self.turn(now);
+        if let Some(bucket) = self.needed.first_mut() {
+            *bucket += 1;
+        }
+    }
+
+    /// How much of the budget, from 0 to 1, answers that fail without an extra send asked for lately.
+    pub fn pressure(&mut self, now: Millis, share: f64, constant: f64) -> f64 {
+        self.turn(now);
+        let allowed = f64::from(self.useful.iter().sum::<u32>()) * share + constant;
+        let needed = f64::from(self.needed.iter().sum::<u32>());
+        if needed < allowed { needed / allowed } else { 1.0 }
+    }
+
     /// Gives back one extra send that was not made after all. Taken back from the newest seconds, it may
     /// count for a second less than it would have; what is not used of the budget is more than that.
     pub fn refund(&mut self) {
@@ -61,8 +79,10 @@
         for _ in 0..steps {
             self.useful.rotate_right(1);
             self.extra.rotate_right(1);
+            self.needed.rotate_right(1);
             self.useful[0] = 0;
             self.extra[0] = 0;
+            self.needed[0] = 0;
         }
         self.newest = self.newest.max(current);
     }
--- a/crates/tgw-forward/tests/world/mod.rs
+++ b/crates/tgw-forward/tests/world/mod.rs
@@ -8,7 +8,7 @@
 };
 use tgw_clock::Millis;
 use tgw_forward::{
-    Core, Plan,
+    Core, Plan, Policy,
     core::Budget,
     fleet::{Key, Place},
     plan::{Answer, Ended, Event, Options, Order, Response},
@@ -66,7 +66,7 @@
 
     pub(crate) fn with_budget(services: usize, budget: Budget) -> Self {
         let regions = [(NEAR.into(), "r1".into()), (FAR.into(), "r2".into())].into();
-        let mut core = Core::new(Place { domain: NEAR.into(), regions }, budget);
+        let mut core = Core::new(Place { domain: NEAR.into(), regions }, budget, Policy::default());
         let mut config = Config::default();
         for index in 0..services {
             let service = format!("s{index}");
@@ -95,8 +95,14 @@
         self.on(Event::Tick)
     }
 
-    /// Moves the clock to when the plan wants to be woken.
+    /// Moves the clock to when the plan wants to be woken. A send is first found late, which is told to
+    /// others, and then hedged: where the first brings nothing about, to the second.
     pub(crate) fn wake(&mut self) -> Option<Answer> {
+        let before = self.orders.len();
+        self.sleep().or_else(|| if self.orders.len() == before { self.sleep() } else { None })
+    }
+
+    fn sleep(&mut self) -> Option<Answer> {
         self.now = self.plan.as_ref().unwrap().wake(self.now);
         self.tick()
     }
--- a/crates/tgw-gateway/src/exchange.rs
+++ b/crates/tgw-gateway/src/exchange.rs
@@ -12,6 +12,7 @@
 use tgw_clock::Millis;
 use tgw_forward::{
     fleet::{Hop, Ticket},
+    merge::Cut,
     plan::{self, Ended},
     upstream::{Entry, Sign},
 };
@@ -44,6 +45,8 @@
     pub(crate) hop: Hop,
     /// It is to be sent also where the upstream is doubted.
     pub(crate) insist: bool,
+    /// What the answer takes of the reply, if not all of it.
+    pub(crate) cut: Option<Cut>,
     sign: Sign,
 }
 
@@ -79,12 +82,14 @@
     pub(crate) hop: Hop,
     /// It is to be sent also where the upstream is doubted.
     pub(crate) insist: bool,
+    /// What the answer takes of the reply, if not all of it.
+    pub(crate) cut: Option<Cut>,
 }
 
 /// Sends a request to the upstream of its ticket and reads its reply.
 pub(crate) async fn run(
     shared: Rc<Shared>,
-    Way { ticket, hop, insist }: Way,
+    Way { ticket, hop, insist, cut }: Way,
     request: Rc<Outgoing>,
 ) -> Ended {
     let entry = shared.core.borrow().fleet.get(ticket.upstream).map(|u| u.entry.clone());
@@ -98,6 +103,7 @@
         sent: shared.now(),
         hop,
         insist,
+        cut,
         sign: Sign::Dropped,
     };
     let left = Duration::from(request.deadline - shared.now());
--- a/crates/tgw-gateway/src/handle.rs
+++ b/crates/tgw-gateway/src/handle.rs
@@ -190,8 +190,8 @@
 
     fn start(&mut self, order: &Order) {
         let (shared, request) = (self.shared.clone(), self.request.clone());
-        let Order { part, ticket, hop, insist, .. } = *order;
-        let way = exchange::Way { ticket, hop, insist };
+        let Order { part, ticket, hop, insist, cut, .. } = *order;
+        let way = exchange::Way { ticket, hop, insist, cut };
         let ended = self.ended.clone();
         let task = tokio::task::spawn_local(async move {
             let result = exchange::run(shared, way, request).await;
--- a/crates/tgw-gateway/src/hop.rs
+++ b/crates/tgw-gateway/src/hop.rs
@@ -16,6 +16,7 @@
 use tgw_forward::{
     core::Way,
     fleet::{Hop, Place, Ticket},
+    merge::Cut,
     plan::{Ended, Response},
     upstream::Sign,
 };
@@ -186,6 +187,8 @@
         upstream: entry.id.clone(),
         started: entry.started,
         insist: sent.insist,
+        limit: sent.cut.map_or(0, |cut| cut.limit as u64),
+        floor: sent.cut.and_then(|cut| cut.floor),
         left: (request.deadline - shared.now()).whole(),
         method: request.method.to_string(),
         uri,
@@ -240,13 +243,15 @@
         Ok(ticket) => ticket,
         Err(outcome) => return outcome,
     };
+    let limit = usize::try_from(request.limit).unwrap_or(usize::MAX);
+    let cut = (limit > 0).then_some(Cut { limit, floor: request.floor });
     let Some(outgoing) = unpack(shared, request) else {
         shared.core.borrow_mut().fleet.end(shared.now(), ticket, Sign::Dropped);
         return Outcome::Unsent;
     };
-    let way = exchange::Way { ticket, hop: Hop::Direct, insist: true };
+    let way = exchange::Way { ticket, hop: Hop::Direct, insist: true, cut: None };
     match exchange::run(shared.clone(), way, Rc::new(outgoing)).await {
-        Ended::Answered(response) => answered(*response),
+        Ended::Answered(response) => answered(*response, cut),
         Ended::Declined => Outcome::Declined,
         Ended::Unsent => Outcome::Unsent,
         Ended::Busy => Outcome::Busy,
@@ -255,14 +260,19 @@
     }
 }
 
-fn answered(response: Response) -> Outcome {
-    if response.body.len() + ROOM > PACKET {
+fn answered(response: Response, cut: Option<Cut>) -> Outcome {
+    // What a failure says is no list of records.
+    let body = match cut.filter(|_| response.good()) {
+        Some(cut) => cut.apply(&response.body),
+        None => response.body.to_vec(),
+    };
+    if body.len() + ROOM > PACKET {
         return Outcome::Broken;
     }
     Outcome::Answered {
         status: response.status.as_u16(),
         seal: response.seal.map(|s| s.as_bytes().to_vec()),
-        body: response.body.to_vec(),
+        body,
     }
 }
 
--- a/crates/tgw-gateway/src/serve.rs
+++ b/crates/tgw-gateway/src/serve.rs
@@ -13,6 +13,7 @@
 use anyhow::Context;
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 use tgw_clock::Millis;
+use tgw_forward::Policy;
 use tgw_platform::Store;
 use tgw_wire::Keys;
 use tokio::{
@@ -39,6 +40,8 @@
     pub store: Rc<dyn Store>,
     /// Counts log lines that were dropped.
     pub dropped: Option<Dropped>,
+    /// What it decides by.
+    pub policy: Policy,
 }
 
 /// A running process.
@@ -64,14 +67,14 @@
 /// Binds the sockets and starts serving on the current thread. Must run within a local task set.
 /// Errors: an address is in use or not this machine's.
 pub async fn spawn(options: Options) -> anyhow::Result<Handle> {
-    let Options { settings, dialect, store, dropped } = options;
+    let Options { settings, dialect, store, dropped, policy } = options;
     let callers = bind(settings.callers, "callers").await?;
     let readiness = bind(settings.ready, "readiness").await?;
     let (callers_addr, ready) = (callers.local_addr()?, readiness.local_addr()?);
     let peers = bind(settings.peer.listen, "peers").await?;
     let keys = Keys::new(settings.peer.key, None);
     let packets = Packets::bind(peers.local_addr()?, keys).await?;
-    let shared = Shared::new(settings, dialect, packets, dropped)?;
+    let shared = Shared::new(settings, dialect, packets, dropped, policy)?;
     tracing::info!(vm = shared.settings.vm, callers = %shared.settings.callers,
         seeds = ?shared.settings.peer.seeds, "start");
     tokio::task::spawn_local(watch::configuration(shared.clone(), store.clone()));
--- a/crates/tgw-gateway/src/shared.rs
+++ b/crates/tgw-gateway/src/shared.rs
@@ -8,7 +8,7 @@
     sync::atomic::{AtomicU64, Ordering},
 };
 use tgw_clock::{Clock, Millis, Monotonic};
-use tgw_forward::{Catalog, Core, fleet::Key, upstream::Word};
+use tgw_forward::{Catalog, Core, Policy, fleet::Key, upstream::Word};
 use tgw_route::{Config, Limits, Table};
 use tgw_spread::{World, message::Late};
 use tokio::sync::{Notify, watch};
@@ -74,9 +74,10 @@
         dialect: Box<dyn Dialect>,
         packets: Packets,
         dropped: Option<Dropped>,
+        policy: Policy,
     ) -> anyhow::Result<Rc<Self>> {
         let room = Room::new(settings.bodies);
-        let core = Core::new(settings.place.clone(), settings.budget);
+        let core = Core::new(settings.place.clone(), settings.budget, policy);
         Ok(Rc::new(Self {
             core: RefCell::new(core),
             settings,
--- a/crates/tgw-operate/src/lib.rs
+++ b/crates/tgw-operate/src/lib.rs
@@ -4,6 +4,10 @@
 mod call;
 /// What one query's decisions were.
 pub mod explain;
+/// Lines of log files.
+mod log;
+/// Where requests were lost, counted from log files.
+pub mod losses;
 /// The fleet as its VMs see it.
 pub mod status;
 /// One request's story, told from log files.
--- a/crates/tgw-operate/src/story.rs
+++ b/crates/tgw-operate/src/story.rs
@@ -1,11 +1,9 @@
 //! One request's story, told from the log files of VMs.
 
-use serde_json::{Map, Value};
+use crate::log::{self, Line, seconds};
 use std::{
     collections::{BTreeMap, BTreeSet},
-    fmt::Write,
-    fs::File,
-    io::{self, BufRead, BufReader},
+    io,
     path::Path,
 };
 
@@ -34,48 +32,6 @@
 const CONNECT_S: f64 = 1.5;
 /// Messages that tell whether a VM ran.
 const LIFE: [&str; 3] = ["start", "stop", LEAVING];
-/// Fields that are not told again with a line's message.
-const PLAIN: [&str; 5] = ["timestamp", "level", "message", "target", "request"];
-
-/// One line of a log.
-#[derive(Clone, Debug)]
-struct Line {
-    vm: String,
-    fields: Map<String, Value>,
-}
-
-impl Line {
-    fn text(&self, name: &str) -> &str {
-        self.fields.get(name).and_then(Value::as_str).unwrap_or_default()
-    }
-
-    fn number(&self, name: &str) -> u64 {
-        self.fields.get(name).and_then(Value::as_u64).unwrap_or_default()
-    }
-
-    fn message(&self) -> &str {
-        self.text("message")
-    }
-
-    fn at(&self) -> &str {
-        self.text("timestamp")
-    }
-
-    fn told(&self) -> String {
-        let mut out = format!("{} {:<22} {}", self.at(), self.vm, self.message());
-        for (name, value) in &self.fields {
-            if PLAIN.contains(&name.as_str()) {
-                continue;
-            }
-            let _ = match value.as_str() {
-                Some(text) => write!(out, " {name}={text}"),
-                None => write!(out, " {name}={value}"),
-            };
-        }
-        out
-    }
-}
-
 /// What the logs say of one request.
 #[derive(Clone, Debug)]
 pub struct Story {
@@ -98,14 +54,10 @@
     pub vm: Option<&'a str>,
 }
 
-/// Reads the logs of VMs and tells the story of a request. Text before a line's JSON is passed over.
+/// Reads the logs of VMs and tells the story of a request.
 /// Errors: a file cannot be read.
 pub fn read(asked: Asked<'_>, files: &[impl AsRef<Path>]) -> io::Result<Story> {
-    let mut lines = Vec::new();
-    for file in files {
-        read_file(file.as_ref(), &mut lines)?;
-    }
-    lines.sort_by(|a, b| a.at().cmp(b.at()));
+    let lines = log::read(files)?;
     let story = tell(asked.request, &lines);
     Ok(match asked.at {
         Some(at) if story.lines.is_empty() => absent(at, asked.vm, &lines),
@@ -155,12 +107,6 @@
     })
 }
 
-/// The second of the day of an RFC 3339 time.
-fn seconds(time: &str) -> Option<f64> {
-    let (_, clock) = time.trim_end_matches('Z').split_once('T')?;
-    clock.split(':').try_fold(0.0, |sum, part| Some(sum * 60.0 + part.parse::<f64>().ok()?))
-}
-
 /// What one VM logged of itself round a moment.
 #[derive(Default)]
 struct Round<'a> {
@@ -186,24 +132,6 @@
     }
 }
 
-fn read_file(path: &Path, lines: &mut Vec<Line>) -> io::Result<()> {
-    let stem = path.file_stem().map(|s| s.to_string_lossy().into_owned()).unwrap_or_default();
-    let mut vm = stem;
-    for text in BufReader::new(File::open(path)?).lines() {
-        let text = text?;
-        let Some(start) = text.find('{') else { continue };
-        let Ok(Value::Object(fields)) = serde_json::from_str(&text[start..]) else { continue };
-        // Collectors put the VM's name before the line; a VM's own file names it at its start.
-        if let Some(name) = text[..start].split_whitespace().last() {
-            name.clone_into(&mut vm);
-        } else if let Some(name) = fields.get("vm").and_then(Value::as_str) {
-            name.clone_into(&mut vm);
-        }
-        lines.push(Line { vm: vm.clone(), fields });
-    }
-    Ok(())
-}
-
 fn tell(request: &str, lines: &[Line]) -> Story {
     let own: Vec<&Line> = lines.iter().filter(|l| l.text("request") == request).collect();
     let vms: BTreeSet<&str> = own.iter().map(|l| l.vm.as_str()).collect();
--- /dev/null
+++ b/crates/tgw-operate/tests/operate/losses.rs
@@ -0,0 +1,35 @@
+//! Tests of the count of lost requests.
+
+use crate::story::file;
+use tgw_operate::losses::{self, Count};
+
+const LOG: &str = r#"
+{"timestamp":"2026-01-01T00:01:03.5Z","message":"send ended","request":"lost","upstream":"i-1","service":"s","result":"shed"}
+{"timestamp":"2026-01-01T00:01:03.6Z","message":"send ended","request":"lost","upstream":"i-1","service":"s","result":"shed"}
+{"timestamp":"2026-01-01T00:01:03.7Z","message":"send withheld","request":"lost","service":"s","why":"retry","reason":"budget used up"}
+{"timestamp":"2026-01-01T00:01:03.8Z","message":"request","request":"lost","outcome":"failed","cause":"too few parts","got":7,"parts":10,"late":false}
+{"timestamp":"2026-01-01T00:01:04.1Z","message":"send ended","request":"saved","upstream":"i-2","service":"s","result":"shed"}
+{"timestamp":"2026-01-01T00:01:04.2Z","message":"request","request":"saved","outcome":"merged","cause":"","got":10,"parts":10,"late":false}
+{"timestamp":"2026-01-01T00:01:05.0Z","message":"request","request":"part","outcome":"merged","cause":"","got":9,"parts":10,"late":false}
+{"timestamp":"2026-01-01T00:01:06.0Z","message":"request","request":"slow","outcome":"forwarded","cause":"","got":0,"parts":1,"late":true}
+{"timestamp":"2026-01-01T00:01:07.0Z","message":"request","request":"no","outcome":"refused","cause":"no configuration"}
+{"timestamp":"2026-01-01T00:01:08.0Z","message":"log lines left out in the last interval","left_out":4}
+"#;
+
+#[test]
+fn each_lost_request_counts_once_a_matter() {
+    let losses = losses::read(&[file("losses.log", LOG)]).unwrap();
+    let one = Count { failed: 1, ..Count::default() };
+    assert_eq!(losses.all, Count { failed: 1, refused: 1, late: 1, partial: 1 });
+    assert_eq!(losses.causes["too few parts"], one);
+    assert_eq!(losses.windows[&62], one);
+    assert_eq!(losses.windows[&64], Count { partial: 1, ..Count::default() });
+    assert_eq!(losses.upstreams["i-1 shed"], one);
+    assert!(!losses.upstreams.contains_key("i-2 shed"), "it was served all the same");
+    assert_eq!(losses.services["s"], one);
+    assert_eq!(losses.withheld["retry: budget used up"], one);
+    assert_eq!(losses.left_out, 4);
+    let text = losses.to_string();
+    assert!(text.starts_with("4 log lines were left out"), "{text}");
+    assert!(text.contains("00:01:02"), "{text}");
+}
--- a/crates/tgw-operate/tests/operate/main.rs
+++ b/crates/tgw-operate/tests/operate/main.rs
@@ -2,5 +2,6 @@
 
 #![allow(clippy::expect_used, clippy::unwrap_used, clippy::panic)] // A test fails by panic.
 
+mod losses;
 mod story;
 mod table;
--- a/crates/tgw-operate/tests/operate/story.rs
+++ b/crates/tgw-operate/tests/operate/story.rs
@@ -18,7 +18,7 @@
 {"timestamp":"T10","message":"request","request":"partial","outcome":"merged","cause":"","got":8,"parts":10,"age_ms":140}
 "#;
 
-fn file(name: &str, text: &str) -> PathBuf {
+pub(crate) fn file(name: &str, text: &str) -> PathBuf {
     let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
     fs::write(&path, text).unwrap();
     path
--- a/crates/tgw-spread/src/hop.rs
+++ b/crates/tgw-spread/src/hop.rs
@@ -14,6 +14,10 @@
     pub started: u64,
     /// Send also if the upstream is doubted: there is no other left.
     pub insist: bool,
+    /// Records of the answer that this is a part of; zero where the reply is wanted whole.
+    pub limit: u64,
+    /// The least record that can be in that answer.
+    pub floor: Option<[u8; 16]>,
     /// Time left for its reply, in whole ms.
     pub left: u64,
     /// The method.
