--- a/crates/tgw-forward/src/policy.rs
+++ b/crates/tgw-forward/src/policy.rs
@@ -80,7 +80,7 @@
             judged: true,
             peer_most: 4.0,
             failure_cost: 120.0,
-            failure_weight: 0.25,
+            failure_weight: 0.1,
             shed_avoid: 37.0,
             raise_share: 0.1,
             hedge_budget: 0.5,
