--- a/crates/tgw-soak/src/run.rs
+++ b/crates/tgw-soak/src/run.rs
@@ -58,6 +58,7 @@
     Store(usize),
     StoreUp,
     Upstream(String),
+    Entry(String),
 }
 
 /// Starts a fleet, injects the faults of the seed, and checks what was seen.
@@ -168,6 +169,7 @@
                     self.stores[vm].set(Way::Open);
                     self.stores[vm].reset();
                 }
+                Undo::Entry(id) => self.world.enter(&id),
                 Undo::StoreUp => self.world.store.set_down(false),
                 Undo::Upstream(id) => {
                     let upstream = self.world.upstreams.iter().find(|u| u.leaf.id() == id);
@@ -235,6 +237,11 @@
             }
             Fault::Compact => self.world.store.compact(),
             Fault::Configure => self.world.configure(),
+            Fault::Restart(index) => self.world.restart(index).await?,
+            Fault::Foreign(index, span) => {
+                let id = self.world.overwrite(index);
+                self.undo.extend(id.map(|id| (now + span, Undo::Entry(id))));
+            }
             Fault::Replace(index) => {
                 if index < self.world.upstreams.len() {
                     self.world.replace(index).await?;
--- a/crates/tgw-soak/src/schedule.rs
+++ b/crates/tgw-soak/src/schedule.rs
@@ -34,6 +34,10 @@
     Replace(usize),
     /// A new version of the configuration is written.
     Configure,
+    /// An upstream ends, and another process starts under its identity.
+    Restart(usize),
+    /// Somebody else overwrites an upstream's entry with what nobody can read, for a while.
+    Foreign(usize, Duration),
 }
 
 /// A fault and its time from the start.
@@ -46,6 +50,11 @@
 /// Mean time between faults, in ms; series of them overlap.
 const GAP_MS: u64 = 350;
 
+/// Mean time between faults of entries, in ms.
+const ENTRY_GAP_MS: u64 = 900;
+/// Tells their draws from the others', so that a seed's other faults stay as they were.
+const ENTRY_SEED: u64 = 0x656e_7472;
+
 /// The faults of a seed, in order, over `span`. Indices are below `vms` and `upstreams`.
 pub(crate) fn draw(seed: u64, span: Duration, vms: usize, upstreams: usize) -> Vec<Step> {
     let mut rng = StdRng::seed_from_u64(seed);
@@ -59,10 +68,31 @@
         }
         at += Duration::from_millis(rng.random_range(GAP_MS / 4..GAP_MS * 2));
     }
+    steps.extend(entries(seed, span, upstreams));
     steps.sort_by_key(|step| step.at);
     steps
 }
 
+/// Faults of upstreams' identities and entries.
+fn entries(seed: u64, span: Duration, upstreams: usize) -> Vec<Step> {
+    let mut rng = StdRng::seed_from_u64(seed ^ ENTRY_SEED);
+    let gap = |rng: &mut StdRng| {
+        Duration::from_millis(rng.random_range(ENTRY_GAP_MS / 4..ENTRY_GAP_MS * 2))
+    };
+    let mut steps = Vec::new();
+    let mut at = gap(&mut rng);
+    while at < span {
+        let upstream = rng.random_range(0..upstreams);
+        let fault = match rng.random_bool(0.5) {
+            true => Fault::Restart(upstream),
+            false => Fault::Foreign(upstream, Duration::from_millis(rng.random_range(150..2_000))),
+        };
+        steps.push(Step { at, fault });
+        at += gap(&mut rng);
+    }
+    steps
+}
+
 fn one(rng: &mut StdRng, vms: usize, upstreams: usize) -> Fault {
     let vm = rng.random_range(0..vms);
     let upstream = rng.random_range(0..upstreams);
--- a/crates/tgw-soak/src/world.rs
+++ b/crates/tgw-soak/src/world.rs
@@ -1,4 +1,5 @@
 use crate::{fleet::DOMAINS, proxy::Proxy};
+use serde_json::{Value, json};
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 use tgw_site_standin::{Leaf, Store, leaf::Run, settings as files};
 use tokio::time::Instant;
@@ -19,10 +20,26 @@
     pub(crate) leaf: Leaf,
     pub(crate) proxy: Proxy,
     domain: &'static str,
+    /// Its process's start, as its entry says it.
+    started: u64,
     /// When it was said that it leaves.
     pub(crate) left: Option<Instant>,
 }
 
+impl Upstream {
+    fn entry(&self) -> Value {
+        let (service, addr) = (self.leaf.service(), self.proxy.addr());
+        let mut entry = files::entry(service, addr, self.domain, self.left.is_some());
+        entry["born"] = self.started.into();
+        entry
+    }
+
+    /// Writes its entry.
+    fn enter(&self, store: &Store) {
+        store.put("servers", self.leaf.id(), &self.entry());
+    }
+}
+
 /// The store, the upstreams and the configuration.
 pub(crate) struct World {
     pub(crate) store: Store,
@@ -58,12 +75,49 @@
         let id = format!("i-{}", self.next);
         let leaf = Leaf::bind(service, &id, WORK).await?;
         let proxy = Proxy::bind(leaf.addr()).await?;
-        let entry = files::entry(service, proxy.addr(), domain, false);
-        self.store.put("servers", &id, &entry);
-        self.upstreams.push(Upstream { leaf, proxy, domain, left: None });
+        let started = u64::from(self.next);
+        let upstream = Upstream { leaf, proxy, domain, started, left: None };
+        upstream.enter(&self.store);
+        self.upstreams.push(upstream);
+        Ok(())
+    }
+
+    /// An upstream ends, and another process starts under its identity. The last heartbeat of the one before
+    /// takes effect after the first one of its successor, which writes again.
+    pub(crate) async fn restart(&mut self, index: usize) -> anyhow::Result<()> {
+        let lives = |u: &&Upstream| u.left.is_none();
+        let Some(upstream) = self.upstreams.get(index).filter(lives) else { return Ok(()) };
+        // Its connections end with it, and nothing begins to run any more.
+        upstream.proxy.reset();
+        self.collect();
+        self.next += 1;
+        let upstream = &mut self.upstreams[index];
+        let before = upstream.entry();
+        let (service, id) = (upstream.leaf.service().to_owned(), upstream.leaf.id().to_owned());
+        upstream.leaf = Leaf::bind(&service, &id, WORK).await?;
+        upstream.proxy = Proxy::bind(upstream.leaf.addr()).await?;
+        upstream.started = u64::from(self.next);
+        upstream.enter(&self.store);
+        self.store.put("servers", &id, &before);
+        upstream.enter(&self.store);
         Ok(())
     }
 
+    /// Overwrites an upstream's entry with what nobody can read; its identity.
+    pub(crate) fn overwrite(&mut self, index: usize) -> Option<String> {
+        let id = self.upstreams.get(index)?.leaf.id().to_owned();
+        let foreign = json!({ "meta": { "name": id, "revision": "none" }, "spec": ["service"] });
+        self.store.put_foreign("servers", &id, foreign.to_string().as_bytes());
+        Some(id)
+    }
+
+    /// An upstream writes its entry again.
+    pub(crate) fn enter(&self, id: &str) {
+        if let Some(upstream) = self.upstreams.iter().find(|u| u.leaf.id() == id) {
+            upstream.enter(&self.store);
+        }
+    }
+
     /// Writes a new version of the configuration.
     pub(crate) fn configure(&mut self) {
         self.version += 3;
@@ -86,9 +140,8 @@
             return Ok(());
         }
         let (service, domain) = (upstream.leaf.service().to_owned(), upstream.domain);
-        let entry = files::entry(&service, upstream.proxy.addr(), domain, true);
-        self.store.put("servers", upstream.leaf.id(), &entry);
         upstream.left = Some(Instant::now());
+        upstream.enter(&self.store);
         self.add(&service, domain).await
     }
 
