--- a/justfile
+++ b/justfile
@@ -12,6 +12,10 @@
 bench *ARGS:
     cargo run --release -p tanagergw -- bench {{ARGS}}
 
+# Forwarding under load at its worst: crude sends, the tier, an oracle.
+overload *ARGS:
+    cargo run --release -p tanagergw -- bench overload {{ARGS}}
+
 # What units of state and work cost, for docs/CAPACITY.md.
 slopes:
     cargo run --release -p tanagergw -- bench slopes
