feat(spread): a VM that starts is told by VMs that know, and reads the store only if nobody tells it

Ruled out, by logs: that VMs wait long for one another at the first start (all know all others after 1.2 s, the joins of the first moment being lost); that reading the store is what makes a restart slow (300 ms after power all have the list). Change: tgw_spread::Start decides, without I/O: seeds read, others ask them (Seek, Found), are told the whole state by one that holds it, four at a time, or sent on to VMs told before (Busy). Where all lose power, a VM that hears nothing for 60 ms serves by a glance at the store, a copy that may be seconds old and claims nothing, until it is told. Changes are gathered for 500 ms; VMs are counted at most each 50 ms (26,000 counts in 250 ms at the start before, 2,400 now); where three VMs of a domain are refused, those that take over try slowly. bench starts plays it at 7, 50, 300 and 1,000 VMs.

--- a/crates/tanagergw/src/bench.rs
+++ b/crates/tanagergw/src/bench.rs
@@ -5,15 +5,16 @@
 use tgw_bench::{
     Policy, Report, Scenario, overload, plot,
     scenario::{self, Options},
-    slopes,
+    slopes, starts,
 };
 use tgw_clock::Millis;
 use tgw_standin::size::{Spread, User};
 
 #[derive(clap::Args)]
 pub(crate) struct Args {
-    /// An experiment, `all`, `list`, `slopes` for what units of state and work cost, `overload` for
-    /// forwarding under load at its worst, or `overload/NAME` for one of its scenarios.
+    /// An experiment, `all`, `list`, `slopes` for what units of state and work cost, `starts` for who reads
+    /// the store where many VMs start at once, `overload` for forwarding under load at its worst, or
+    /// `overload/NAME` for one of its scenarios.
     scenario: String,
     /// Whose size: coimbra, aspen or both.
     #[arg(long, default_value = "both")]
@@ -72,6 +73,9 @@
         }
         return Ok(ExitCode::SUCCESS);
     }
+    if args.scenario == "starts" {
+        return starts(args);
+    }
     if let Some(name) = args.scenario.strip_prefix("overload") {
         return overload(args, name.trim_start_matches('/'));
     }
@@ -110,6 +114,22 @@
     Ok(if kept { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
+/// Sizes at which `bench starts` plays a start of all.
+const STARTS: [usize; 4] = [7, 50, 300, 1_000];
+
+fn starts(args: &Args) -> anyhow::Result<ExitCode> {
+    let seed = args.seed.first().copied().unwrap_or(1);
+    let setups = STARTS.into_iter().flat_map(|vms| starts::setups(vms, seed));
+    let outcomes: Vec<(String, starts::Outcome)> =
+        setups.map(|(name, setup)| (name, starts::play(setup))).collect();
+    if args.json {
+        println!("{}", serde_json::to_string_pretty(&outcomes)?);
+    } else {
+        print!("{}", starts::text(&outcomes));
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
 fn overload(args: &Args, name: &str) -> anyhow::Result<ExitCode> {
     let scenarios = match name {
         "" => overload::Scenario::ALL.to_vec(),
--- a/crates/tgw-bench/src/lib.rs
+++ b/crates/tgw-bench/src/lib.rs
@@ -32,6 +32,8 @@
 mod sim;
 /// What one unit of state or work costs.
 pub mod slopes;
+/// Starts of many VMs at once.
+pub mod starts;
 
 pub use figures::Figures;
 pub use policy::Policy;
--- /dev/null
+++ b/crates/tgw-bench/src/starts.rs
@@ -0,0 +1,412 @@
+//! Starts of many VMs: who reads the platform's store, who is told by whom, and how long that takes, under a
+//! virtual clock.
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use serde::Serialize;
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap},
+    net::{Ipv4Addr, SocketAddr},
+};
+use tgw_clock::Millis;
+use tgw_spread::{
+    Start,
+    start::{Action, Event, Found, Options},
+};
+
+/// Time between looks of a VM at its timers, as in the gateway.
+const TICK: Millis = Millis::new(25);
+/// One way between VMs, from the users' networks: within a region and between two.
+const NEAR_MS: f64 = 1.4;
+const FAR_MS: f64 = 12.0;
+/// An answer of the store.
+const STORE: Millis = Millis::new(4);
+/// Bytes of the whole state, of 690 upstreams and 227 services.
+const STATE: u64 = 70_000;
+/// Bytes a ms on a link of 20 Mbit/s.
+const LINK: u64 = 2_500;
+/// Bytes of a question or of its answer, headers included.
+const PACKET: u64 = 60;
+/// Calls that a reading of both kinds takes.
+const READING: f64 = 3.0;
+/// Calls that a glance at both kinds counts for: a tenth of a reading.
+const GLANCE: f64 = 0.3;
+/// VMs that one VM tells at once, as in the gateway.
+const TOLD_AT_ONCE: usize = 4;
+/// VMs all start within this time.
+const WITHIN: Millis = Millis::new(300);
+/// Pause after a reading that failed.
+const AGAIN: Millis = Millis::new(400);
+
+/// What is played.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// VMs in all, over six failure domains in three regions.
+    pub vms: usize,
+    /// The whole fleet starts for the first time.
+    pub first: bool,
+    /// Seeds that are down for good, of three.
+    pub seeds_down: usize,
+    /// The store answers from then on; from the start on by default.
+    pub store_from: Millis,
+    /// The part of the VMs that the store turns away.
+    pub refused: f64,
+    /// The chance that a packet is lost.
+    pub loss: f64,
+    /// The seeds die so long after their start, before they have told all.
+    pub seeds_die: Option<Millis>,
+    /// Seed of what is drawn.
+    pub seed: u64,
+}
+
+impl Setup {
+    /// So many VMs that lose power together, with nothing else wrong.
+    pub fn of(vms: usize, seed: u64) -> Self {
+        Self {
+            vms,
+            first: false,
+            seeds_down: 0,
+            store_from: Millis::ZERO,
+            refused: 0.0,
+            loss: 0.01,
+            seeds_die: None,
+            seed,
+        }
+    }
+}
+
+/// What came of it.
+#[derive(Clone, Debug, Serialize)]
+pub struct Outcome {
+    /// VMs in all.
+    pub vms: usize,
+    /// Calls of the store, a glance counted as a tenth.
+    pub calls: f64,
+    /// VMs that read the store.
+    pub readers: usize,
+    /// Time in ms from a VM's start until it can serve: the median, 99 in 100, and the last.
+    pub serves_ms: [f64; 3],
+    /// The same until it holds the state and claims it.
+    pub holds_ms: [f64; 3],
+    /// Bytes a VM sends, and the one that sends most.
+    pub bytes: [f64; 2],
+    /// VMs that live and never held the state.
+    pub without: usize,
+}
+
+#[derive(Clone, Debug)]
+enum Due {
+    Tick(usize),
+    Seek { to: usize, from: usize },
+    Found { to: usize, from: usize, found: Found },
+    Ask { to: usize, from: usize },
+    Busy { to: usize, others: Vec<usize> },
+    Told { to: usize, from: usize },
+    Read(usize),
+    Glanced(usize),
+}
+
+struct Vm {
+    start: Start,
+    at: Millis,
+    dies: Option<Millis>,
+    refused: bool,
+    reading: bool,
+    read_again: Millis,
+    telling: usize,
+    told: Vec<usize>,
+    link_free: Millis,
+    sent: u64,
+    serves: Option<Millis>,
+    holds: Option<Millis>,
+    read: bool,
+}
+
+struct World {
+    now: Millis,
+    vms: Vec<Vm>,
+    setup: Setup,
+    heap: BinaryHeap<Reverse<(Millis, u64)>>,
+    events: BTreeMap<u64, Due>,
+    next: u64,
+    rng: SmallRng,
+    calls: f64,
+}
+
+/// Plays a start of all VMs for up to 20 s.
+pub fn play(setup: Setup) -> Outcome {
+    let mut world = World::new(setup);
+    let end = Millis::new(20_000);
+    while let Some(Reverse((at, number))) = world.heap.pop() {
+        if at > end {
+            break;
+        }
+        world.now = at;
+        if let Some(due) = world.events.remove(&number) {
+            world.handle(due);
+        }
+    }
+    world.outcome()
+}
+
+fn address(index: usize) -> SocketAddr {
+    let [_, _, high, low] = (index as u32).to_be_bytes();
+    SocketAddr::from((Ipv4Addr::new(10, 9, high, low), 7802))
+}
+
+fn index(addr: SocketAddr) -> usize {
+    let SocketAddr::V4(v4) = addr else { return usize::MAX };
+    let [_, _, high, low] = v4.ip().octets();
+    usize::from(u16::from_be_bytes([high, low]))
+}
+
+impl World {
+    fn new(setup: Setup) -> Self {
+        let mut rng = SmallRng::seed_from_u64(setup.seed);
+        let seeds: Vec<usize> = (0..3).collect();
+        let mut vms = Vec::new();
+        for number in 0..setup.vms {
+            let seed = seeds.contains(&number);
+            // Seeds last, as on the users' platform: nobody can be asked for as long as possible.
+            let at = if seed { WITHIN } else { WITHIN.scale(rng.random_range(0.0..1.0)) };
+            let down = number < setup.seeds_down;
+            let dies = if down { Some(Millis::ZERO) } else { setup.seeds_die.map(|d| at + d) };
+            let others = seeds.iter().filter(|s| **s != number).map(|s| address(*s)).collect();
+            let options = Options { seed, first: setup.first, seeds: others, random: rng.random() };
+            vms.push(Vm {
+                start: Start::new(at, options),
+                at,
+                dies: dies.filter(|_| seed),
+                refused: rng.random_bool(setup.refused),
+                reading: false,
+                read_again: Millis::ZERO,
+                telling: 0,
+                told: Vec::new(),
+                link_free: Millis::ZERO,
+                sent: 0,
+                serves: None,
+                holds: None,
+                read: false,
+            });
+        }
+        let (heap, events) = (BinaryHeap::new(), BTreeMap::new());
+        let now = Millis::ZERO;
+        let mut world = Self { now, vms, setup, heap, events, next: 0, rng, calls: 0.0 };
+        for number in 0..world.vms.len() {
+            world.at(world.vms[number].at, Due::Tick(number));
+        }
+        world
+    }
+
+    fn at(&mut self, at: Millis, due: Due) {
+        self.next += 1;
+        self.heap.push(Reverse((at, self.next)));
+        self.events.insert(self.next, due);
+    }
+
+    fn lives(&self, vm: usize) -> bool {
+        let vm = &self.vms[vm];
+        self.now >= vm.at && vm.dies.is_none_or(|at| self.now < at)
+    }
+
+    fn way(&self, from: usize, to: usize) -> Millis {
+        Millis::from_f64(if from % 3 == to % 3 { NEAR_MS } else { FAR_MS })
+    }
+
+    /// Sends a packet, which may be lost.
+    fn packet(&mut self, from: usize, to: usize, due: Due) {
+        self.vms[from].sent += PACKET;
+        if to < self.vms.len() && !self.rng.random_bool(self.setup.loss) {
+            self.at(self.now + self.way(from, to), due);
+        }
+    }
+
+    fn handle(&mut self, due: Due) {
+        let to = match &due {
+            Due::Tick(to) | Due::Read(to) | Due::Glanced(to) => *to,
+            Due::Seek { to, .. } | Due::Found { to, .. } | Due::Ask { to, .. } => *to,
+            Due::Busy { to, .. } | Due::Told { to, .. } => *to,
+        };
+        if !self.lives(to) {
+            return;
+        }
+        match due {
+            Due::Tick(vm) => self.tick(vm),
+            Due::Seek { to, from } => {
+                let held = u64::from(self.vms[to].holds.is_some());
+                let reads = self.vms[to].reading;
+                let found = Found { config: held, upstreams: held, reads };
+                self.packet(to, from, Due::Found { to: from, from: to, found });
+            }
+            Due::Found { to, from, found } => self.tell(to, Event::Found(address(from), found)),
+            Due::Ask { to, from } => self.asked(to, from),
+            Due::Busy { to, others } => {
+                let others: Vec<SocketAddr> = others.into_iter().map(address).collect();
+                self.tell(to, Event::Busy(&others));
+            }
+            Due::Told { to, from } => {
+                self.vms[from].telling -= 1;
+                self.vms[from].told.push(to);
+                self.tell(to, Event::Answered);
+                self.hold(to);
+            }
+            Due::Read(vm) => self.read(vm),
+            Due::Glanced(vm) => {
+                let serves = &mut self.vms[vm].serves;
+                serves.get_or_insert(self.now);
+            }
+        }
+    }
+
+    fn tell(&mut self, vm: usize, event: Event<'_>) {
+        let mut actions = Vec::new();
+        self.vms[vm].start.on(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Seek(addr) => {
+                    let to = index(addr);
+                    self.packet(vm, to, Due::Seek { to, from: vm });
+                }
+                Action::Ask(addr) => {
+                    let to = index(addr);
+                    // A connection and a question: a way there, back and there again.
+                    let way = self.way(vm, to);
+                    self.at(self.now + way + way + way, Due::Ask { to, from: vm });
+                }
+            }
+        }
+    }
+
+    fn asked(&mut self, vm: usize, from: usize) {
+        if self.vms[vm].holds.is_none() {
+            return;
+        }
+        let way = self.way(vm, from);
+        if self.vms[vm].telling >= TOLD_AT_ONCE {
+            let others = self.vms[vm].told.iter().rev().take(8).copied().collect();
+            return self.at(self.now + way, Due::Busy { to: from, others });
+        }
+        let sender = &mut self.vms[vm];
+        sender.telling += 1;
+        sender.sent += STATE;
+        sender.link_free = sender.link_free.max(self.now) + Millis::new(STATE / LINK);
+        let told = sender.link_free + way;
+        self.at(told, Due::Told { to: from, from: vm });
+    }
+
+    fn hold(&mut self, vm: usize) {
+        let now = self.now;
+        self.vms[vm].holds.get_or_insert(now);
+        self.vms[vm].serves.get_or_insert(now);
+        self.tell(vm, Event::Holds { config: 1, upstreams: 1 });
+    }
+
+    fn answers(&self, vm: usize) -> bool {
+        self.now >= self.setup.store_from && !self.vms[vm].refused
+    }
+
+    fn tick(&mut self, vm: usize) {
+        self.tell(vm, Event::Tick);
+        let now = self.now;
+        let transfer = Millis::new(STATE * 3 / LINK);
+        if self.vms[vm].start.glances(now) {
+            self.calls += GLANCE;
+            if self.answers(vm) {
+                self.at(now + STORE + transfer, Due::Glanced(vm));
+            }
+        }
+        let seat = &self.vms[vm];
+        let due = !seat.start.is_over() && now >= seat.start.due() && now >= seat.read_again;
+        if due && !seat.reading {
+            self.vms[vm].reading = true;
+            self.vms[vm].read = true;
+            self.calls += READING;
+            self.at(now + STORE + transfer, Due::Read(vm));
+        }
+        if self.vms[vm].holds.is_none() {
+            self.at(now + TICK, Due::Tick(vm));
+        }
+    }
+
+    fn read(&mut self, vm: usize) {
+        if self.answers(vm) {
+            return self.hold(vm);
+        }
+        self.vms[vm].reading = false;
+        self.tell(vm, Event::Refused);
+        self.vms[vm].read_again = self.now + AGAIN;
+    }
+
+    fn outcome(&self) -> Outcome {
+        let live: Vec<&Vm> = self.vms.iter().filter(|v| v.dies.is_none()).collect();
+        let spread = |of: fn(&Vm) -> Option<Millis>| {
+            let mut times: Vec<f64> =
+                live.iter().filter_map(|v| Some((of(v)? - v.at).as_f64())).collect();
+            times.sort_by(f64::total_cmp);
+            let rank = |part: f64| {
+                let last = times.len().saturating_sub(1);
+                times.get((last as f64 * part) as usize).copied().unwrap_or(f64::NAN)
+            };
+            [rank(0.5), rank(0.99), rank(1.0)]
+        };
+        let sent = self.vms.iter().map(|v| v.sent);
+        Outcome {
+            vms: self.vms.len(),
+            calls: self.calls,
+            readers: self.vms.iter().filter(|v| v.read).count(),
+            serves_ms: spread(|v| v.serves),
+            holds_ms: spread(|v| v.holds),
+            bytes: [
+                sent.clone().sum::<u64>() as f64 / self.vms.len() as f64,
+                sent.max().unwrap_or(0) as f64,
+            ],
+            without: live.iter().filter(|v| v.holds.is_none()).count(),
+        }
+    }
+}
+
+/// Starts of all VMs at several sizes, as a table.
+pub fn text(outcomes: &[(String, Outcome)]) -> String {
+    let mut text = format!(
+        "{:<34} {:>6} {:>8} {:>8} {:>20} {:>20} {:>16}\n",
+        "start",
+        "VMs",
+        "calls",
+        "readers",
+        "serves ms 50/99/all",
+        "holds ms 50/99/all",
+        "bytes, most"
+    );
+    for (name, o) in outcomes {
+        let times = |t: [f64; 3]| format!("{:.0} / {:.0} / {:.0}", t[0], t[1], t[2]);
+        text += &format!(
+            "{name:<34} {:>6} {:>8.1} {:>8} {:>20} {:>20} {:>16}\n",
+            o.vms,
+            o.calls,
+            o.readers,
+            times(o.serves_ms),
+            times(o.holds_ms),
+            format!("{:.0}, {:.0}", o.bytes[0], o.bytes[1]),
+        );
+    }
+    text
+}
+
+/// The starts that are printed: sizes, and what may be wrong beside.
+pub fn setups(vms: usize, seed: u64) -> Vec<(String, Setup)> {
+    let of = |change: fn(&mut Setup)| {
+        let mut setup = Setup::of(vms, seed);
+        change(&mut setup);
+        setup
+    };
+    vec![
+        ("for the first time".into(), of(|s| s.first = true)),
+        ("all lose power".into(), of(|_| ())),
+        ("two seeds down".into(), of(|s| s.seeds_down = 2)),
+        ("all seeds down".into(), of(|s| s.seeds_down = 3)),
+        ("a third turned away by the store".into(), of(|s| s.refused = 0.35)),
+        ("store away for 2 s".into(), of(|s| s.store_from = Millis::new(2_000))),
+        ("seeds die while they tell".into(), of(|s| s.seeds_die = Some(Millis::new(150)))),
+        ("a fifth of the packets lost".into(), of(|s| s.loss = 0.2)),
+    ]
+}
--- a/crates/tgw-gateway/src/lib.rs
+++ b/crates/tgw-gateway/src/lib.rs
@@ -47,6 +47,8 @@
 mod shared;
 /// Sockets that notice a silent peer.
 mod socket;
+/// What VMs tell one another over TCP.
+mod tell;
 /// Entries of upstreams that cannot be read.
 mod unreadable;
 /// The configuration and the list of upstreams, from the store.
--- a/crates/tgw-gateway/src/peers.rs
+++ b/crates/tgw-gateway/src/peers.rs
@@ -2,10 +2,11 @@
     hop::{self, Hosts},
     packets::PACKET,
     shared::Shared,
+    tell::Tell,
 };
 use rand::seq::SliceRandom;
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, SystemTime},
@@ -15,15 +16,15 @@
 use tgw_member::{Action, Event, Member};
 use tgw_owner::Directory;
 use tgw_spread::{
-    Message, Update,
+    Message,
     message::{Datagram, Late},
+    start::{self, Found},
 };
 use tgw_topology::Vm;
-use tgw_wire::{Error, FRAME_LIMIT, LENGTH};
+use tgw_wire::Error;
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
-    time::{MissedTickBehavior, interval, sleep, timeout},
+    net::TcpListener,
+    time::{MissedTickBehavior, interval, sleep},
 };
 
 /// Time in ms between looks at membership's timers, which lie 100 ms apart and more.
@@ -31,25 +32,31 @@
 /// VMs that are told of a late upstream: those of a region today. In a larger region each tells as
 /// many, drawn anew each time, so that the load of a VM does not grow with the fleet.
 const TOLD: usize = 32;
-/// Time for one exchange with a peer.
-const EXCHANGE: Duration = Duration::from_millis(1_500);
-/// Pause after a failed accept.
-const PAUSE: Duration = Duration::from_millis(50);
+/// Time between looks at the timers of a VM that starts.
+const START_TICK: Duration = Duration::from_millis(25);
+/// Time in ms between two looks at which VMs there are. While 295 start at once each hears of the others within
+/// 250 ms, one by one; counted at each of these, that was 26,000 counts over lists of 295.
+const COUNT: Millis = Millis::new(50);
 /// Time after the start until this VM may hold itself for a relay: by then it knows its peers.
 const SETTLE: Millis = Millis::new(1_500);
 /// The same for a VM that knows only itself, and so is the first of its domain: the platform names
 /// seeds up to 3 s late.
 const SETTLE_ALONE: Millis = Millis::new(4_500);
 
+/// Versions above any: of a VM that was named by another as one that holds the state.
+const ANY: Found = Found { config: u64::MAX, upstreams: u64::MAX, reads: false };
+
 /// Membership and the spread of news, with their sockets.
 pub(crate) struct Peers {
-    shared: Rc<Shared>,
+    pub(crate) shared: Rc<Shared>,
     member: RefCell<Member>,
     /// Where the other live VMs of the region are reached.
     near: RefCell<Vec<SocketAddr>>,
     addr: SocketAddr,
-    /// A peer is being asked for what is newer there.
-    asking: std::cell::Cell<bool>,
+    pub(crate) tell: Tell,
+    /// Which VMs there are has changed since they were counted.
+    changed: Cell<bool>,
+    counted: Cell<Millis>,
 }
 
 /// This process's life: higher than that of an earlier one of the VM, if the time of day allows; if
@@ -74,9 +81,17 @@
             seed: rand::random(),
         };
         let member = RefCell::new(Member::new(options));
-        let asking = std::cell::Cell::new(false);
-        let peers = Rc::new(Self { shared, member, near: RefCell::default(), addr, asking });
+        let peers = Rc::new(Self {
+            shared,
+            member,
+            near: RefCell::default(),
+            addr,
+            tell: Tell::default(),
+            changed: Cell::new(false),
+            counted: Cell::new(Millis::ZERO),
+        });
         tokio::task::spawn_local(peers.clone().run());
+        tokio::task::spawn_local(peers.clone().start());
         tokio::task::spawn_local(peers.clone().accept(tcp));
         Ok(peers)
     }
@@ -117,19 +132,43 @@
                     self.settle();
                 }
             }
+            self.count_changed();
+        }
+    }
+
+    /// Asks other VMs for the state until this one holds it.
+    async fn start(self: Rc<Self>) {
+        while !self.shared.start.borrow().is_over() {
+            self.begin(start::Event::Tick);
+            sleep(START_TICK).await;
+        }
+        tracing::info!("start is over: configuration and upstreams are known");
+    }
+
+    /// Tells what decides the start of this VM.
+    pub(crate) fn begin(self: &Rc<Self>, event: start::Event<'_>) {
+        let there = if let start::Event::Found(_, found) = &event { *found } else { ANY };
+        let mut actions = Vec::new();
+        self.shared.start.borrow_mut().on(self.shared.now(), event, &mut actions);
+        for action in actions {
+            match action {
+                start::Action::Seek(addr) => self.shared.packets.send(addr, &Datagram::Seek),
+                start::Action::Ask(addr) => self.ask(addr, there),
+            }
         }
     }
 
     /// Passes on what this VM learned.
     fn told(self: &Rc<Self>) {
         let (config, upstreams) = self.versions();
+        self.shared.hold();
         self.tell_late();
         self.on(Event::Edit(config));
         self.on(Event::World(upstreams));
         self.on(Event::Blind(self.shared.blind.get()));
     }
 
-    fn versions(&self) -> (u64, u64) {
+    pub(crate) fn versions(&self) -> (u64, u64) {
         let world = self.shared.world.borrow();
         (world.config(), world.upstreams_version())
     }
@@ -149,11 +188,21 @@
             Ok(Datagram::Hop(request)) => hop::host(&self.shared, from, *request),
             Ok(Datagram::HopEnded(reply)) => self.shared.hops.ended(from, *reply),
             Ok(Datagram::HopCancelled(number)) => self.shared.hops.cancel(from, number),
+            Ok(Datagram::Seek) => {
+                self.shared.packets.send(from, &Datagram::Found(self.found()));
+            }
+            Ok(Datagram::Found(found)) => self.begin(start::Event::Found(from, found)),
             Err(error) => tracing::debug!(%error, %from, "packet refused"),
         }
     }
 
-    fn on(self: &Rc<Self>, event: Event) {
+    /// How far this VM is.
+    fn found(&self) -> Found {
+        let (config, upstreams) = self.versions();
+        Found { config, upstreams, reads: self.shared.reading.both() }
+    }
+
+    pub(crate) fn on(self: &Rc<Self>, event: Event) {
         let mut actions = Vec::new();
         self.member.borrow_mut().on(self.shared.now(), event, &mut actions);
         for action in actions {
@@ -168,8 +217,10 @@
                         }
                     });
                 }
-                Action::Changed => self.changed(),
-                Action::Newer { addr, edit, world, .. } => self.ask(addr, edit, world),
+                Action::Changed => self.changed.set(true),
+                Action::Newer { addr, edit, world, .. } => {
+                    self.ask(addr, Found { config: edit, upstreams: world, reads: false });
+                }
                 Action::Paused(gap) => tracing::warn!(gap_ms = gap.whole(), "this VM was paused"),
             }
         }
@@ -187,8 +238,19 @@
         near.into_iter().take(TOLD).for_each(|to| self.shared.packets.send(to, &datagram));
     }
 
-    fn changed(&self) {
+    /// Counts the VMs anew if there are others than before, at most once in a while.
+    fn count_changed(self: &Rc<Self>) {
+        let now = self.shared.now();
+        if self.changed.get() && now - self.counted.get() >= COUNT {
+            self.changed.set(false);
+            self.counted.set(now);
+            self.count();
+        }
+    }
+
+    fn count(self: &Rc<Self>) {
         let directory = self.member.borrow().directory();
+        self.shared.blind_near.set(self.member.borrow().blind_near());
         self.reach(&directory);
         let own = Vm::named(&self.shared.settings.vm);
         let here = directory.members.get(&own).map(|m| m.place.region);
@@ -199,6 +261,7 @@
             .map(|(_, m)| m.addr)
             .collect();
         let near = others.len() + 1;
+        self.begin(start::Event::Peers(&others));
         self.near.replace(others);
         let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
         let vms = Vms { all: count(all), near: count(near) };
@@ -235,12 +298,12 @@
         self.shared.now() >= if self.alone() { SETTLE_ALONE } else { SETTLE }
     }
 
-    fn settle(&self) {
+    fn settle(self: &Rc<Self>) {
         if self.shared.relay.borrow().is_none() && !self.settled() {
             return;
         }
         if self.shared.relay.borrow().is_none() {
-            self.changed();
+            self.count();
         }
         let relay = self.member.borrow().follows();
         self.shared.relay.send_if_modified(|known| {
@@ -252,110 +315,4 @@
             differs
         });
     }
-
-    /// Asks a peer for what is newer there.
-    fn ask(self: &Rc<Self>, addr: SocketAddr, config: u64, upstreams: u64) {
-        let (own_config, own_upstreams) = self.versions();
-        let newer = config > own_config || upstreams > own_upstreams;
-        // Each packet of a peer that is further says so again; one question at a time is enough.
-        if !newer || self.asking.replace(true) {
-            return;
-        }
-        let peers = self.clone();
-        tokio::task::spawn_local(async move {
-            let message = Message::Ask { config: own_config, upstreams: own_upstreams };
-            match peers.exchange(addr, &message, true).await {
-                Ok(Some(Message::News(news))) => peers.learn(addr, *news),
-                Ok(_) => tracing::warn!(%addr, "a peer answered something else"),
-                Err(error) => tracing::debug!(%error, %addr, "peer not asked"),
-            }
-            peers.asking.set(false);
-        });
-    }
-
-    fn learn(&self, from: SocketAddr, news: tgw_spread::message::News) {
-        let Update { config, upstreams } = self.shared.world.borrow_mut().apply(news);
-        if let Some(config) = config {
-            self.shared.adopt(&config, "peer");
-        }
-        let now = self.shared.now();
-        let mut core = self.shared.core.borrow_mut();
-        let mut catalog = self.shared.catalog.borrow_mut();
-        for id in upstreams.removed {
-            tracing::info!(upstream = &*id, %from, "upstream removed");
-            catalog.removed(now, &id, &mut core.fleet);
-        }
-        for entry in upstreams.changed {
-            tracing::info!(upstream = &*entry.id, service = &*entry.service, addr = %entry.addr,
-                draining = entry.draining, %from, "upstream changed");
-            catalog.changed(now, entry, &mut core.fleet);
-        }
-        self.shared.news.notify_one();
-    }
-
-    async fn accept(self: Rc<Self>, listener: TcpListener) {
-        loop {
-            let Ok((stream, from)) = listener.accept().await else {
-                sleep(PAUSE).await;
-                continue;
-            };
-            let peers = self.clone();
-            tokio::task::spawn_local(async move {
-                match timeout(EXCHANGE, peers.answer(stream)).await {
-                    Ok(Ok(())) => {}
-                    Ok(Err(error)) => tracing::debug!(%error, %from, "peer not answered"),
-                    Err(_) => tracing::debug!(%from, "a peer asked too slowly"),
-                }
-            });
-        }
-    }
-
-    async fn answer(self: &Rc<Self>, mut stream: TcpStream) -> anyhow::Result<()> {
-        match self.read(&mut stream).await? {
-            Message::Records(records) => self.on(Event::Records(records)),
-            Message::Ask { config, upstreams } => {
-                let news = self.shared.world.borrow().news(config, upstreams);
-                self.write(&mut stream, &Message::News(Box::new(news))).await?;
-            }
-            Message::News(_) => anyhow::bail!("news that nobody asked for"),
-        }
-        Ok(())
-    }
-
-    /// Sends a message to a peer, and waits for its answer if there is one.
-    async fn exchange(
-        &self,
-        to: SocketAddr,
-        message: &Message,
-        answered: bool,
-    ) -> anyhow::Result<Option<Message>> {
-        let exchange = async {
-            let mut stream = TcpStream::connect(to).await?;
-            self.write(&mut stream, message).await?;
-            if !answered {
-                return Ok(None);
-            }
-            self.read(&mut stream).await.map(Some)
-        };
-        timeout(EXCHANGE, exchange).await?
-    }
-
-    async fn write(&self, stream: &mut TcpStream, message: &Message) -> anyhow::Result<()> {
-        let frame = tgw_wire::seal(self.shared.packets.keys(), message)?;
-        let mut bytes = u32::try_from(frame.len())?.to_le_bytes().to_vec();
-        bytes.extend(frame);
-        stream.write_all(&bytes).await?;
-        Ok(())
-    }
-
-    async fn read(&self, stream: &mut TcpStream) -> anyhow::Result<Message> {
-        let mut length = [0; LENGTH];
-        stream.read_exact(&mut length).await?;
-        let length = u32::from_le_bytes(length) as usize;
-        anyhow::ensure!(length <= FRAME_LIMIT, "a frame of {length} bytes");
-        let mut frame = Vec::new();
-        // Read as it comes: a length alone must not make this VM set memory aside.
-        stream.take(length as u64).read_to_end(&mut frame).await?;
-        Ok(tgw_wire::open(self.shared.packets.keys(), &frame)?)
-    }
 }
--- a/crates/tgw-gateway/src/settings.rs
+++ b/crates/tgw-gateway/src/settings.rs
@@ -18,6 +18,8 @@
     pub budget: Budget,
     /// Memory for bodies of requests and replies that are held, in bytes.
     pub bodies: usize,
+    /// The whole fleet starts for the first time.
+    pub first: bool,
     /// How other VMs are reached.
     pub peer: Peer,
     /// Time from SIGTERM until the process is killed.
@@ -31,6 +33,8 @@
     pub listen: SocketAddr,
     /// Whom to ask first.
     pub seeds: Vec<SocketAddr>,
+    /// Others are told to ask this VM first.
+    pub seed: bool,
     /// This VM's place, by numbers that are the same on all VMs.
     pub place: Numbered,
     /// The key that frames are signed with.
--- a/crates/tgw-gateway/src/shared.rs
+++ b/crates/tgw-gateway/src/shared.rs
@@ -10,7 +10,11 @@
 use tgw_clock::{Clock, Millis, Monotonic};
 use tgw_forward::{Catalog, Core, Policy, fleet::Key, upstream::Word};
 use tgw_route::{Config, Limits, Table};
-use tgw_spread::{World, message::Late};
+use tgw_spread::{
+    Start, World,
+    message::Late,
+    start::{self, Event},
+};
 use tokio::sync::{Notify, watch};
 
 /// How far the process is in leaving.
@@ -24,6 +28,20 @@
     Closing,
 }
 
+/// What this VM reads from the store, without having been refused.
+#[derive(Debug, Default)]
+pub(crate) struct Reading {
+    pub(crate) config: Cell<bool>,
+    pub(crate) upstreams: Cell<bool>,
+}
+
+impl Reading {
+    /// Whether it reads all that a VM needs.
+    pub(crate) fn both(&self) -> bool {
+        self.config.get() && self.upstreams.get()
+    }
+}
+
 /// The configuration in force.
 #[derive(Debug, Default)]
 pub(crate) struct Configured {
@@ -50,12 +68,20 @@
     /// What is told to other VMs.
     pub(crate) world: RefCell<World>,
     pub(crate) catalog: RefCell<Catalog>,
-    /// The list of upstreams was read once.
+    /// The list of upstreams is known.
     pub(crate) listed: Cell<bool>,
+    /// Upstreams are known by a glance at the store, which may be old, and by nothing better.
+    pub(crate) glanced: Cell<bool>,
     /// This VM watches the store for its failure domain; `None` until that is known.
     pub(crate) relay: watch::Sender<Option<bool>>,
+    /// Whether this VM reads the store at its start, and whom it asks before.
+    pub(crate) start: RefCell<Start>,
+    /// What this VM reads from the store now.
+    pub(crate) reading: Reading,
     /// The store does not answer this VM.
     pub(crate) blind: Cell<bool>,
+    /// VMs of this domain that the store does not answer.
+    pub(crate) blind_near: Cell<usize>,
     /// Upstreams that were found late, to be told to other VMs.
     pub(crate) late: RefCell<Vec<Late>>,
     /// Something is to be told to other VMs.
@@ -77,12 +103,22 @@
         policy: Policy,
     ) -> anyhow::Result<Rc<Self>> {
         let room = Room::new(settings.bodies);
+        let clock = Monotonic::default();
+        let start = Start::new(
+            clock.now(),
+            start::Options {
+                seed: settings.peer.seed,
+                first: settings.first,
+                seeds: settings.peer.seeds.clone(),
+                random: rand::random(),
+            },
+        );
         let core = Core::new(settings.place.clone(), settings.budget, policy);
         Ok(Rc::new(Self {
             core: RefCell::new(core),
             settings,
             dialect,
-            clock: Monotonic::default(),
+            clock,
             pools: Pools::default(),
             packets,
             hops: Hops::default(),
@@ -92,8 +128,12 @@
             world: RefCell::default(),
             catalog: RefCell::default(),
             listed: Cell::new(false),
+            glanced: Cell::new(false),
             relay: watch::Sender::new(None),
+            start: RefCell::new(start),
+            reading: Reading::default(),
             blind: Cell::new(false),
+            blind_near: Cell::new(0),
             late: RefCell::default(),
             news: Notify::new(),
             phase: watch::Sender::new(Phase::Serving),
@@ -120,6 +160,17 @@
             && self.config.borrow().version.is_some()
     }
 
+    /// Takes note of the versions that this VM holds now.
+    pub(crate) fn hold(&self) {
+        let world = self.world.borrow();
+        let (config, upstreams) = (world.config(), world.upstreams_version());
+        if upstreams > 0 {
+            self.listed.set(true);
+        }
+        // Nothing follows from holding something.
+        self.start.borrow_mut().on(self.now(), Event::Holds { config, upstreams }, &mut Vec::new());
+    }
+
     /// Puts a configuration in force that the world has taken over.
     pub(crate) fn adopt(&self, config: &Config, source: &str) {
         let mut configured = self.config.borrow_mut();
--- /dev/null
+++ b/crates/tgw-gateway/src/tell.rs
@@ -0,0 +1,222 @@
+//! What VMs tell one another over TCP: records, and the state that this VM or another lacks.
+
+use crate::peers::Peers;
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+use tgw_clock::Millis;
+use tgw_member::Event;
+use tgw_spread::{
+    Message, Update,
+    message::News,
+    start::{self, Found},
+};
+use tgw_wire::{FRAME_LIMIT, LENGTH};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    time::{sleep, timeout},
+};
+
+/// Time for one exchange with a peer.
+const EXCHANGE: Duration = Duration::from_millis(1_500);
+/// Time in ms after which another peer is asked though one has not answered yet: it may be paused, or its link
+/// full.
+const PATIENCE: Millis = Millis::new(300);
+/// Pause after a failed accept.
+const PAUSE: Duration = Duration::from_millis(50);
+/// VMs that are told the whole state at once. 690 upstreams are about 70 KB, 28 ms on a link of 20 Mbit/s: a
+/// start of 295 VMs at three seeds would else take seconds, and those told first could tell others meanwhile.
+const TOLD_AT_ONCE: u32 = 4;
+/// VMs told last that others are sent to.
+const REFERRED: usize = 8;
+
+/// Who is told the state, and who tells it.
+#[derive(Default)]
+pub(crate) struct Tell {
+    /// Since when a peer is being asked for what is newer there.
+    asking: Cell<Option<Millis>>,
+    telling: Cell<u32>,
+    /// VMs that were told the whole state last.
+    told: std::cell::RefCell<std::collections::VecDeque<SocketAddr>>,
+}
+
+/// Counts a VM that is being told the whole state.
+struct Telling<'a>(&'a Cell<u32>);
+
+impl<'a> Telling<'a> {
+    /// `None` if as many are told as may be.
+    fn begin(count: &'a Cell<u32>) -> Option<Self> {
+        let free = count.get() < TOLD_AT_ONCE;
+        free.then(|| {
+            count.set(count.get() + 1);
+            Self(count)
+        })
+    }
+}
+
+impl Drop for Telling<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
+impl Peers {
+    /// Asks a peer for what is newer there.
+    pub(crate) fn ask(self: &Rc<Self>, addr: SocketAddr, there: Found) {
+        let (config, upstreams) = self.versions();
+        let newer = there.config > config || there.upstreams > upstreams;
+        let now = self.shared.now();
+        // Each packet of a peer that is further says so again; one question at a time is enough.
+        let waits = self.tell.asking.get().is_some_and(|at| now - at < PATIENCE);
+        if !newer || waits {
+            return;
+        }
+        self.tell.asking.set(Some(now));
+        let peers = self.clone();
+        tokio::task::spawn_local(async move {
+            let message = Message::Ask { config, upstreams, listens: peers.addr() };
+            let answer = peers.exchange(addr, &message, true).await;
+            if peers.tell.asking.get() == Some(now) {
+                peers.tell.asking.set(None);
+            }
+            peers.answered(addr, answer);
+        });
+    }
+
+    fn answered(self: &Rc<Self>, from: SocketAddr, answer: anyhow::Result<Option<Message>>) {
+        match answer {
+            Ok(Some(Message::News(news))) => {
+                self.begin(start::Event::Answered);
+                self.learn(from, *news);
+            }
+            Ok(Some(Message::Busy(others))) => self.begin(start::Event::Busy(&others)),
+            Ok(_) => tracing::warn!(%from, "a peer answered something else"),
+            Err(error) => {
+                tracing::debug!(%error, %from, "peer not asked");
+                self.begin(start::Event::Answered);
+            }
+        }
+    }
+
+    fn learn(&self, from: SocketAddr, news: News) {
+        let whole = news.upstreams.as_ref().is_some_and(|delta| delta.from.is_none());
+        let Update { config, upstreams } = self.shared.world.borrow_mut().apply(news);
+        if let Some(config) = config {
+            self.shared.adopt(&config, "peer");
+        }
+        if whole {
+            // One line in place of hundreds that say what a line of the store's list says in one.
+            tracing::info!(upstreams = upstreams.changed.len(), removed = upstreams.removed.len(),
+                %from, "upstreams told by a peer");
+        }
+        let now = self.shared.now();
+        let mut core = self.shared.core.borrow_mut();
+        let mut catalog = self.shared.catalog.borrow_mut();
+        if whole && self.shared.glanced.replace(false) {
+            // What a glance at the store saw may have left since: only what is told now stays.
+            let entries = upstreams.changed.clone();
+            catalog.listed(now, entries, &[], &mut core.fleet);
+        }
+        for id in upstreams.removed {
+            tracing::info!(upstream = &*id, %from, "upstream removed");
+            catalog.removed(now, &id, &mut core.fleet);
+        }
+        for entry in upstreams.changed {
+            if !whole {
+                tracing::info!(upstream = &*entry.id, service = &*entry.service, addr = %entry.addr,
+                    draining = entry.draining, %from, "upstream changed");
+            }
+            catalog.changed(now, entry, &mut core.fleet);
+        }
+        drop((core, catalog));
+        self.shared.hold();
+        self.shared.news.notify_one();
+    }
+
+    pub(crate) async fn accept(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            let Ok((stream, from)) = listener.accept().await else {
+                sleep(PAUSE).await;
+                continue;
+            };
+            let peers = self.clone();
+            tokio::task::spawn_local(async move {
+                match timeout(EXCHANGE, peers.answer(stream)).await {
+                    Ok(Ok(())) => {}
+                    Ok(Err(error)) => tracing::debug!(%error, %from, "peer not answered"),
+                    Err(_) => tracing::debug!(%from, "a peer asked too slowly"),
+                }
+            });
+        }
+    }
+
+    async fn answer(self: &Rc<Self>, mut stream: TcpStream) -> anyhow::Result<()> {
+        match self.read(&mut stream).await? {
+            Message::Records(records) => self.on(Event::Records(records)),
+            Message::Ask { config, upstreams, listens } if upstreams == 0 => {
+                let Some(_telling) = Telling::begin(&self.tell.telling) else {
+                    let others = self.tell.told.borrow().iter().copied().collect();
+                    return self.write(&mut stream, &Message::Busy(others)).await;
+                };
+                self.news(&mut stream, config, upstreams).await?;
+                let mut told = self.tell.told.borrow_mut();
+                told.push_back(listens);
+                let excess = told.len().saturating_sub(REFERRED);
+                told.drain(..excess);
+            }
+            Message::Ask { config, upstreams, .. } => {
+                self.news(&mut stream, config, upstreams).await?;
+            }
+            Message::News(_) | Message::Busy(_) => {
+                anyhow::bail!("an answer that nobody asked for")
+            }
+        }
+        Ok(())
+    }
+
+    async fn news(
+        &self,
+        stream: &mut TcpStream,
+        config: u64,
+        upstreams: u64,
+    ) -> anyhow::Result<()> {
+        let news = self.shared.world.borrow().news(config, upstreams);
+        self.write(stream, &Message::News(Box::new(news))).await
+    }
+
+    /// Sends a message to a peer, and waits for its answer if there is one.
+    pub(crate) async fn exchange(
+        &self,
+        to: SocketAddr,
+        message: &Message,
+        answered: bool,
+    ) -> anyhow::Result<Option<Message>> {
+        let exchange = async {
+            let mut stream = TcpStream::connect(to).await?;
+            self.write(&mut stream, message).await?;
+            if !answered {
+                return Ok(None);
+            }
+            self.read(&mut stream).await.map(Some)
+        };
+        timeout(EXCHANGE, exchange).await?
+    }
+
+    async fn write(&self, stream: &mut TcpStream, message: &Message) -> anyhow::Result<()> {
+        let frame = tgw_wire::seal(self.shared.packets.keys(), message)?;
+        let mut bytes = u32::try_from(frame.len())?.to_le_bytes().to_vec();
+        bytes.extend(frame);
+        stream.write_all(&bytes).await?;
+        Ok(())
+    }
+
+    async fn read(&self, stream: &mut TcpStream) -> anyhow::Result<Message> {
+        let mut length = [0; LENGTH];
+        stream.read_exact(&mut length).await?;
+        let length = u32::from_le_bytes(length) as usize;
+        anyhow::ensure!(length <= FRAME_LIMIT, "a frame of {length} bytes");
+        let mut frame = Vec::new();
+        // Read as it comes: a length alone must not make this VM set memory aside.
+        stream.take(length as u64).read_to_end(&mut frame).await?;
+        Ok(tgw_wire::open(self.shared.packets.keys(), &frame)?)
+    }
+}
--- a/crates/tgw-gateway/src/watch.rs
+++ b/crates/tgw-gateway/src/watch.rs
@@ -7,6 +7,7 @@
 use tgw_clock::Millis;
 use tgw_forward::upstream::Entry;
 use tgw_platform::{Error, Object, Store, Version, object::List};
+use tgw_spread::start;
 use tokio::{sync::watch, time::sleep};
 
 /// How long one watch waits, in ms. Each end costs a call. A store that keeps its connections and says
@@ -14,12 +15,19 @@
 /// force that much later: it stays below the 5 s within which a calm VM counts as reachable again.
 const WAIT: Millis = Millis::new(5_000);
 /// Pause after news before the next watch: what changes meanwhile comes with one call, as when many
-/// upstreams are replaced.
-const GATHER: Duration = Duration::from_millis(250);
+/// upstreams are replaced. It is far below the 3 s in which a change is to be in force.
+const GATHER: Duration = Duration::from_millis(500);
 /// Time between looks for entries that stayed missing.
 const TICK: Duration = Duration::from_millis(500);
+/// Time between looks of a VM that knows nothing yet at whether it is to read the store.
+const LOOK: Duration = Duration::from_millis(25);
 /// Failed calls in a row after which the store counts as lost to this VM alone or to all.
 const SEEN: u32 = 2;
+/// VMs of this domain that the store does not answer from which on it is taken for away, not for one that turns
+/// some VMs away: each that takes over from one of them would else try several times in quick succession.
+const AWAY: usize = 3;
+/// Failures that a VM which takes over then counts from.
+const AWAY_FAILURES: u32 = 5;
 /// First pause in ms after a failed call; doubles, and each is drawn from half to the whole of it.
 const PAUSE_MS: u64 = 100;
 /// Longest pause in ms.
@@ -38,6 +46,8 @@
     fn tick(&mut self);
     /// Whether anything was read yet.
     fn known(&self) -> bool;
+    /// Whether this VM reads it from the store, and was not refused.
+    fn reading(&self, reading: bool);
 }
 
 /// Follows the configuration for as long as the process runs.
@@ -57,11 +67,62 @@
     .await;
 }
 
-/// Reads a kind once, and again and again while this VM is a relay; others learn from peers.
+/// Takes a glance at the store where nobody tells this VM the state at its start: it serves by that until it is
+/// told, or reads the store itself.
+pub(crate) async fn glance(shared: Rc<Shared>, store: Rc<dyn Store>) {
+    while !shared.start.borrow_mut().glances(shared.now()) {
+        if shared.start.borrow().is_over() {
+            return;
+        }
+        sleep(LOOK).await;
+    }
+    let kinds = shared.dialect.kinds();
+    let (config, upstreams) =
+        tokio::join!(store.glance(&kinds.config), store.glance(&kinds.upstreams));
+    shared.meters.store("glance", &config);
+    shared.meters.store("glance", &upstreams);
+    match config {
+        Ok(List { objects, .. }) => {
+            let kind = kinds.config.clone();
+            let topic = Configuration { shared: shared.clone(), kind };
+            objects.iter().for_each(|o| topic.take(o));
+        }
+        Err(error) => tracing::info!(kind = kinds.config, %error, "no glance at the store"),
+    }
+    match upstreams {
+        Ok(List { objects, .. }) => take_glance(&shared, &objects),
+        Err(error) => tracing::info!(kind = kinds.upstreams, %error, "no glance at the store"),
+    }
+}
+
+/// Takes over upstreams that may be out of date, unless something better is known. Nothing is claimed of them:
+/// other VMs are told what the store says, not what a copy of it said.
+fn take_glance(shared: &Shared, objects: &[Object]) {
+    if shared.world.borrow().upstreams_version() > 0 {
+        return;
+    }
+    let read = |o: &Object| shared.dialect.upstream(&o.name, &o.value).ok();
+    let entries: Vec<Entry> = objects.iter().filter_map(read).collect();
+    tracing::info!(upstreams = entries.len(), of = objects.len(), "upstreams seen at a glance");
+    let known = !entries.is_empty();
+    let mut core = shared.core.borrow_mut();
+    shared.catalog.borrow_mut().listed(shared.now(), entries, &[], &mut core.fleet);
+    if known {
+        shared.listed.set(true);
+        shared.glanced.set(true);
+    }
+}
+
+/// Reads a kind when it is this VM's turn, and again and again while it is a relay; otherwise this VM learns
+/// from peers.
 async fn follow(shared: &Shared, store: &dyn Store, topic: &mut dyn Topic) {
     let mut relay = shared.relay.subscribe();
     let mut failures = 0;
     loop {
+        turn(shared, &mut relay, topic).await;
+        if failures == 0 {
+            topic.reading(true);
+        }
         let listed = store.list(topic.kind()).await;
         shared.meters.store("list", &listed);
         match listed {
@@ -70,37 +131,59 @@
                     tracing::info!(kind = topic.kind(), version = list.version, "store regained");
                 }
                 see(shared, false);
+                topic.reading(true);
                 topic.listed(list.version, list.objects);
-                // Until it is settled who watches, every VM does: what changes in the first seconds
-                // of a process, as entries that come back after an outage, has no other way here.
-                let mut other = relay.clone();
+                // Until it is settled who watches, every VM that reads does: what changes in the first
+                // seconds of a process, as entries that come back after an outage, has no other way here.
                 let watch = events(shared, store, topic, list.version);
                 tokio::select! {
                     error = watch => tracing::info!(kind = topic.kind(), %error, "watch ended"),
-                    () = wait_for(&mut other, false) => {
+                    () = wait_for(&mut relay, false) => {
                         tracing::info!(kind = topic.kind(), "watch given up to other VMs");
                     }
                 }
-                let elsewhere = *relay.borrow() == Some(false);
-                if elsewhere && topic.known() {
-                    wait(&mut relay, true, topic).await;
-                } else {
-                    sleep(pause(0)).await;
+                topic.reading(false);
+                if !topic.known() {
+                    let empty = start::Event::Empty;
+                    shared.start.borrow_mut().on(shared.now(), empty, &mut Vec::new());
                 }
+                sleep(pause(0)).await;
             }
             Err(error) => {
                 if failures == 0 {
                     tracing::warn!(kind = topic.kind(), %error, "store lost");
                 }
+                topic.reading(false);
                 topic.lost();
+                let refused = start::Event::Refused;
+                shared.start.borrow_mut().on(shared.now(), refused, &mut Vec::new());
                 failures += 1;
                 see(shared, failures > SEEN);
-                sleep(pause(failures)).await;
+                let away = shared.blind_near.get() >= AWAY;
+                sleep(pause(failures.max(if away { AWAY_FAILURES } else { 0 }))).await;
             }
         }
     }
 }
 
+/// Waits until this VM is to read the store: it does so for its failure domain, or knows nothing and was told
+/// nothing in time.
+async fn turn(shared: &Shared, relay: &mut watch::Receiver<Option<bool>>, topic: &mut dyn Topic) {
+    loop {
+        let known = topic.known();
+        let due = !known && shared.now() >= shared.start.borrow().due();
+        if due || *relay.borrow_and_update() == Some(true) {
+            return;
+        }
+        let look = if known { TICK } else { LOOK };
+        tokio::select! {
+            // The sender lives as long as the process.
+            _ = relay.changed() => {}
+            () = sleep(look) => topic.tick(),
+        }
+    }
+}
+
 /// Says whether the store answers this VM.
 fn see(shared: &Shared, blind: bool) {
     if shared.blind.replace(blind) != blind {
@@ -114,15 +197,6 @@
     let _ = relay.wait_for(|r| *r == Some(state)).await;
 }
 
-async fn wait(relay: &mut watch::Receiver<Option<bool>>, state: bool, topic: &mut dyn Topic) {
-    loop {
-        tokio::select! {
-            () = wait_for(relay, state) => return,
-            () = sleep(TICK) => topic.tick(),
-        }
-    }
-}
-
 /// Watches until a call fails.
 async fn events(
     shared: &Shared,
@@ -175,7 +249,8 @@
                 for finding in findings {
                     tracing::warn!(%finding, revision = object.version, "configuration");
                 }
-                if self.shared.world.borrow_mut().configure(&value) {
+                let newer = self.shared.world.borrow_mut().configure(&value);
+                if newer {
                     self.shared.adopt(&value, "store");
                 }
             }
@@ -208,6 +283,10 @@
     fn known(&self) -> bool {
         self.shared.world.borrow().config() > 0
     }
+
+    fn reading(&self, reading: bool) {
+        self.shared.reading.config.set(reading);
+    }
 }
 
 struct Upstreams {
@@ -272,6 +351,7 @@
         world.upstreams().hold(catalog.doubts());
         world.list_upstreams(version, entries, &kept);
         self.shared.listed.set(true);
+        self.shared.glanced.set(false);
         self.shared.news.notify_one();
     }
 
@@ -319,7 +399,11 @@
     }
 
     fn known(&self) -> bool {
-        !self.shared.core.borrow().fleet.is_empty()
+        self.shared.world.borrow().upstreams_version() > 0
+    }
+
+    fn reading(&self, reading: bool) {
+        self.shared.reading.upstreams.set(reading);
     }
 
     fn tick(&mut self) {
--- a/crates/tgw-platform/src/store.rs
+++ b/crates/tgw-platform/src/store.rs
@@ -35,6 +35,12 @@
     /// Reads all objects of a kind.
     fn list<'a>(&'a self, kind: &'a str) -> Wait<'a, List>;
 
+    /// Reads all objects of a kind from a copy that may be seconds old, where the store has one that costs it
+    /// less. The version says nothing of what the copy holds.
+    fn glance<'a>(&'a self, kind: &'a str) -> Wait<'a, List> {
+        self.list(kind)
+    }
+
     /// Waits up to `wait` for changes of a kind after version `from`; empty if there were none.
     fn watch<'a>(&'a self, kind: &'a str, from: Version, wait: Millis) -> Wait<'a, List>;
 }
--- a/crates/tgw-spread/src/lib.rs
+++ b/crates/tgw-spread/src/lib.rs
@@ -10,9 +10,12 @@
 mod ledger;
 /// What VMs ask one another.
 pub mod message;
+/// Whether a VM that starts reads the store, and whom it asks before.
+pub mod start;
 /// The configuration and the list of upstreams as this VM has them.
 mod world;
 
 pub use ledger::{Applied, Delta, Ledger};
 pub use message::Message;
+pub use start::Start;
 pub use world::{Update, World};
--- a/crates/tgw-spread/src/message.rs
+++ b/crates/tgw-spread/src/message.rs
@@ -1,7 +1,8 @@
 //! What VMs ask one another over TCP.
 
-use crate::{Delta, hop};
+use crate::{Delta, hop, start::Found};
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 use tgw_forward::upstream::Entry;
 use tgw_member::Record;
 use tgw_route::{Limits, Route, Service};
@@ -17,9 +18,14 @@
         config: u64,
         /// The version of the asker's list of upstreams.
         upstreams: u64,
+        /// Where the asker can be asked once it was told.
+        listens: SocketAddr,
     },
     /// What changed.
     News(Box<News>),
+    /// Answers [`Message::Ask`] where as many others are being told as this VM tells at once: VMs that were
+    /// told just now.
+    Busy(Vec<SocketAddr>),
 }
 
 /// One packet between VMs.
@@ -35,6 +41,10 @@
     HopEnded(Box<hop::Reply>),
     /// The receiver may end a send, by its number: nobody waits for it.
     HopCancelled(u64),
+    /// Asks a VM how far it is; answered by [`Datagram::Found`].
+    Seek,
+    /// How far the sender is.
+    Found(Found),
 }
 
 /// An upstream that is late or slow.
