refactor(spread): the stale read has a name of the field and a file; the model of starts by job

Change: Store::list_stale, Start::reads_copy, tgw_gateway::stale; tgw_bench::starts in setup, world and outcome.

--- a/crates/tgw-bench/src/starts.rs
+++ b/crates/tgw-bench/src/starts/world.rs
@@ -1,8 +1,5 @@
-//! Starts of many VMs: who reads the platform's store, who is told by whom, and how long that takes, under a
-//! virtual clock.
-
+use super::{Outcome, Setup};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use serde::Serialize;
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BinaryHeap},
@@ -29,8 +26,8 @@
 const PACKET: u64 = 60;
 /// Calls that a reading of both kinds takes.
 const READING: f64 = 3.0;
-/// Calls that a glance at both kinds counts for: a tenth of a reading.
-const GLANCE: f64 = 0.3;
+/// Calls that reading a copy of both kinds counts for: a tenth of a reading.
+const COPY: f64 = 0.3;
 /// VMs that one VM tells at once, as in the gateway.
 const TOLD_AT_ONCE: usize = 4;
 /// VMs all start within this time.
@@ -38,62 +35,6 @@
 /// Pause after a reading that failed.
 const AGAIN: Millis = Millis::new(400);
 
-/// What is played.
-#[derive(Clone, Debug)]
-pub struct Setup {
-    /// VMs in all, over six failure domains in three regions.
-    pub vms: usize,
-    /// The whole fleet starts for the first time.
-    pub first: bool,
-    /// Seeds that are down for good, of three.
-    pub seeds_down: usize,
-    /// The store answers from then on; from the start on by default.
-    pub store_from: Millis,
-    /// The part of the VMs that the store turns away.
-    pub refused: f64,
-    /// The chance that a packet is lost.
-    pub loss: f64,
-    /// The seeds die so long after their start, before they have told all.
-    pub seeds_die: Option<Millis>,
-    /// Seed of what is drawn.
-    pub seed: u64,
-}
-
-impl Setup {
-    /// So many VMs that lose power together, with nothing else wrong.
-    pub fn of(vms: usize, seed: u64) -> Self {
-        Self {
-            vms,
-            first: false,
-            seeds_down: 0,
-            store_from: Millis::ZERO,
-            refused: 0.0,
-            loss: 0.01,
-            seeds_die: None,
-            seed,
-        }
-    }
-}
-
-/// What came of it.
-#[derive(Clone, Debug, Serialize)]
-pub struct Outcome {
-    /// VMs in all.
-    pub vms: usize,
-    /// Calls of the store, a glance counted as a tenth.
-    pub calls: f64,
-    /// VMs that read the store.
-    pub readers: usize,
-    /// Time in ms from a VM's start until it can serve: the median, 99 in 100, and the last.
-    pub serves_ms: [f64; 3],
-    /// The same until it holds the state and claims it.
-    pub holds_ms: [f64; 3],
-    /// Bytes a VM sends, and the one that sends most.
-    pub bytes: [f64; 2],
-    /// VMs that live and never held the state.
-    pub without: usize,
-}
-
 #[derive(Clone, Debug)]
 enum Due {
     Tick(usize),
@@ -103,7 +44,7 @@
     Busy { to: usize, others: Vec<usize> },
     Told { to: usize, from: usize },
     Read(usize),
-    Glanced(usize),
+    Copied(usize),
 }
 
 struct Vm {
@@ -223,7 +164,7 @@
 
     fn handle(&mut self, due: Due) {
         let to = match &due {
-            Due::Tick(to) | Due::Read(to) | Due::Glanced(to) => *to,
+            Due::Tick(to) | Due::Read(to) | Due::Copied(to) => *to,
             Due::Seek { to, .. } | Due::Found { to, .. } | Due::Ask { to, .. } => *to,
             Due::Busy { to, .. } | Due::Told { to, .. } => *to,
         };
@@ -251,7 +192,7 @@
                 self.hold(to);
             }
             Due::Read(vm) => self.read(vm),
-            Due::Glanced(vm) => {
+            Due::Copied(vm) => {
                 let serves = &mut self.vms[vm].serves;
                 serves.get_or_insert(self.now);
             }
@@ -309,10 +250,10 @@
         self.tell(vm, Event::Tick);
         let now = self.now;
         let transfer = Millis::new(STATE * 3 / LINK);
-        if self.vms[vm].start.glances(now) {
-            self.calls += GLANCE;
+        if self.vms[vm].start.reads_copy(now) {
+            self.calls += COPY;
             if self.answers(vm) {
-                self.at(now + STORE + transfer, Due::Glanced(vm));
+                self.at(now + STORE + transfer, Due::Copied(vm));
             }
         }
         let seat = &self.vms[vm];
@@ -364,49 +305,3 @@
         }
     }
 }
-
-/// Starts of all VMs at several sizes, as a table.
-pub fn text(outcomes: &[(String, Outcome)]) -> String {
-    let mut text = format!(
-        "{:<34} {:>6} {:>8} {:>8} {:>20} {:>20} {:>16}\n",
-        "start",
-        "VMs",
-        "calls",
-        "readers",
-        "serves ms 50/99/all",
-        "holds ms 50/99/all",
-        "bytes, most"
-    );
-    for (name, o) in outcomes {
-        let times = |t: [f64; 3]| format!("{:.0} / {:.0} / {:.0}", t[0], t[1], t[2]);
-        text += &format!(
-            "{name:<34} {:>6} {:>8.1} {:>8} {:>20} {:>20} {:>16}\n",
-            o.vms,
-            o.calls,
-            o.readers,
-            times(o.serves_ms),
-            times(o.holds_ms),
-            format!("{:.0}, {:.0}", o.bytes[0], o.bytes[1]),
-        );
-    }
-    text
-}
-
-/// The starts that are printed: sizes, and what may be wrong beside.
-pub fn setups(vms: usize, seed: u64) -> Vec<(String, Setup)> {
-    let of = |change: fn(&mut Setup)| {
-        let mut setup = Setup::of(vms, seed);
-        change(&mut setup);
-        setup
-    };
-    vec![
-        ("for the first time".into(), of(|s| s.first = true)),
-        ("all lose power".into(), of(|_| ())),
-        ("two seeds down".into(), of(|s| s.seeds_down = 2)),
-        ("all seeds down".into(), of(|s| s.seeds_down = 3)),
-        ("a third turned away by the store".into(), of(|s| s.refused = 0.35)),
-        ("store away for 2 s".into(), of(|s| s.store_from = Millis::new(2_000))),
-        ("seeds die while they tell".into(), of(|s| s.seeds_die = Some(Millis::new(150)))),
-        ("a fifth of the packets lost".into(), of(|s| s.loss = 0.2)),
-    ]
-}
--- a/crates/tgw-gateway/src/lib.rs
+++ b/crates/tgw-gateway/src/lib.rs
@@ -47,6 +47,8 @@
 mod shared;
 /// Sockets that notice a silent peer.
 mod socket;
+/// A copy of the store that may be seconds old, for a start of all VMs.
+mod stale;
 /// What VMs tell one another over TCP.
 mod tell;
 /// Entries of upstreams that cannot be read.
--- a/crates/tgw-gateway/src/serve.rs
+++ b/crates/tgw-gateway/src/serve.rs
@@ -8,7 +8,7 @@
     peers::Peers,
     ready,
     shared::{Phase, Shared},
-    watch,
+    stale, watch,
 };
 use anyhow::Context;
 use std::{net::SocketAddr, rc::Rc, time::Duration};
@@ -79,7 +79,7 @@
         seeds = ?shared.settings.peer.seeds, "start");
     tokio::task::spawn_local(watch::configuration(shared.clone(), store.clone()));
     tokio::task::spawn_local(watch::upstreams(shared.clone(), store.clone()));
-    tokio::task::spawn_local(watch::glance(shared.clone(), store.clone()));
+    tokio::task::spawn_local(stale::run(shared.clone(), store.clone()));
     let peers = Peers::spawn(shared.clone(), peers)?;
     let addresses = Addresses { callers: callers_addr, ready, peers: peers.addr() };
     tokio::task::spawn_local(meeting::run(shared.clone(), store, peers.clone()));
--- a/crates/tgw-gateway/src/shared.rs
+++ b/crates/tgw-gateway/src/shared.rs
@@ -70,8 +70,8 @@
     pub(crate) catalog: RefCell<Catalog>,
     /// The list of upstreams is known.
     pub(crate) listed: Cell<bool>,
-    /// Upstreams are known by a glance at the store, which may be old, and by nothing better.
-    pub(crate) glanced: Cell<bool>,
+    /// Upstreams are known from a copy of the store, which may be old, and from nothing better.
+    pub(crate) stale: Cell<bool>,
     /// This VM watches the store for its failure domain; `None` until that is known.
     pub(crate) relay: watch::Sender<Option<bool>>,
     /// Whether this VM reads the store at its start, and whom it asks before.
@@ -128,7 +128,7 @@
             world: RefCell::default(),
             catalog: RefCell::default(),
             listed: Cell::new(false),
-            glanced: Cell::new(false),
+            stale: Cell::new(false),
             relay: watch::Sender::new(None),
             start: RefCell::new(start),
             reading: Reading::default(),
--- a/crates/tgw-gateway/src/tell.rs
+++ b/crates/tgw-gateway/src/tell.rs
@@ -1,7 +1,13 @@
 //! What VMs tell one another over TCP: records, and the state that this VM or another lacks.
 
 use crate::peers::Peers;
-use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::VecDeque,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 use tgw_clock::Millis;
 use tgw_member::Event;
 use tgw_spread::{
@@ -36,7 +42,7 @@
     asking: Cell<Option<Millis>>,
     telling: Cell<u32>,
     /// VMs that were told the whole state last.
-    told: std::cell::RefCell<std::collections::VecDeque<SocketAddr>>,
+    told: RefCell<VecDeque<SocketAddr>>,
 }
 
 /// Counts a VM that is being told the whole state.
@@ -111,8 +117,8 @@
         let now = self.shared.now();
         let mut core = self.shared.core.borrow_mut();
         let mut catalog = self.shared.catalog.borrow_mut();
-        if whole && self.shared.glanced.replace(false) {
-            // What a glance at the store saw may have left since: only what is told now stays.
+        if whole && self.shared.stale.replace(false) {
+            // What a copy of the store named may have left since: only what is told now stays.
             let entries = upstreams.changed.clone();
             catalog.listed(now, entries, &[], &mut core.fleet);
         }
--- a/crates/tgw-gateway/src/watch.rs
+++ b/crates/tgw-gateway/src/watch.rs
@@ -20,7 +20,7 @@
 /// Time between looks for entries that stayed missing.
 const TICK: Duration = Duration::from_millis(500);
 /// Time between looks of a VM that knows nothing yet at whether it is to read the store.
-const LOOK: Duration = Duration::from_millis(25);
+pub(crate) const LOOK: Duration = Duration::from_millis(25);
 /// Failed calls in a row after which the store counts as lost to this VM alone or to all.
 const SEEN: u32 = 2;
 /// VMs of this domain that the store does not answer from which on it is taken for away, not for one that turns
@@ -52,8 +52,7 @@
 
 /// Follows the configuration for as long as the process runs.
 pub(crate) async fn configuration(shared: Rc<Shared>, store: Rc<dyn Store>) {
-    let kind = shared.dialect.kinds().config.clone();
-    follow(&shared.clone(), &*store, &mut Configuration { shared, kind }).await;
+    follow(&shared, &*store, &mut Configuration::new(&shared)).await;
 }
 
 /// Follows the list of upstreams for as long as the process runs.
@@ -67,52 +66,6 @@
     .await;
 }
 
-/// Takes a glance at the store where nobody tells this VM the state at its start: it serves by that until it is
-/// told, or reads the store itself.
-pub(crate) async fn glance(shared: Rc<Shared>, store: Rc<dyn Store>) {
-    while !shared.start.borrow_mut().glances(shared.now()) {
-        if shared.start.borrow().is_over() {
-            return;
-        }
-        sleep(LOOK).await;
-    }
-    let kinds = shared.dialect.kinds();
-    let (config, upstreams) =
-        tokio::join!(store.glance(&kinds.config), store.glance(&kinds.upstreams));
-    shared.meters.store("glance", &config);
-    shared.meters.store("glance", &upstreams);
-    match config {
-        Ok(List { objects, .. }) => {
-            let kind = kinds.config.clone();
-            let topic = Configuration { shared: shared.clone(), kind };
-            objects.iter().for_each(|o| topic.take(o));
-        }
-        Err(error) => tracing::info!(kind = kinds.config, %error, "no glance at the store"),
-    }
-    match upstreams {
-        Ok(List { objects, .. }) => take_glance(&shared, &objects),
-        Err(error) => tracing::info!(kind = kinds.upstreams, %error, "no glance at the store"),
-    }
-}
-
-/// Takes over upstreams that may be out of date, unless something better is known. Nothing is claimed of them:
-/// other VMs are told what the store says, not what a copy of it said.
-fn take_glance(shared: &Shared, objects: &[Object]) {
-    if shared.world.borrow().upstreams_version() > 0 {
-        return;
-    }
-    let read = |o: &Object| shared.dialect.upstream(&o.name, &o.value).ok();
-    let entries: Vec<Entry> = objects.iter().filter_map(read).collect();
-    tracing::info!(upstreams = entries.len(), of = objects.len(), "upstreams seen at a glance");
-    let known = !entries.is_empty();
-    let mut core = shared.core.borrow_mut();
-    shared.catalog.borrow_mut().listed(shared.now(), entries, &[], &mut core.fleet);
-    if known {
-        shared.listed.set(true);
-        shared.glanced.set(true);
-    }
-}
-
 /// Reads a kind when it is this VM's turn, and again and again while it is a relay; otherwise this VM learns
 /// from peers.
 async fn follow(shared: &Shared, store: &dyn Store, topic: &mut dyn Topic) {
@@ -234,13 +187,17 @@
     Duration::from_millis(rand::random_range(most / 2..=most))
 }
 
-struct Configuration {
+pub(crate) struct Configuration {
     shared: Rc<Shared>,
     kind: String,
 }
 
 impl Configuration {
-    fn take(&self, object: &Object) {
+    pub(crate) fn new(shared: &Rc<Shared>) -> Self {
+        Self { shared: shared.clone(), kind: shared.dialect.kinds().config.clone() }
+    }
+
+    pub(crate) fn take(&self, object: &Object) {
         if object.name != self.shared.dialect.kinds().config_name || object.value.is_null() {
             return;
         }
@@ -351,7 +308,7 @@
         world.upstreams().hold(catalog.doubts());
         world.list_upstreams(version, entries, &kept);
         self.shared.listed.set(true);
-        self.shared.glanced.set(false);
+        self.shared.stale.set(false);
         self.shared.news.notify_one();
     }
 
--- a/crates/tgw-platform/src/store.rs
+++ b/crates/tgw-platform/src/store.rs
@@ -37,7 +37,7 @@
 
     /// Reads all objects of a kind from a copy that may be seconds old, where the store has one that costs it
     /// less. The version says nothing of what the copy holds.
-    fn glance<'a>(&'a self, kind: &'a str) -> Wait<'a, List> {
+    fn list_stale<'a>(&'a self, kind: &'a str) -> Wait<'a, List> {
         self.list(kind)
     }
 
--- a/crates/tgw-spread/src/start.rs
+++ b/crates/tgw-spread/src/start.rs
@@ -4,8 +4,8 @@
 //! that others ask first, its seeds, how far they are, and is told by them. A seed reads the store unless others
 //! hold the state; any other VM does so only if none of those that it asked holds the state or is about to.
 //!
-//! Where all VMs start at once, seeds may come up last. A VM that hears nothing at first takes a glance at the
-//! store: it serves by a copy that costs the store little and may be seconds old, until it is told. No I/O.
+//! Where all VMs start at once, seeds may come up last. A VM that hears nothing at first reads a
+//! copy that costs the store little and may be seconds old, and serves by that until it is told. No I/O.
 
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
 use serde::{Deserialize, Serialize};
@@ -19,10 +19,10 @@
 const SEEK_MOST: Millis = Millis::new(400);
 /// VMs that are asked at a time: as many seeds as the platform names.
 const SEEK_AT: usize = 3;
-/// Time in ms without word of a VM that holds the state after which a VM takes a glance at the store, and a seed
-/// reads it: above the longest way there and back (40 ms).
-const GLANCE: Millis = Millis::new(60);
-/// Time in ms after which a VM takes a glance though another holds the state: that one is slow to tell it.
+/// Time in ms without word of a VM that holds the state after which a VM reads a copy of the store, and a seed
+/// the store itself: above the longest way there and back (40 ms).
+const COPY: Millis = Millis::new(60);
+/// Time in ms after which a VM reads a copy though another VM holds the state: that one is slow to tell it.
 const SLOW: Millis = Millis::new(250);
 /// Time in ms without any answer after which a VM reads the store: all VMs start within 0.3 s, the seeds
 /// perhaps last, and these need 0.1 s.
@@ -78,7 +78,7 @@
 }
 
 /// What this VM is told.
-#[derive(Clone, Debug)]
+#[derive(Copy, Clone, Debug)]
 pub enum Event<'a> {
     /// Time has passed.
     Tick,
@@ -120,8 +120,8 @@
     began: Millis,
     /// When it reads the store if nobody promises to.
     read_at: Millis,
-    /// When it takes a glance at the store if nobody holds the state.
-    glance_at: Option<Millis>,
+    /// When it reads a copy of the store if nobody holds the state.
+    copy_at: Option<Millis>,
     seed: bool,
     /// Another VM has answered.
     heard: bool,
@@ -144,17 +144,17 @@
         let draw = SPREAD.scale(rng.random_range(0.0..1.0));
         let wait = match (seed, first) {
             (true, true) => Millis::ZERO,
-            (true, false) => GLANCE,
+            (true, false) => COPY,
             (false, true) => ALONE_FIRST + draw,
             (false, false) => ALONE + draw,
         };
-        let glances = !seed && !first;
+        let copies = !seed && !first;
         Self {
             seeds: options.seeds,
             peers: Vec::new(),
             began: now,
             read_at: now + wait,
-            glance_at: glances.then_some(now + GLANCE),
+            copy_at: copies.then_some(now + COPY),
             seed,
             heard: false,
             empty: EMPTY,
@@ -180,15 +180,14 @@
         self.read_at.max(promised.min(latest))
     }
 
-    /// Whether this VM is to take a glance at the store now; true once at most.
-    pub fn glances(&mut self, now: Millis) -> bool {
-        let due =
-            self.glance_at.is_some_and(|at| now >= at.max(self.held.map_or(at, |h| h + SLOW)));
-        let glances = due && !self.is_over();
-        if glances {
-            self.glance_at = None;
+    /// Whether this VM is to read a copy of the store now; true once at most.
+    pub fn reads_copy(&mut self, now: Millis) -> bool {
+        let due = self.copy_at.is_some_and(|at| now >= at.max(self.held.map_or(at, |h| h + SLOW)));
+        let reads = due && !self.is_over();
+        if reads {
+            self.copy_at = None;
         }
-        glances
+        reads
     }
 
     /// Handles one event at `now` and appends what must be done.
--- a/crates/tgw-spread/tests/start/mod.rs
+++ b/crates/tgw-spread/tests/start/mod.rs
@@ -70,21 +70,21 @@
     assert!(due < Millis::new(1_001), "{due}");
 }
 
-// All VMs lose power and the seeds come up last. A VM that hears nothing serves by a glance at the store; one that
+// All VMs lose power and the seeds come up last. A VM that hears nothing serves by a copy of the store; one that
 // found a VM which holds the state leaves that out, unless it is not told for a quarter of a second.
 #[test]
-fn a_glance_is_taken_once_and_only_where_nobody_tells() {
+fn a_copy_is_read_once_and_only_where_nobody_tells() {
     let mut alone = start(false, false);
-    assert!(!alone.glances(Millis::new(59)));
-    assert!(alone.glances(Millis::new(60)));
-    assert!(!alone.glances(Millis::new(61)), "once");
+    assert!(!alone.reads_copy(Millis::new(59)));
+    assert!(alone.reads_copy(Millis::new(60)));
+    assert!(!alone.reads_copy(Millis::new(61)), "once");
     let mut told = start(false, false);
     let actions = on(&mut told, 30, Event::Found(addr(2), HOLDER));
     assert_eq!(actions, [Action::Ask(addr(2))]);
-    assert!(!told.glances(Millis::new(279)));
-    assert!(told.glances(Millis::new(280)));
-    assert!(!start(true, false).glances(Millis::new(60)), "a seed reads instead");
-    assert!(!start(false, true).glances(Millis::new(60)), "no caller waits yet");
+    assert!(!told.reads_copy(Millis::new(279)));
+    assert!(told.reads_copy(Millis::new(280)));
+    assert!(!start(true, false).reads_copy(Millis::new(60)), "a seed reads instead");
+    assert!(!start(false, true).reads_copy(Millis::new(60)), "no caller waits yet");
 }
 
 // 295 VMs ask three seeds at once. One that has no time names others that it told, and one of these is asked.
