--- a/crates/tgw-member/src/lib.rs
+++ b/crates/tgw-member/src/lib.rs
@@ -12,6 +12,8 @@
 mod gossip;
 /// Judgement of other VMs: probes, suspicion, last tries.
 mod judge;
+/// What a VM makes of what others say of VMs.
+mod learn;
 /// The state machine.
 mod member;
 /// What VMs send one another over UDP.
