--- a/crates/tgw-gateway/src/peers.rs
+++ b/crates/tgw-gateway/src/peers.rs
@@ -91,7 +91,7 @@
             counted: Cell::new(Millis::ZERO),
         });
         tokio::task::spawn_local(peers.clone().run());
-        tokio::task::spawn_local(peers.clone().start());
+        tokio::task::spawn_local(peers.clone().find_state());
         tokio::task::spawn_local(peers.clone().accept(tcp));
         Ok(peers)
     }
@@ -137,16 +137,16 @@
     }
 
     /// Asks other VMs for the state until this one holds it.
-    async fn start(self: Rc<Self>) {
+    async fn find_state(self: Rc<Self>) {
         while !self.shared.start.borrow().is_over() {
-            self.begin(start::Event::Tick);
+            self.on_start(start::Event::Tick);
             sleep(START_TICK).await;
         }
         tracing::info!("start is over: configuration and upstreams are known");
     }
 
     /// Tells what decides the start of this VM.
-    pub(crate) fn begin(self: &Rc<Self>, event: start::Event<'_>) {
+    pub(crate) fn on_start(self: &Rc<Self>, event: start::Event<'_>) {
         let there = if let start::Event::Found(_, found) = &event { *found } else { ANY };
         let mut actions = Vec::new();
         self.shared.start.borrow_mut().on(self.shared.now(), event, &mut actions);
@@ -161,7 +161,7 @@
     /// Passes on what this VM learned.
     fn told(self: &Rc<Self>) {
         let (config, upstreams) = self.versions();
-        self.shared.hold();
+        self.shared.note_held();
         self.tell_late();
         self.on(Event::Edit(config));
         self.on(Event::World(upstreams));
@@ -191,7 +191,7 @@
             Ok(Datagram::Seek) => {
                 self.shared.packets.send(from, &Datagram::Found(self.found()));
             }
-            Ok(Datagram::Found(found)) => self.begin(start::Event::Found(from, found)),
+            Ok(Datagram::Found(found)) => self.on_start(start::Event::Found(from, found)),
             Err(error) => tracing::debug!(%error, %from, "packet refused"),
         }
     }
@@ -261,7 +261,7 @@
             .map(|(_, m)| m.addr)
             .collect();
         let near = others.len() + 1;
-        self.begin(start::Event::Peers(&others));
+        self.on_start(start::Event::Peers(&others));
         self.near.replace(others);
         let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
         let vms = Vms { all: count(all), near: count(near) };
--- a/crates/tgw-gateway/src/shared.rs
+++ b/crates/tgw-gateway/src/shared.rs
@@ -160,15 +160,19 @@
             && self.config.borrow().version.is_some()
     }
 
+    /// Tells what decides the start of this VM something that calls for no action.
+    pub(crate) fn tell_start(&self, event: Event<'_>) {
+        self.start.borrow_mut().on(self.now(), event, &mut Vec::new());
+    }
+
     /// Takes note of the versions that this VM holds now.
-    pub(crate) fn hold(&self) {
+    pub(crate) fn note_held(&self) {
         let world = self.world.borrow();
         let (config, upstreams) = (world.config(), world.upstreams_version());
         if upstreams > 0 {
             self.listed.set(true);
         }
-        // Nothing follows from holding something.
-        self.start.borrow_mut().on(self.now(), Event::Holds { config, upstreams }, &mut Vec::new());
+        self.tell_start(Event::Holds { config, upstreams });
     }
 
     /// Puts a configuration in force that the world has taken over.
--- a/crates/tgw-gateway/src/tell.rs
+++ b/crates/tgw-gateway/src/tell.rs
@@ -91,14 +91,14 @@
     fn answered(self: &Rc<Self>, from: SocketAddr, answer: anyhow::Result<Option<Message>>) {
         match answer {
             Ok(Some(Message::News(news))) => {
-                self.begin(start::Event::Answered);
+                self.on_start(start::Event::Answered);
                 self.learn(from, *news);
             }
-            Ok(Some(Message::Busy(others))) => self.begin(start::Event::Busy(&others)),
+            Ok(Some(Message::Busy(others))) => self.on_start(start::Event::Busy(&others)),
             Ok(_) => tracing::warn!(%from, "a peer answered something else"),
             Err(error) => {
                 tracing::debug!(%error, %from, "peer not asked");
-                self.begin(start::Event::Answered);
+                self.on_start(start::Event::Answered);
             }
         }
     }
@@ -134,7 +134,7 @@
             catalog.changed(now, entry, &mut core.fleet);
         }
         drop((core, catalog));
-        self.shared.hold();
+        self.shared.note_held();
         self.shared.news.notify_one();
     }
 
--- a/crates/tgw-gateway/src/watch.rs
+++ b/crates/tgw-gateway/src/watch.rs
@@ -97,8 +97,7 @@
                 }
                 topic.reading(false);
                 if !topic.known() {
-                    let empty = start::Event::Empty;
-                    shared.start.borrow_mut().on(shared.now(), empty, &mut Vec::new());
+                    shared.tell_start(start::Event::Empty);
                 }
                 sleep(pause(0)).await;
             }
@@ -108,8 +107,7 @@
                 }
                 topic.reading(false);
                 topic.lost();
-                let refused = start::Event::Refused;
-                shared.start.borrow_mut().on(shared.now(), refused, &mut Vec::new());
+                shared.tell_start(start::Event::Refused);
                 failures += 1;
                 see(shared, failures > SEEN);
                 let away = shared.blind_near.get() >= AWAY;
