feat(gateway): logs tell which requests are the same, and under which of them an upstream ended

Change: a request line bears a fingerprint (keyed hash of caller, method, host, path, body; crate tgw-quarantine). A send that broke looks for its upstream with one connection: refused, the process is gone, and one line names all sends that it broke; answered, the connection takes the place of the one that broke. Such lines have an allowance of their own. A part that finds no room says so once, not each 20 ms. 'explain' counts the upstreams that ended under requests with the same fingerprint. Ruled out: taking each broken send for an ended upstream, as lost replies look the same to it. No decision changes.

--- a/crates/tgw-bench/src/forward.rs
+++ b/crates/tgw-bench/src/forward.rs
@@ -159,6 +159,7 @@
         uri: "/nono601/no91/2f".into(),
         headers: headers.map(|name| (name.into(), b"9c41d07be2a35f68".to_vec())).into(),
         body: Vec::new(),
+        print: 0x9c41_d07b_e2a3_5f68.into(),
     }));
     let outcome = Outcome::Answered {
         status: 200,
--- a/crates/tgw-forward/src/part.rs
+++ b/crates/tgw-forward/src/part.rs
@@ -2,7 +2,7 @@
     Core,
     core::{Most, Way},
     fleet::{Choice, Hop, Key},
-    message::{Need, Reason, Why},
+    message::{Need, Reason, Why, Withheld},
 };
 use bytes::Bytes;
 use http::HeaderValue;
@@ -49,6 +49,8 @@
     pub(crate) hedge_at: Option<Millis>,
     /// When it is tried again, while nothing is under way for it.
     pub(crate) parked: Option<Millis>,
+    /// The send that was withheld last, with its reason.
+    pub(crate) withheld: Option<Withheld>,
 }
 
 /// One more send of a part.
@@ -84,6 +86,7 @@
             late_at: None,
             hedge_at: None,
             parked: None,
+            withheld: None,
         }
     }
 
--- a/crates/tgw-forward/src/plan.rs
+++ b/crates/tgw-forward/src/plan.rs
@@ -330,7 +330,12 @@
         let placed = match part.choose(now, (why, need), &route, core) {
             Ok(placed) => placed,
             Err(reason) => {
-                self.withheld.push(Withheld { part: index, why, reason });
+                let withheld = Withheld { part: index, why, reason };
+                // A part that finds no room tries each 20 ms: while all upstreams of a service were gone, half
+                // of all log lines said so again.
+                if part.withheld.replace(withheld) != Some(withheld) {
+                    self.withheld.push(withheld);
+                }
                 return;
             }
         };
--- a/crates/tgw-gateway/src/callers.rs
+++ b/crates/tgw-gateway/src/callers.rs
@@ -6,7 +6,7 @@
 };
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use std::{cell::Cell, convert::Infallible, pin::pin, rc::Rc, time::Duration};
+use std::{cell::Cell, convert::Infallible, net::IpAddr, pin::pin, rc::Rc, time::Duration};
 use tokio::net::{TcpListener, TcpStream};
 
 /// Smallest buffer that the HTTP library takes for a request's head, in bytes.
@@ -21,8 +21,8 @@
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => {
-                    connections.spawn_local(connection(shared.clone(), stream));
+                Ok((stream, from)) => {
+                    connections.spawn_local(connection(shared.clone(), stream, from.ip()));
                 }
                 Err(error) => {
                     tracing::warn!(%error, "cannot accept a caller");
@@ -37,7 +37,7 @@
     while connections.join_next().await.is_some() {}
 }
 
-async fn connection(shared: Rc<Shared>, stream: TcpStream) {
+async fn connection(shared: Rc<Shared>, stream: TcpStream, caller: IpAddr) {
     if let Err(error) = socket::guard(&stream) {
         tracing::debug!(%error, "caller left at once");
         return;
@@ -49,10 +49,10 @@
         let (shared, head, used) = (shared.clone(), head.clone(), Cell::new(false));
         service_fn(move |request| {
             let (shared, head) = (shared.clone(), head.clone());
-            let opened = !used.replace(true);
+            let from = handle::From { caller, opened: !used.replace(true) };
             async move {
                 head.complete();
-                let response = handle::handle(shared, request, opened).await;
+                let response = handle::handle(shared, request, from).await;
                 head.answered();
                 Ok::<_, Infallible>(response)
             }
--- a/crates/tgw-gateway/src/exchange.rs
+++ b/crates/tgw-gateway/src/exchange.rs
@@ -1,5 +1,5 @@
 use crate::{
-    headers, hop, note,
+    headers, hop, loss, note,
     pool::{self, Connection},
     room::Taken,
     shared::Shared,
@@ -16,6 +16,7 @@
     plan::{self, Ended},
     upstream::{Entry, Sign},
 };
+use tgw_quarantine::Fingerprint;
 use tokio::time::timeout;
 
 /// Largest reply that is held, in bytes; parts are a few kilobytes.
@@ -31,6 +32,7 @@
     /// The memory that the body takes; given back with the request.
     pub(crate) _held: Option<Taken>,
     pub(crate) identity: HeaderValue,
+    pub(crate) print: Fingerprint,
     pub(crate) deadline: Millis,
 }
 
@@ -70,8 +72,10 @@
     Unsent,
     /// The upstream reset a new connection before anything was sent.
     Crowded,
-    /// The connection broke, or the reply was cut or spoiled.
+    /// The connection broke, or the reply was cut.
     Broken,
+    /// The reply is another request's, or not what its upstream signed.
+    Spoiled,
     /// A new connection broke before any reply: the upstream is likely to hold as many as it accepts,
     /// but the request may have run.
     Reset,
@@ -127,8 +131,15 @@
         Ok(response) => classify(&sent.shared, sent.ticket, response),
         Err(Fault::Unsent) => (Sign::Unreachable, Ended::Unsent),
         Err(Fault::Crowded) => (Sign::Crowded, Ended::Unsent),
-        Err(Fault::Broken) => (Sign::Broken, Ended::Broken),
-        Err(Fault::Reset) => (Sign::Crowded, Ended::Broken),
+        Err(Fault::Spoiled) => (Sign::Broken, Ended::Broken),
+        Err(Fault::Broken) => {
+            loss::look(sent);
+            (Sign::Broken, Ended::Broken)
+        }
+        Err(Fault::Reset) => {
+            loss::look(sent);
+            (Sign::Crowded, Ended::Broken)
+        }
     }
 }
 
@@ -205,12 +216,12 @@
     // An upstream may send a second reply late, where the next one is due. The request's identity
     // tells it apart; the connection is closed, as what follows on it belongs to nothing.
     if head.headers.get(&names.request).is_some_and(|echo| *echo != request.identity) {
-        return Err(Fault::Broken);
+        return Err(Fault::Spoiled);
     }
     let limited = Limited::new(body, REPLY_LIMIT).collect().await;
     let body = limited.map_err(|_| Fault::Broken)?.to_bytes();
     if head.headers.contains_key(header::CONTENT_ENCODING) {
-        return Err(Fault::Broken);
+        return Err(Fault::Spoiled);
     }
     let stated = headers::keep_alive_seconds(&head.headers);
     let keep = shared.core.borrow().keep(ticket.upstream);
--- a/crates/tgw-gateway/src/governor.rs
+++ b/crates/tgw-gateway/src/governor.rs
@@ -11,6 +11,10 @@
 /// also where all fail each is told up to 300 a second, more than a VM of half a core serves.
 const OUTCOME: u32 = 300;
 
+/// Lines in an interval about upstreams that ended under a send: more than end at once, as all of a service do,
+/// and so few that a flood of requests that fail for it hides none.
+const LOSS: u32 = 100;
+
 /// What a line about a request is worth when there are too many.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
 pub enum Rank {
@@ -20,6 +24,8 @@
     Detail,
     /// The answer of a request that was not served as it should.
     Outcome,
+    /// An upstream that ended under a send.
+    Loss,
 }
 
 /// Bounds the lines written about requests.
@@ -29,7 +35,7 @@
 #[derive(Debug, Default)]
 pub struct Governor {
     interval: Cell<u64>,
-    taken: [Cell<u32>; 3],
+    taken: [Cell<u32>; 4],
     left_out: Cell<u32>,
     total: Cell<u64>,
 }
@@ -42,6 +48,7 @@
             Rank::Ordinary => (&self.taken[0], ORDINARY),
             Rank::Detail => (&self.taken[1], DETAIL),
             Rank::Outcome => (&self.taken[2], OUTCOME),
+            Rank::Loss => (&self.taken[3], LOSS),
         };
         let taken = counter.get();
         if taken < limit {
--- a/crates/tgw-gateway/src/handle.rs
+++ b/crates/tgw-gateway/src/handle.rs
@@ -8,12 +8,13 @@
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use std::{rc::Rc, time::Duration};
+use std::{net::IpAddr, rc::Rc, time::Duration};
 use tgw_clock::Millis;
 use tgw_forward::{
     Plan,
     plan::{self, Answer, Event, Order, Response as Reply},
 };
+use tgw_quarantine::fingerprint::Content;
 use tgw_route::Route;
 use tokio::{
     sync::mpsc::{self, UnboundedReceiver, UnboundedSender},
@@ -26,16 +27,25 @@
 /// What a caller is told to wait, in ms, while this VM has no memory for its body: others end meanwhile.
 const ROOM_RETRY: Millis = Millis::new(100);
 
-/// Answers one request; `opened` tells that its caller opened the connection for it.
+/// Where a request comes from.
+#[derive(Copy, Clone, Debug)]
+pub(crate) struct From {
+    /// The caller's address.
+    pub(crate) caller: IpAddr,
+    /// Its caller opened the connection for it.
+    pub(crate) opened: bool,
+}
+
+/// Answers one request.
 pub(crate) async fn handle(
     shared: Rc<Shared>,
     request: Request<Incoming>,
-    opened: bool,
+    from: From,
 ) -> Response<Full<Bytes>> {
     shared.running.set(shared.running.get() + 1);
     let _running = Running(shared.clone());
-    let mut response = match accept(&shared, request).await {
-        Ok(accepted) => forward(&shared, accepted, opened).await,
+    let mut response = match accept(&shared, request, from.caller).await {
+        Ok(accepted) => forward(&shared, accepted, from.opened).await,
         Err(refusal) => *refusal,
     };
     if shared.phase() != Phase::Serving {
@@ -63,7 +73,11 @@
 
 type Refusal = Box<Response<Full<Bytes>>>;
 
-async fn accept(shared: &Shared, request: Request<Incoming>) -> Result<Accepted, Refusal> {
+async fn accept(
+    shared: &Shared,
+    request: Request<Incoming>,
+    caller: IpAddr,
+) -> Result<Accepted, Refusal> {
     let arrived = shared.now();
     let (head, body) = request.into_parts();
     let names = shared.dialect.headers();
@@ -97,6 +111,13 @@
         note::unread(shared, arrived, identity.to_str().ok(), unread.cause());
         unread.answer()
     })?;
+    let print = shared.hasher.of(&Content {
+        caller,
+        method: head.method.as_str(),
+        host: host.unwrap_or_default(),
+        target: head.uri.path_and_query().map_or("", |target| target.as_str()),
+        body: &body,
+    });
     let mut headers = head.headers;
     headers::strip(&mut headers);
     let outgoing = Outgoing {
@@ -106,6 +127,7 @@
         body,
         _held: held,
         identity,
+        print,
         deadline: Millis::ZERO,
     };
     Ok(Accepted { route, version, arrived, patience, outgoing })
--- a/crates/tgw-gateway/src/hop.rs
+++ b/crates/tgw-gateway/src/hop.rs
@@ -200,6 +200,7 @@
         uri,
         headers,
         body: request.body.to_vec(),
+        print: request.print,
     })
 }
 
@@ -334,6 +335,7 @@
         body: request.body.into(),
         _held: None,
         identity,
+        print: request.print,
         deadline: shared.now() + Millis::new(request.left),
     })
 }
--- a/crates/tgw-gateway/src/lib.rs
+++ b/crates/tgw-gateway/src/lib.rs
@@ -23,6 +23,8 @@
 mod hop;
 /// Structured logs.
 pub mod log;
+/// Upstreams that ended under a send.
+mod loss;
 /// Meeting other VMs through the store.
 mod meeting;
 /// Counters and histograms.
--- /dev/null
+++ b/crates/tgw-gateway/src/loss.rs
@@ -0,0 +1,66 @@
+//! Whether an upstream ended under a send.
+//!
+//! A process that ends and a reply that is lost look alike to the send that broke. They differ in what a new
+//! connection finds: a host that runs, where nobody listens any more, refuses it.
+
+use crate::{exchange::Sent, note, pool, shared::Shared};
+use http::HeaderValue;
+use std::{cell::RefCell, collections::HashMap, io, rc::Rc};
+use tgw_clock::Millis;
+use tgw_forward::{fleet::Key, upstream::Entry};
+use tgw_quarantine::Fingerprint;
+
+/// Time in ms for a connection that only finds out whether the upstream is there: the longest way there and back
+/// (40 ms), twice, as the first packet may be lost.
+const LOOK: Millis = Millis::new(80);
+
+/// A send that broke.
+pub(crate) struct Break {
+    pub(crate) request: HeaderValue,
+    pub(crate) print: Fingerprint,
+    pub(crate) took: Millis,
+}
+
+/// Sends that broke, by upstream, while it is found out whether the upstream has ended.
+#[derive(Default)]
+pub(crate) struct Breaks(RefCell<HashMap<Key, Vec<Break>>>);
+
+impl Breaks {
+    /// Whether it is the first that waits for word of its upstream.
+    fn add(&self, key: Key, broken: Break) -> bool {
+        let mut waiting = self.0.borrow_mut();
+        let breaks = waiting.entry(key).or_default();
+        breaks.push(broken);
+        breaks.len() == 1
+    }
+
+    fn take(&self, key: Key) -> Vec<Break> {
+        self.0.borrow_mut().remove(&key).unwrap_or_default()
+    }
+}
+
+/// Finds out whether the upstream of a send that broke has ended. All sends that it broke by then count for it.
+pub(crate) fn look(sent: &Sent) {
+    let Sent { shared, request, ticket, entry, .. } = sent;
+    let (request, print) = (request.identity.clone(), request.print);
+    let broken = Break { request, print, took: shared.now() - sent.sent };
+    if shared.breaks.add(ticket.upstream, broken) {
+        tokio::task::spawn_local(find(shared.clone(), ticket.upstream, entry.clone()));
+    }
+}
+
+async fn find(shared: Rc<Shared>, key: Key, entry: Entry) {
+    let connected = pool::connect(&shared, key, entry.addr, LOOK).await;
+    let breaks = shared.breaks.take(key);
+    match connected {
+        // It is there, and the connection takes the place of the one that broke.
+        Ok(connection) => {
+            let keep = shared.core.borrow().keep(key);
+            shared.pools.put(shared.now(), key, connection, None, keep);
+        }
+        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            note::upstream_ended(&shared, &entry, &breaks);
+        }
+        Err(error) => tracing::debug!(upstream = &*entry.id, %error, "not known whether it ended"),
+    }
+}
--- a/crates/tgw-gateway/src/meters.rs
+++ b/crates/tgw-gateway/src/meters.rs
@@ -64,6 +64,7 @@
     requests: Counter<u64>,
     sends: Counter<u64>,
     ends: Counter<u64>,
+    losses: Counter<u64>,
     store: Counter<u64>,
 }
 
@@ -86,6 +87,7 @@
             requests: meter.u64_counter("tgw_requests").build(),
             sends: meter.u64_counter("tgw_sends").build(),
             ends: meter.u64_counter("tgw_sends_ended").build(),
+            losses: meter.u64_counter("tgw_upstreams_ended").build(),
             store: meter.u64_counter("tgw_store_calls").build(),
             gauges,
             registry,
@@ -132,6 +134,11 @@
         self.ends.add(1, &[KeyValue::new("result", sign.text())]);
     }
 
+    /// Counts an upstream of a service that ended under a send.
+    pub(crate) fn upstream_ended(&self, service: &str) {
+        self.losses.add(1, &[KeyValue::new("service", service.to_owned())]);
+    }
+
     /// Counts a call of the store by what came of it.
     pub(crate) fn store<T>(&self, call: &'static str, result: &Result<T, Error>) {
         let outcome = match result {
--- a/crates/tgw-gateway/src/note.rs
+++ b/crates/tgw-gateway/src/note.rs
@@ -3,13 +3,14 @@
 use crate::{
     exchange::{Outgoing, Sent},
     governor::Rank,
+    loss::Break,
     shared::Shared,
 };
 use tgw_clock::Millis;
 use tgw_forward::{
     Plan,
     plan::{Answer, Order, Why, Withheld},
-    upstream::{Distance, Sign},
+    upstream::{Distance, Entry, Sign},
 };
 use tgw_route::Route;
 
@@ -83,6 +84,24 @@
     );
 }
 
+/// An upstream ended under the sends that it broke.
+pub(crate) fn upstream_ended(shared: &Shared, entry: &Entry, breaks: &[Break]) {
+    shared.meters.upstream_ended(&entry.service);
+    if !shared.governor.allows(shared.now(), Rank::Loss) {
+        return;
+    }
+    let list = |what: fn(&Break) -> String| breaks.iter().map(what).collect::<Vec<_>>().join(" ");
+    tracing::info!(
+        upstream = &*entry.id,
+        service = &*entry.service,
+        addr = %entry.addr,
+        requests = list(|b| b.request.to_str().unwrap_or_default().to_owned()),
+        prints = list(|b| b.print.to_string()),
+        took_ms = breaks.first().map(|b| b.took.whole()),
+        "upstream ended under a send"
+    );
+}
+
 /// A request was answered.
 pub(crate) fn answer(
     shared: &Shared,
@@ -110,6 +129,7 @@
     let since = shared.config.borrow().since;
     tracing::info!(
         request = identity(request),
+        print = %request.print,
         route = &*route.name,
         safety = %route.safety,
         config = version,
--- a/crates/tgw-gateway/src/shared.rs
+++ b/crates/tgw-gateway/src/shared.rs
@@ -1,6 +1,6 @@
 use crate::{
-    Dialect, Settings, governor::Governor, heads::Heads, hop::Hops, log::Dropped, meters::Meters,
-    packets::Packets, pool::Pools, room::Room,
+    Dialect, Settings, governor::Governor, heads::Heads, hop::Hops, log::Dropped, loss::Breaks,
+    meters::Meters, packets::Packets, pool::Pools, room::Room,
 };
 use std::{
     cell::{Cell, RefCell},
@@ -9,6 +9,7 @@
 };
 use tgw_clock::{Clock, Millis, Monotonic};
 use tgw_forward::{Catalog, Core, Policy, fleet::Key, upstream::Word};
+use tgw_quarantine::fingerprint::Hasher;
 use tgw_route::{Config, Limits, Table};
 use tgw_spread::{
     Start, World,
@@ -64,6 +65,8 @@
     pub(crate) hops: Hops,
     pub(crate) heads: Heads,
     pub(crate) room: Room,
+    pub(crate) hasher: Hasher,
+    pub(crate) breaks: Breaks,
     pub(crate) config: RefCell<Configured>,
     /// What is told to other VMs.
     pub(crate) world: RefCell<World>,
@@ -103,6 +106,7 @@
         policy: Policy,
     ) -> anyhow::Result<Rc<Self>> {
         let room = Room::new(settings.bodies);
+        let hasher = Hasher::new(&settings.peer.key);
         let clock = Monotonic::default();
         let start = Start::new(
             clock.now(),
@@ -125,6 +129,8 @@
             hops: Hops::default(),
             heads: Heads::default(),
             room,
+            hasher,
+            breaks: Breaks::default(),
             config: RefCell::default(),
             world: RefCell::default(),
             catalog: RefCell::default(),
--- a/crates/tgw-operate/src/log.rs
+++ b/crates/tgw-operate/src/log.rs
@@ -31,6 +31,11 @@
         self.fields.get(name).and_then(Value::as_bool).unwrap_or_default()
     }
 
+    /// Whether the words of a field hold `word`.
+    pub(crate) fn lists(&self, name: &str, word: &str) -> bool {
+        self.text(name).split(' ').any(|w| w == word)
+    }
+
     pub(crate) fn message(&self) -> &str {
         self.text("message")
     }
--- a/crates/tgw-operate/src/story.rs
+++ b/crates/tgw-operate/src/story.rs
@@ -28,6 +28,8 @@
 const LEAVING: &str = "leaving: not ready, still accepting";
 /// The message that counts lines which were left out.
 const LEFT_OUT: &str = "log lines left out in the last interval";
+/// The message of a VM that lost an upstream under one or more sends.
+const LOST: &str = "upstream ended under a send";
 /// Time in s that callers allow for a connection, and that their report may lie after its begin.
 const CONNECT_S: f64 = 1.5;
 /// Messages that tell whether a VM ran.
@@ -133,7 +135,8 @@
 }
 
 fn tell(request: &str, lines: &[Line]) -> Story {
-    let own: Vec<&Line> = lines.iter().filter(|l| l.text("request") == request).collect();
+    let of = |line: &&Line| line.text("request") == request || line.lists("requests", request);
+    let own: Vec<&Line> = lines.iter().filter(of).collect();
     let vms: BTreeSet<&str> = own.iter().map(|l| l.vm.as_str()).collect();
     let upstreams: BTreeSet<&str> =
         own.iter().map(|l| l.text("upstream")).filter(|u| !u.is_empty()).collect();
@@ -159,7 +162,7 @@
     Story {
         before: before.into_iter().map(Line::told).collect(),
         lines: own.iter().map(|l| l.told()).collect(),
-        cause: cause(&own),
+        cause: cause(&own) + &alike(&own, lines),
     }
 }
 
@@ -200,6 +203,19 @@
     format!("{outcome} after {age} ms{left_out}: {reason}{once}")
 }
 
+/// How many upstreams ended under this request and others with its fingerprint.
+fn alike(own: &[&Line], lines: &[Line]) -> String {
+    let Some(print) = own.iter().map(|l| l.text("print")).find(|p| !p.is_empty()) else {
+        return String::new();
+    };
+    let lost = lines.iter().filter(|l| l.message() == LOST && l.lists("prints", print));
+    let ended: BTreeSet<&str> = lost.map(|l| l.text("upstream")).collect();
+    match ended.len() {
+        0 => String::new(),
+        count => format!("; {count} upstreams ended under requests with its fingerprint, {print}"),
+    }
+}
+
 /// What went wrong at upstreams, and what kept further sends back.
 fn trouble(own: &[&Line]) -> String {
     let mut found = Vec::new();
@@ -208,6 +224,9 @@
         let took = line.number("took_ms");
         found.push(format!("{upstream} of {service} {} after {took} ms", line.text("result")));
     }
+    for line in own.iter().filter(|l| l.message() == LOST) {
+        found.push(format!("{} of {} ended under it", line.text("upstream"), line.text("service")));
+    }
     for line in own.iter().filter(|l| l.message() == "send withheld") {
         let (service, why) = (line.text("service"), line.text("why"));
         found.push(format!("no {why} to {service}: {}", line.text("reason")));
--- a/crates/tgw-operate/tests/operate/story.rs
+++ b/crates/tgw-operate/tests/operate/story.rs
@@ -15,6 +15,9 @@
 {"timestamp":"T07","message":"request","request":"lost","outcome":"failed","cause":"upstreams failed","age_ms":9,"safety":"idempotent"}
 {"timestamp":"T08","message":"request","request":"unknown-route","outcome":"refused","cause":"no route","config":5,"age_ms":0}
 {"timestamp":"T09","message":"send","request":"cut","why":"hedge","upstream":"i-1"}
+{"timestamp":"T09","message":"upstream ended under a send","upstream":"i-4","service":"s","requests":"other ends","prints":"0b 0a"}
+{"timestamp":"T09","message":"upstream ended under a send","upstream":"i-5","service":"t","requests":"earlier","prints":"0a"}
+{"timestamp":"T09","message":"request","request":"ends","print":"0a","outcome":"failed","cause":"too few parts","age_ms":30}
 {"timestamp":"T10","message":"request","request":"partial","outcome":"merged","cause":"","got":8,"parts":10,"age_ms":140}
 "#;
 
@@ -32,6 +35,7 @@
 #[test_case("unknown-route", "refused after 0 ms: no route takes it in configuration 5"; "no route")]
 #[test_case("cut", "no VM logged an answer: the VM ended while the request ran"; "a VM that ended")]
 #[test_case("partial", "merged after 140 ms, 2 of 10 parts left out: nothing went wrong at upstreams"; "a partial answer")]
+#[test_case("ends", "failed after 30 ms: i-4 of s ended under it; 2 upstreams ended under requests with its fingerprint, 0a"; "a request that ends upstreams")]
 #[test_case("nobody", "no VM logged this request: it reached none, or its lines were left out; --at tells what the VMs did then"; "an id that no VM saw")]
 fn the_cause_follows_from_the_lines(request: &str, cause: &str) {
     let path = file(&format!("vm-{request}.log"), LOG);
--- /dev/null
+++ b/crates/tgw-quarantine/tests/quarantine.rs
@@ -0,0 +1,3 @@
+//! Tests of what tells requests apart that end upstreams.
+
+mod fingerprint;
--- a/crates/tgw-spread/src/hop.rs
+++ b/crates/tgw-spread/src/hop.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use std::rc::Rc;
+use tgw_quarantine::Fingerprint;
 
 /// Asks a VM to send a request to one upstream.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -30,6 +31,8 @@
     pub headers: Vec<(String, Vec<u8>)>,
     /// The body.
     pub body: Vec<u8>,
+    /// Tells which requests are the same: its caller is known only where it came in.
+    pub print: Fingerprint,
 }
 
 /// How such a send ended.
--- a/crates/tgw-spread/tests/spread.rs
+++ b/crates/tgw-spread/tests/spread.rs
@@ -235,6 +235,7 @@
         uri: "/a/b".into(),
         headers: vec![("host".into(), b"a.example".to_vec())],
         body: vec![1, 2],
+        print: 7.into(),
     };
     let outcome =
         hop::Outcome::Answered { status: 200, seal: Some(b"s".to_vec()), body: vec![3; 32] };
