--- a/crates/tanagergw/src/main.rs
+++ b/crates/tanagergw/src/main.rs
@@ -5,6 +5,7 @@
 mod demo;
 mod gateway;
 mod logs;
+mod quarantine;
 mod replay;
 mod serve;
 mod settings;
@@ -38,6 +39,8 @@
     Status(status::Status),
     /// Explain what the tier decided for one query.
     Explain(status::Explain),
+    /// Show what a gateway holds back, as upstreams end under it, and let it go.
+    Quarantine(quarantine::Args),
     /// Print completions for a shell.
     Completions {
         /// The shell.
@@ -61,6 +64,7 @@
         Command::Table(args) => table::run(&args),
         Command::Status(args) => status::run(&args),
         Command::Explain(args) => status::explain(&args),
+        Command::Quarantine(args) => quarantine::run(&args),
         Command::Completions { shell } => {
             let mut command = <Cli as clap::CommandFactory>::command();
             clap_complete::generate(shell, &mut command, "tanagergw", &mut std::io::stdout());
--- a/crates/tgw-bench/src/forward.rs
+++ b/crates/tgw-bench/src/forward.rs
@@ -18,6 +18,7 @@
     plan::{Ended, Event, Options, Response},
     upstream::{Entry, Sign},
 };
+use tgw_quarantine::{Fingerprint, message::Seen};
 use tgw_route::{Config, Route, Safety, Service, Target, config::Shards};
 use tgw_spread::{
     hop::{Outcome, Reply, Request},
@@ -106,8 +107,13 @@
     let start = Instant::now();
     for query in 0..queries {
         let now = Millis::new(20 * query as u64);
-        let options =
-            Options { route: route.clone(), patience: None, opened: false, spread: query as u32 };
+        let options = Options {
+            route: route.clone(),
+            patience: None,
+            opened: false,
+            spread: query as u32,
+            print: Fingerprint { content: query as u64, caller: 0 },
+        };
         let mut plan = Plan::new(now, &options);
         let mut answer = plan.on(now, Event::Start, &mut core, &mut orders);
         let later = now + Millis::new(10);
@@ -159,7 +165,8 @@
         uri: "/nono601/no91/2f".into(),
         headers: headers.map(|name| (name.into(), b"9c41d07be2a35f68".to_vec())).into(),
         body: Vec::new(),
-        print: 0x9c41_d07b_e2a3_5f68.into(),
+        print: Fingerprint { content: 0x9c41_d07b_e2a3_5f68, caller: 0x9c41_d07b },
+        seen: Seen::default(),
     }));
     let outcome = Outcome::Answered {
         status: 200,
--- a/crates/tgw-bench/src/overload/death.rs
+++ b/crates/tgw-bench/src/overload/death.rs
@@ -2,12 +2,20 @@
     run::{Event, Sim},
     vms::{REGIONS, connect, enter},
 };
+use rand::seq::index;
 use tgw_clock::Millis;
 use tgw_forward::{plan::Ended, upstream::Sign};
+use tgw_quarantine::{
+    Fingerprint, ledger,
+    message::{End, News, Seen},
+};
 
 /// Time in ms after which the store has forgotten an upstream that ended.
 const FORGOTTEN: Millis = Millis::new(2_400);
 
+/// VMs to which each one passes on what is new to it, as in the product.
+const FANOUT: usize = 8;
+
 /// A request that an upstream holds, by the events of its end.
 pub(super) struct Flight {
     /// At the VM that took the query in.
@@ -16,6 +24,10 @@
     pub(super) hosted: Option<u64>,
     /// When the request comes to the upstream.
     pub(super) arrives: Millis,
+    /// The VM whose connection it came on.
+    pub(super) from: usize,
+    pub(super) print: Fingerprint,
+    pub(super) seen: Seen,
 }
 
 /// Upstreams that end, and others that start in their place.
@@ -38,19 +50,68 @@
         self.tally.deaths.ended(now);
         self.at(now + FORGOTTEN, Event::Forgotten { upstream, life });
         self.at(back, Event::Started { upstream, life: life + 1 });
-        for Flight { ended, hosted, arrives } in std::mem::take(&mut self.flights[upstream]) {
+        for flight in std::mem::take(&mut self.flights[upstream]) {
+            let Flight { ended, hosted, arrives, from, print, seen } = flight;
             let held = arrives <= now;
+            let way = self.world.way(self.vms[from].region, upstream % REGIONS);
+            // After the break a new connection is tried, and refused.
+            let looked = way.scale(2.0);
+            if held {
+                let end = end_of(upstream, life, print, seen);
+                self.at(now + way + looked, Event::Lost { vm: from, upstream, life, end });
+            }
             let at = arrives.max(now);
             let sign = if held { Sign::Broken } else { Sign::Unreachable };
             if let Some(Event::Hosted { vm, ticket, .. }) =
                 hosted.and_then(|h| self.events.remove(&h))
             {
-                self.at(at, Event::Hosted { vm, ticket, sign });
+                self.at(at + looked, Event::Hosted { vm, ticket, sign });
             }
             if let Some(Event::Ended { vm, query, part, ticket, .. }) = self.events.remove(&ended) {
                 let way = self.world.way(self.vms[vm].region, upstream % REGIONS);
-                let ended = if held { Ended::Broken } else { Ended::Unsent };
-                self.at(at + way, Event::Ended { vm, query, part, ticket, sign, ended });
+                let ended = if held { Ended::Gone } else { Ended::Unsent };
+                let look = if held { looked } else { Millis::ZERO };
+                self.at(at + way + look, Event::Ended { vm, query, part, ticket, sign, ended });
+            }
+        }
+    }
+
+    /// A VM finds that an upstream ended under a request.
+    pub(super) fn lost(
+        &mut self,
+        now: Millis,
+        vm: usize,
+        (upstream, life): (usize, u32),
+        end: &End,
+    ) {
+        let core = &mut self.vms[vm].core;
+        if let Some(key) = core.fleet.key(&name(upstream, life)) {
+            core.fleet.lost(now, key);
+        }
+        core.quarantine.ended(now, end);
+        self.pass_on(now, vm);
+    }
+
+    /// A VM is told by another one.
+    pub(super) fn hear(&mut self, now: Millis, vm: usize, news: &News) {
+        let ledger = &mut self.vms[vm].core.quarantine;
+        for end in &news.ends {
+            ledger.ended(now, end);
+        }
+        for hold in &news.holds {
+            ledger.merge(now, hold);
+        }
+        self.pass_on(now, vm);
+    }
+
+    /// A VM passes on what is new to it, to some others.
+    fn pass_on(&mut self, now: Millis, vm: usize) {
+        while let Some(news) = self.vms[vm].core.quarantine.take_news() {
+            let others: Vec<usize> = (0..self.vms.len()).filter(|other| *other != vm).collect();
+            for at in index::sample(&mut self.rng, others.len(), FANOUT.min(others.len())) {
+                let to = others[at];
+                let way = self.world.way(self.vms[vm].region, self.vms[to].region);
+                self.at(now + way, Event::Heard { vm: to, news: news.clone() });
             }
         }
     }
@@ -73,6 +134,11 @@
     }
 }
 
+fn end_of(upstream: usize, life: u32, print: Fingerprint, seen: Seen) -> End {
+    let service = ledger::name(&format!("s{}", upstream / REGIONS));
+    End { print, service, upstream: ledger::name(&name(upstream, life)), seen }
+}
+
 /// The identity of an upstream in one of its lives.
 pub(super) fn name(upstream: usize, life: u32) -> String {
     format!("i-{upstream}.{life}")
--- a/crates/tgw-bench/src/overload/query.rs
+++ b/crates/tgw-bench/src/overload/query.rs
@@ -5,6 +5,7 @@
 use rand::{Rng, rngs::SmallRng};
 use rand_distr::{Distribution, Exp, LogNormal};
 use tgw_clock::Millis;
+use tgw_quarantine::Fingerprint;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Queries a second of all VMs on a day of high load.
@@ -35,6 +36,12 @@
         Millis::new(if self.full { 1_000 } else { 600 })
     }
 
+    /// The same each time that its caller sends it; of the deadly query, however often it comes.
+    pub(super) fn print(&self) -> Fingerprint {
+        let content = if self.deadly { 0 } else { self.first.as_micros() };
+        Fingerprint { content, caller: 0 }
+    }
+
     /// The same query as its caller sends it again through another VM, if there is time left.
     pub(super) fn again(&self, at: Millis, vm: usize) -> Option<Self> {
         let retried = self.at != self.first || at >= self.first + self.patience();
--- a/crates/tgw-bench/src/overload/run.rs
+++ b/crates/tgw-bench/src/overload/run.rs
@@ -26,6 +26,7 @@
     plan::{self, Answer, Ended, Order, Response},
     upstream::Sign,
 };
+use tgw_quarantine::message::{End, News};
 use tgw_route::Route;
 
 /// One way between regions and within one, in ms.
@@ -66,6 +67,7 @@
             declined_free: false,
             late: false,
             judged: false,
+            quarantine: false,
             ..Policy::default()
         }
     }
@@ -103,6 +105,18 @@
         upstream: usize,
         life: u32,
     },
+    /// A VM finds that it has, under a request.
+    Lost {
+        vm: usize,
+        upstream: usize,
+        life: u32,
+        end: End,
+    },
+    /// A VM is told of upstreams that ended.
+    Heard {
+        vm: usize,
+        news: News,
+    },
     /// All VMs learn that it has.
     Forgotten {
         upstream: usize,
@@ -139,7 +153,7 @@
     /// What each upstream holds.
     pub(super) flights: Vec<Vec<Flight>>,
     next: u64,
-    rng: SmallRng,
+    pub(super) rng: SmallRng,
     pub(super) tally: Tally,
 }
 
@@ -223,6 +237,10 @@
                 }
                 Some(Event::Restart) => self.restart(),
                 Some(Event::End { upstream, life }) => self.end(now, upstream, life),
+                Some(Event::Lost { vm, upstream, life, end }) => {
+                    self.lost(now, vm, (upstream, life), &end);
+                }
+                Some(Event::Heard { vm, news }) => self.hear(now, vm, &news),
                 Some(Event::Forgotten { upstream, life }) => self.forget(upstream, life),
                 Some(Event::Started { upstream, life }) => self.enter(now, upstream, life),
                 None => {}
@@ -234,8 +252,8 @@
         let Some(query) = self.queries.remove(&number) else { return };
         let route = self.routes[usize::from(!query.full)].clone();
         let left = query.first + query.patience() - now;
-        let options =
-            plan::Options { route, patience: Some(left), opened: false, spread: query.seed as u32 };
+        let (spread, print) = (query.seed as u32, query.print());
+        let options = plan::Options { route, patience: Some(left), opened: false, spread, print };
         let plan = Plan::new(now, &options);
         let running = Running { plan, query, sends: 0, wake: Millis::MAX };
         self.running.insert(number, running);
@@ -289,7 +307,7 @@
     }
 
     fn send(&mut self, now: Millis, number: usize, running: &mut Running, order: &Order) {
-        let Order { part, ticket, hop, why, .. } = *order;
+        let Order { part, ticket, hop, why, seen, .. } = *order;
         let vm = running.query.vm;
         let Some(upstream) = self.index(vm, ticket.upstream) else { return };
         let region = upstream % REGIONS;
@@ -305,10 +323,16 @@
             }
         };
         let hosted = host.flatten();
+        let (from, print) = (hosted.map_or(vm, |(vm, _)| vm), running.query.print());
+        // A new connection finds out that the upstream is there, and only its reply was lost.
+        let looks = sign == Sign::Broken && self.policy.quarantine;
+        let look = self.world.way(self.vms[from].region, region).scale(2.0);
+        let at = if looks { at + look } else { at };
         let hosted = hosted.map(|(vm, ticket)| self.at(at, Event::Hosted { vm, ticket, sign }));
         let ended =
             self.at(at + way, Event::Ended { vm, query: number, part, ticket, sign, ended });
-        self.hold(upstream, Flight { ended, hosted, arrives: now + way });
+        let arrives = now + way;
+        self.hold(upstream, Flight { ended, hosted, arrives, from, print, seen });
     }
 
     /// What becomes of a part of a query at its upstream.
--- a/crates/tgw-forward/src/conclude.rs
+++ b/crates/tgw-forward/src/conclude.rs
@@ -74,6 +74,9 @@
     }
 
     fn lost(&self, core: &Core) -> Answer {
+        if self.ran && (self.held.is_some() || core.quarantine.holds(self.print)) {
+            return Answer::Failed(Cause::Quarantined);
+        }
         let sharded = self.parts.len() > 1;
         if self.ran {
             return Answer::Failed(if sharded { Cause::TooFew } else { Cause::Upstreams });
@@ -82,6 +85,9 @@
             // A send that still runs could run the request after a refusal that denies it.
             return Answer::Failed(Cause::TooFew);
         }
+        if let Some(retry_after) = self.held {
+            return Answer::Refused { retry_after, cause: Cause::Quarantined };
+        }
         let served = self.parts.iter().all(|p| core.fleet.serves(&p.service));
         let cause = if served { Cause::Full } else { Cause::NoUpstream };
         let spread = 1.0 + 2.0 * f64::from(self.spread % 64) / 64.0;
--- a/crates/tgw-forward/src/core.rs
+++ b/crates/tgw-forward/src/core.rs
@@ -6,6 +6,7 @@
 };
 use std::{collections::HashMap, rc::Rc};
 use tgw_clock::Millis;
+use tgw_quarantine::Ledger;
 use tgw_route::{Config, Route, Share};
 use tgw_tail::Hedge;
 
@@ -69,6 +70,8 @@
     pub fleet: Fleet,
     /// What an answer takes to leave.
     pub margin: Margin,
+    /// Requests under which upstreams ended.
+    pub quarantine: Ledger,
     budget: Budget,
     policy: Policy,
     vms: Vms,
--- a/crates/tgw-forward/src/fleet.rs
+++ b/crates/tgw-forward/src/fleet.rs
@@ -239,6 +239,13 @@
         }
     }
 
+    /// Nobody listens any more where an upstream was.
+    pub fn lost(&mut self, now: Millis, key: Key) {
+        if let Some(upstream) = self.upstreams.get_mut(&key) {
+            upstream.lost(now);
+        }
+    }
+
     /// Counts a connection that was made.
     pub fn opened(&mut self, key: Key) {
         if let Some(upstream) = self.upstreams.get_mut(&key) {
--- a/crates/tgw-forward/src/lib.rs
+++ b/crates/tgw-forward/src/lib.rs
@@ -6,6 +6,8 @@
 
 /// Which upstreams exist, from a store that may be away.
 mod catalog;
+/// Requests under which upstreams may end.
+mod caution;
 /// When a request is answered, and by what.
 mod conclude;
 /// What one VM knows.
--- a/crates/tgw-forward/src/message.rs
+++ b/crates/tgw-forward/src/message.rs
@@ -8,6 +8,7 @@
 use derive_more::Display;
 use http::{HeaderMap, HeaderValue, StatusCode};
 use tgw_clock::Millis;
+use tgw_quarantine::message::Seen;
 
 /// A complete reply of an upstream.
 #[derive(Clone, Debug)]
@@ -42,6 +43,8 @@
     Busy,
     /// The reply was cut, spoiled or reset: the request may have run.
     Broken,
+    /// The upstream's process ended: the request may have run, and may be why.
+    Gone,
     /// No reply by the deadline: the request may have run.
     Silent,
 }
@@ -106,6 +109,8 @@
     pub after: Option<Key>,
     /// What the answer takes of the part; `None` where the reply is passed on whole.
     pub cut: Option<Cut>,
+    /// What is known of upstreams that ended under the request.
+    pub seen: Seen,
 }
 
 /// What the caller is answered.
@@ -146,6 +151,8 @@
     Upstreams,
     /// Too few parts can still come.
     TooFew,
+    /// Upstreams end under it.
+    Quarantined,
 }
 
 impl Cause {
@@ -156,6 +163,7 @@
             Self::Full => "all upstreams full",
             Self::Upstreams => "upstreams failed",
             Self::TooFew => "too few parts",
+            Self::Quarantined => "upstreams end under it",
         }
     }
 }
@@ -183,4 +191,7 @@
     /// The budget for extra sends is used up.
     #[display("budget used up")]
     Budget,
+    /// Upstreams end under the request.
+    #[display("upstreams end under it")]
+    Quarantined,
 }
--- a/crates/tgw-forward/src/part.rs
+++ b/crates/tgw-forward/src/part.rs
@@ -9,6 +9,7 @@
 use smallvec::SmallVec;
 use std::rc::Rc;
 use tgw_clock::Millis;
+use tgw_quarantine::message::Seen;
 use tgw_route::{Route, Target};
 
 /// Tries to send one part, most of which came to no send: no connection, or no room at a peer.
@@ -49,6 +50,10 @@
     pub(crate) hedge_at: Option<Millis>,
     /// When it is tried again, while nothing is under way for it.
     pub(crate) parked: Option<Millis>,
+    /// One more send is wanted, and has to wait until others of the request have ended.
+    pub(crate) delayed: Option<Why>,
+    /// What was known of the request where each of its sends was made.
+    pub(crate) seen: SmallVec<[(Key, Seen); 2]>,
     /// The send that was withheld last, with its reason.
     pub(crate) withheld: Option<Withheld>,
 }
@@ -86,6 +91,8 @@
             late_at: None,
             hedge_at: None,
             parked: None,
+            delayed: None,
+            seen: SmallVec::new(),
             withheld: None,
         }
     }
@@ -117,6 +124,12 @@
         self.busy.push(upstream);
     }
 
+    /// What was known of the request where it was sent to `upstream`.
+    pub(crate) fn seen(&self, upstream: Key) -> Seen {
+        let sent = self.seen.iter().rev().find(|(key, _)| *key == upstream);
+        sent.map(|(_, seen)| *seen).unwrap_or_default()
+    }
+
     /// An upstream declined it unrun: the send is none of those that the route allows.
     pub(crate) fn declined(&mut self, upstream: Key) {
         self.declined += 1;
--- a/crates/tgw-forward/src/plan.rs
+++ b/crates/tgw-forward/src/plan.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     Core,
+    caution::Clearance,
     conclude::enough,
     fleet::{Choice, Hop, Key},
     part::{self, Part, Placed, State},
@@ -10,6 +11,7 @@
 use smallvec::SmallVec;
 use std::rc::Rc;
 use tgw_clock::Millis;
+use tgw_quarantine::{Fingerprint, message::Seen};
 use tgw_route::{Route, Safety, Target};
 
 pub use crate::message::{
@@ -39,6 +41,8 @@
     pub opened: bool,
     /// A number that differs from request to request; spreads the return of refused callers.
     pub spread: u32,
+    /// The same for requests that differ in identity and deadline only.
+    pub print: Fingerprint,
 }
 
 /// Drives one request.
@@ -52,6 +56,17 @@
     pub(crate) deadline: Millis,
     pub(crate) spread: u32,
     pub(crate) parts: SmallVec<[Part; 1]>,
+    pub(crate) print: Fingerprint,
+    /// Upstreams that ended under it one after the other, as far as this attempt saw.
+    pub(crate) rounds: u8,
+    /// An upstream answered.
+    pub(crate) answered: bool,
+    /// It is held back, and tried again once.
+    pub(crate) trial: bool,
+    /// It is held back, for so long.
+    pub(crate) held: Option<Millis>,
+    /// It was held back, and an upstream answered it.
+    pub(crate) released: bool,
     /// An upstream may have run it.
     pub(crate) ran: bool,
     pub(crate) failure: Option<Box<Response>>,
@@ -73,6 +88,12 @@
             spread: options.spread,
             route,
             parts: SmallVec::new(),
+            print: options.print,
+            rounds: 0,
+            answered: false,
+            trial: false,
+            held: None,
+            released: false,
             ran: false,
             failure: None,
             withheld: SmallVec::new(),
@@ -91,6 +112,11 @@
         self.parts.get(part).map(|p| &p.service)
     }
 
+    /// Whether it was held back and is not any more, as an upstream answered it.
+    pub fn released(&self) -> bool {
+        self.released
+    }
+
     /// Takes the sends that were wanted and not made since the last call.
     pub fn take_withheld(&mut self) -> SmallVec<[Withheld; 2]> {
         std::mem::take(&mut self.withheld)
@@ -132,10 +158,12 @@
             Event::Start => self.start(now, core, out),
             Event::Ended { part, upstream, ended } => {
                 self.ended(now, part, upstream, ended, core, out);
+                self.resume(now, core, out);
             }
             Event::Tick => {
                 self.unpark(now, core, out);
                 self.hedge(now, core, out);
+                self.resume(now, core, out);
             }
         }
         let answer = self.conclude(now, core);
@@ -159,6 +187,9 @@
         for part in &self.parts {
             core.request(now, &part.service);
         }
+        if !self.judge(now, core) {
+            return;
+        }
         if !self.feasible(now, core) {
             // Refused before anything is sent, the caller may come back and nothing was wasted.
             self.parts.iter_mut().for_each(|p| p.state = State::GivenUp);
@@ -191,9 +222,12 @@
         let Some(part) = self.parts.get_mut(index) else { return };
         part.open = part.open.saturating_sub(1);
         let mut again = idempotent;
+        let seen = part.seen(upstream);
         match ended {
             Ended::Answered(response) => {
                 self.ran = true;
+                self.note_answer(now, index, core);
+                let Some(part) = self.parts.get_mut(index) else { return };
                 if !part.waiting() || self.take(index, response) {
                     return;
                 }
@@ -213,10 +247,18 @@
                 part.passed_over(upstream);
                 again = true;
             }
+            Ended::Gone => {
+                self.ran = true;
+                self.note_end(seen);
+            }
             Ended::Broken | Ended::Silent => self.ran = true,
         }
         if self.parts[index].waiting() && again && core.policy().retries {
-            self.place(now, index, Why::Retry, core, out);
+            if self.careful(core) {
+                self.parts[index].delayed = Some(Why::Retry);
+            } else {
+                self.place(now, index, Why::Retry, core, out);
+            }
         }
         self.give_up(now, index, core);
     }
@@ -246,11 +288,12 @@
     }
 
     /// Gives a part up for which nothing is under way, or parks it while it may still come in time.
-    fn give_up(&mut self, now: Millis, index: usize, core: &Core) {
+    pub(crate) fn give_up(&mut self, now: Millis, index: usize, core: &Core) {
         let parks = core.policy().parks && self.parks(now, core);
         if let Some(part) = self.parts.get_mut(index)
             && part.waiting()
             && part.open == 0
+            && part.delayed.is_none()
         {
             let park = parks && core.fleet.serves(&part.service);
             let again = park && part.sendable(&self.route);
@@ -316,7 +359,7 @@
     }
 
     /// Orders one more send for a part, if an upstream, the route and the budget allow it.
-    fn place(
+    pub(crate) fn place(
         &mut self,
         now: Millis,
         index: usize,
@@ -324,20 +367,23 @@
         core: &mut Core,
         out: &mut Vec<Order>,
     ) {
+        let seen = match self.clearance(now, index, core) {
+            Clearance::Go(seen) => seen,
+            Clearance::Wait => {
+                self.parts[index].delayed = Some(why);
+                return;
+            }
+            Clearance::Never => return self.quarantine(index, why),
+        };
+        if why == Why::Hedge && seen != Seen::default() {
+            return;
+        }
         let route = self.route.clone();
         let need = self.need(index);
         let part = &mut self.parts[index];
         let placed = match part.choose(now, (why, need), &route, core) {
             Ok(placed) => placed,
-            Err(reason) => {
-                let withheld = Withheld { part: index, why, reason };
-                // A part that finds no room tries each 20 ms: while all upstreams of a service were gone, half
-                // of all log lines said so again.
-                if part.withheld.replace(withheld) != Some(withheld) {
-                    self.withheld.push(withheld);
-                }
-                return;
-            }
+            Err(reason) => return self.withhold(index, why, reason),
         };
         let Placed { choice: Choice { key, hop }, insist, lent } = placed;
         let after = part.tried.last().copied();
@@ -345,6 +391,7 @@
             part.lent.push(key);
         }
         part.tried.push(key);
+        part.seen.push((key, seen));
         part.tries += 1;
         part.sends += 1;
         part.open += 1;
@@ -365,7 +412,16 @@
             part.hedge_at = Some(now + delay + put_off);
         }
         let cut = if hop == Hop::Peer { self.cut() } else { None };
-        out.push(Order { part: index, ticket, why, hop, insist, lent, after, cut });
+        out.push(Order { part: index, ticket, why, hop, insist, lent, after, cut, seen });
+    }
+
+    pub(crate) fn withhold(&mut self, index: usize, why: Why, reason: Reason) {
+        let withheld = Withheld { part: index, why, reason };
+        // A part that finds no room tries each 20 ms: while all upstreams of a service were gone, half of all log
+        // lines said so again.
+        if self.parts[index].withheld.replace(withheld) != Some(withheld) {
+            self.withheld.push(withheld);
+        }
     }
 
     pub(crate) fn count(&self, what: impl Fn(&Part) -> bool) -> usize {
--- a/crates/tgw-forward/src/policy.rs
+++ b/crates/tgw-forward/src/policy.rs
@@ -45,6 +45,10 @@
     /// shard that sheds runs dry beside VMs with none: of 300 VMs, where 0.57 of the upstreams shed 0.6, 0.238 to
     /// 0.066 of the queries failed; of nine, 0.111 to 0.089 (`bench overload`, six seeds).
     pub lends: bool,
+    /// A request under which upstreams end is sent to one at a time, and then to none. Without it one search, sent
+    /// again each 0.7 s, ended 150 upstreams of 30 in 18 s and left 0.01 of the worth of all others
+    /// (`bench overload/query-of-death`).
+    pub quarantine: bool,
     /// Sends through other VMs that may run at one upstream: its slots today. What would wait there is better
     /// sent elsewhere; twice as many differ by less than two runs of a day do.
     pub peer_most: f64,
@@ -95,6 +99,7 @@
             late: true,
             judged: true,
             lends: true,
+            quarantine: true,
             peer_most: 4.0,
             failure_cost: 120.0,
             failure_weight: 0.1,
@@ -129,7 +134,7 @@
 }
 
 impl Policy {
-    fn slots(&mut self) -> [(&'static str, Slot<'_>); 26] {
+    fn slots(&mut self) -> [(&'static str, Slot<'_>); 27] {
         use Slot::{Switch, Weight};
         [
             ("hedges", Switch(&mut self.hedges)),
@@ -148,6 +153,7 @@
             ("late", Switch(&mut self.late)),
             ("judged", Switch(&mut self.judged)),
             ("lends", Switch(&mut self.lends)),
+            ("quarantine", Switch(&mut self.quarantine)),
             ("peer_most", Weight(&mut self.peer_most)),
             ("failure_cost", Weight(&mut self.failure_cost)),
             ("failure_weight", Weight(&mut self.failure_weight)),
--- a/crates/tgw-forward/src/upstream.rs
+++ b/crates/tgw-forward/src/upstream.rs
@@ -295,6 +295,12 @@
         }
     }
 
+    /// Nobody listens any more where it was. Its store entry stays for seconds; until a send had found out, each that
+    /// was placed there cost its request a try.
+    pub fn lost(&mut self, now: Millis) {
+        self.strike(now);
+    }
+
     fn fail(&mut self, sample: f64) {
         self.failing += self.policy.failure_weight * (sample - self.failing);
     }
--- a/crates/tgw-forward/tests/forward.rs
+++ b/crates/tgw-forward/tests/forward.rs
@@ -4,6 +4,7 @@
 
 mod budget;
 mod catalog;
+mod caution;
 mod margin;
 mod merge;
 mod peers;
--- a/crates/tgw-forward/tests/world/mod.rs
+++ b/crates/tgw-forward/tests/world/mod.rs
@@ -14,6 +14,7 @@
     plan::{Answer, Ended, Event, Options, Order, Response},
     upstream::{Entry, Sign},
 };
+use tgw_quarantine::Fingerprint;
 use tgw_route::{Config, Route, Safety, Service, Target, config::Shards};
 
 pub(crate) const NEAR: &str = "near";
@@ -55,6 +56,8 @@
     pub(crate) core: Core,
     pub(crate) now: Millis,
     pub(crate) orders: Vec<Order>,
+    /// Of the requests that are started.
+    pub(crate) print: Fingerprint,
     plan: Option<Plan>,
 }
 
@@ -65,8 +68,17 @@
     }
 
     pub(crate) fn with_budget(services: usize, budget: Budget) -> Self {
+        Self::with(services, budget, Policy::default())
+    }
+
+    /// As [`Self::new`], deciding by `policy`.
+    pub(crate) fn of(services: usize, policy: Policy) -> Self {
+        Self::with(services, Budget { share: 1.0, constant: 1_000.0 }, policy)
+    }
+
+    fn with(services: usize, budget: Budget, policy: Policy) -> Self {
         let regions = [(NEAR.into(), "r1".into()), (FAR.into(), "r2".into())].into();
-        let mut core = Core::new(Place { domain: NEAR.into(), regions }, budget, Policy::default());
+        let mut core = Core::new(Place { domain: NEAR.into(), regions }, budget, policy);
         let mut config = Config::default();
         for index in 0..services {
             let service = format!("s{index}");
@@ -77,7 +89,13 @@
             }
         }
         core.configure(&config);
-        Self { core, now: Millis::new(1_000), orders: Vec::new(), plan: None }
+        Self {
+            core,
+            now: Millis::new(1_000),
+            orders: Vec::new(),
+            print: Fingerprint::default(),
+            plan: None,
+        }
     }
 
     pub(crate) fn pass(&mut self, ms: u64) {
@@ -85,7 +103,9 @@
     }
 
     pub(crate) fn start(&mut self, route: &Rc<Route>) -> Option<Answer> {
-        let options = Options { route: route.clone(), patience: None, opened: false, spread: 0 };
+        let print = self.print;
+        let options =
+            Options { route: route.clone(), patience: None, opened: false, spread: 0, print };
         self.plan = Some(Plan::new(self.now, &options));
         self.orders.clear();
         self.on(Event::Start)
--- a/crates/tgw-gateway/src/callers.rs
+++ b/crates/tgw-gateway/src/callers.rs
@@ -43,6 +43,7 @@
         return;
     }
     let limits = shared.config.borrow().limits;
+    let caller = shared.hasher.caller(caller);
     let watched = shared.heads.watch();
     let head = watched.head.clone();
     let service = {
--- a/crates/tgw-gateway/src/exchange.rs
+++ b/crates/tgw-gateway/src/exchange.rs
@@ -16,7 +16,7 @@
     plan::{self, Ended},
     upstream::{Entry, Sign},
 };
-use tgw_quarantine::Fingerprint;
+use tgw_quarantine::{Fingerprint, message::Seen};
 use tokio::time::timeout;
 
 /// Largest reply that is held, in bytes; parts are a few kilobytes.
@@ -51,6 +51,8 @@
     pub(crate) lent: bool,
     /// What the answer takes of the reply, if not all of it.
     pub(crate) cut: Option<Cut>,
+    /// What was known of upstreams that ended under the request.
+    pub(crate) seen: Seen,
     sign: Sign,
 }
 
@@ -92,12 +94,14 @@
     pub(crate) lent: bool,
     /// What the answer takes of the reply, if not all of it.
     pub(crate) cut: Option<Cut>,
+    /// What is known of upstreams that ended under the request.
+    pub(crate) seen: Seen,
 }
 
 /// Sends a request to the upstream of its ticket and reads its reply.
 pub(crate) async fn run(
     shared: Rc<Shared>,
-    Way { ticket, hop, insist, lent, cut }: Way,
+    Way { ticket, hop, insist, lent, cut, seen }: Way,
     request: Rc<Outgoing>,
 ) -> Ended {
     let entry = shared.core.borrow().fleet.get(ticket.upstream).map(|u| u.entry.clone());
@@ -113,6 +117,7 @@
         insist,
         lent,
         cut,
+        seen,
         sign: Sign::Dropped,
     };
     let left = Duration::from(request.deadline - shared.now());
@@ -132,17 +137,16 @@
         Err(Fault::Unsent) => (Sign::Unreachable, Ended::Unsent),
         Err(Fault::Crowded) => (Sign::Crowded, Ended::Unsent),
         Err(Fault::Spoiled) => (Sign::Broken, Ended::Broken),
-        Err(Fault::Broken) => {
-            loss::look(sent);
-            (Sign::Broken, Ended::Broken)
-        }
-        Err(Fault::Reset) => {
-            loss::look(sent);
-            (Sign::Crowded, Ended::Broken)
-        }
+        Err(Fault::Broken) => (Sign::Broken, broken(sent).await),
+        Err(Fault::Reset) => (Sign::Crowded, broken(sent).await),
     }
 }
 
+/// What a broken connection was: the end of its upstream, or a lost reply.
+async fn broken(sent: &Sent) -> Ended {
+    if loss::look(sent).await { Ended::Gone } else { Ended::Broken }
+}
+
 async fn attempt(sent: &Sent) -> Result<Response<Bytes>, Fault> {
     let Sent { shared, request, ticket, entry, .. } = sent;
     let expected = HeaderValue::from_str(&entry.id).map_err(|_| Fault::Unsent)?;
--- a/crates/tgw-gateway/src/handle.rs
+++ b/crates/tgw-gateway/src/handle.rs
@@ -1,6 +1,6 @@
 use crate::{
     exchange::{self, Outgoing},
-    headers, note,
+    headers, note, quarantine,
     room::Taken,
     shared::{Phase, Shared},
 };
@@ -8,7 +8,7 @@
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use std::{net::IpAddr, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 use tgw_clock::Millis;
 use tgw_forward::{
     Plan,
@@ -30,8 +30,8 @@
 /// Where a request comes from.
 #[derive(Copy, Clone, Debug)]
 pub(crate) struct From {
-    /// The caller's address.
-    pub(crate) caller: IpAddr,
+    /// The caller, hashed.
+    pub(crate) caller: u32,
     /// Its caller opened the connection for it.
     pub(crate) opened: bool,
 }
@@ -76,7 +76,7 @@
 async fn accept(
     shared: &Shared,
     request: Request<Incoming>,
-    caller: IpAddr,
+    caller: u32,
 ) -> Result<Accepted, Refusal> {
     let arrived = shared.now();
     let (head, body) = request.into_parts();
@@ -111,13 +111,13 @@
         note::unread(shared, arrived, identity.to_str().ok(), unread.cause());
         unread.answer()
     })?;
-    let print = shared.hasher.of(&Content {
-        caller,
+    let content = Content {
         method: head.method.as_str(),
         host: host.unwrap_or_default(),
         target: head.uri.path_and_query().map_or("", |target| target.as_str()),
         body: &body,
-    });
+    };
+    let print = shared.hasher.request(caller, &content);
     let mut headers = head.headers;
     headers::strip(&mut headers);
     let outgoing = Outgoing {
@@ -213,8 +213,8 @@
 
     fn start(&mut self, order: &Order) {
         let (shared, request) = (self.shared.clone(), self.request.clone());
-        let Order { part, ticket, hop, insist, lent, cut, .. } = *order;
-        let way = exchange::Way { ticket, hop, insist, lent, cut };
+        let Order { part, ticket, hop, insist, lent, cut, seen, .. } = *order;
+        let way = exchange::Way { ticket, hop, insist, lent, cut, seen };
         let ended = self.ended.clone();
         let task = tokio::task::spawn_local(async move {
             let result = exchange::run(shared, way, request).await;
@@ -244,7 +244,8 @@
 async fn forward(shared: &Rc<Shared>, accepted: Accepted, opened: bool) -> Response<Full<Bytes>> {
     let Accepted { route, version, arrived, patience, mut outgoing } = accepted;
     let spread = shared.number();
-    let options = plan::Options { route: route.clone(), patience, opened, spread };
+    let print = outgoing.print;
+    let options = plan::Options { route: route.clone(), patience, opened, spread, print };
     let mut plan = Plan::new(arrived, &options);
     outgoing.deadline = plan.deadline();
     let outgoing = Rc::new(outgoing);
@@ -277,6 +278,9 @@
         };
     };
     sends.release();
+    if plan.released() {
+        quarantine::answered(shared, print);
+    }
     note::answer(shared, &outgoing, &route, version, &plan, &answer);
     respond(shared, answer)
 }
--- a/crates/tgw-gateway/src/hop.rs
+++ b/crates/tgw-gateway/src/hop.rs
@@ -201,6 +201,7 @@
         headers,
         body: request.body.to_vec(),
         print: request.print,
+        seen: sent.seen,
     })
 }
 
@@ -218,6 +219,7 @@
         Outcome::Unsent => (Sign::Unreachable, Ended::Unsent),
         Outcome::Declined => (Sign::Shed, Ended::Declined),
         Outcome::Broken => (Sign::Broken, Ended::Broken),
+        Outcome::Gone => (Sign::Broken, Ended::Gone),
         Outcome::Silent => (Sign::Silent, Ended::Silent),
     }
 }
@@ -258,6 +260,7 @@
         }
     };
     let limit = usize::try_from(request.limit).unwrap_or(usize::MAX);
+    let seen = request.seen;
     let cut = (limit > 0).then_some(Cut { limit, floor: request.floor });
     let Some(outgoing) = unpack(shared, request) else {
         shared.core.borrow_mut().fleet.end(shared.now(), ticket, Sign::Dropped);
@@ -265,7 +268,7 @@
         return Outcome::Unsent;
     };
     let (hop, insist) = (Hop::Direct, true);
-    let way = exchange::Way { ticket, hop, insist, lent: false, cut: None };
+    let way = exchange::Way { ticket, hop, insist, lent: false, cut: None, seen };
     match exchange::run(shared.clone(), way, Rc::new(outgoing)).await {
         Ended::Answered(response) => answered(*response, cut),
         Ended::Declined => Outcome::Declined,
@@ -275,6 +278,7 @@
         }
         Ended::Busy => Outcome::Busy,
         Ended::Broken => Outcome::Broken,
+        Ended::Gone => Outcome::Gone,
         Ended::Silent => Outcome::Silent,
     }
 }
--- a/crates/tgw-gateway/src/lib.rs
+++ b/crates/tgw-gateway/src/lib.rs
@@ -37,6 +37,8 @@
 mod peers;
 /// Connections to the upstreams.
 mod pool;
+/// Requests under which upstreams end.
+pub mod quarantine;
 /// Readiness.
 mod ready;
 /// Memory for bodies.
--- a/crates/tgw-gateway/src/loss.rs
+++ b/crates/tgw-gateway/src/loss.rs
@@ -3,22 +3,27 @@
 //! A process that ends and a reply that is lost look alike to the send that broke. They differ in what a new
 //! connection finds: a host that runs, where nobody listens any more, refuses it.
 
-use crate::{exchange::Sent, note, pool, shared::Shared};
+use crate::{exchange::Sent, note, pool, quarantine, shared::Shared};
 use http::HeaderValue;
 use std::{cell::RefCell, collections::HashMap, io, rc::Rc};
 use tgw_clock::Millis;
 use tgw_forward::{fleet::Key, upstream::Entry};
-use tgw_quarantine::Fingerprint;
+use tgw_quarantine::{Fingerprint, message::Seen};
+use tokio::sync::oneshot;
 
-/// Time in ms for a connection that only finds out whether the upstream is there: the longest way there and back
-/// (40 ms), twice, as the first packet may be lost.
-const LOOK: Millis = Millis::new(80);
+/// Time in ms for a connection that only finds out whether the upstream is there: a little above the longest way
+/// there and back. What broke is tried again after it.
+const LOOK: Millis = Millis::new(50);
 
 /// A send that broke.
 pub(crate) struct Break {
     pub(crate) request: HeaderValue,
     pub(crate) print: Fingerprint,
+    /// What was known of the request when it was sent.
+    pub(crate) seen: Seen,
     pub(crate) took: Millis,
+    /// Waits to be told whether the upstream has ended.
+    waits: oneshot::Sender<bool>,
 }
 
 /// Sends that broke, by upstream, while it is found out whether the upstream has ended.
@@ -40,27 +45,40 @@
 }
 
 /// Finds out whether the upstream of a send that broke has ended. All sends that it broke by then count for it.
-pub(crate) fn look(sent: &Sent) {
-    let Sent { shared, request, ticket, entry, .. } = sent;
+pub(crate) async fn look(sent: &Sent) -> bool {
+    let Sent { shared, request, ticket, entry, seen, .. } = sent;
+    let (waits, found) = oneshot::channel();
     let (request, print) = (request.identity.clone(), request.print);
-    let broken = Break { request, print, took: shared.now() - sent.sent };
+    let broken = Break { request, print, seen: *seen, took: shared.now() - sent.sent, waits };
     if shared.breaks.add(ticket.upstream, broken) {
+        // Not part of the send: its caller may leave, and what is found counts all the same.
         tokio::task::spawn_local(find(shared.clone(), ticket.upstream, entry.clone()));
     }
+    found.await.unwrap_or_default()
 }
 
 async fn find(shared: Rc<Shared>, key: Key, entry: Entry) {
     let connected = pool::connect(&shared, key, entry.addr, LOOK).await;
     let breaks = shared.breaks.take(key);
-    match connected {
+    let ended = match connected {
         // It is there, and the connection takes the place of the one that broke.
         Ok(connection) => {
             let keep = shared.core.borrow().keep(key);
             shared.pools.put(shared.now(), key, connection, None, keep);
+            false
         }
-        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
-            note::upstream_ended(&shared, &entry, &breaks);
+        Err(error) => {
+            tracing::debug!(upstream = &*entry.id, %error, "no connection after a break");
+            error.kind() == io::ErrorKind::ConnectionRefused
         }
-        Err(error) => tracing::debug!(upstream = &*entry.id, %error, "not known whether it ended"),
+    };
+    if ended {
+        note::upstream_ended(&shared, &entry, &breaks);
+        shared.core.borrow_mut().fleet.lost(shared.now(), key);
+        breaks.iter().for_each(|broken| quarantine::ended(&shared, &entry, broken));
+    }
+    for broken in breaks {
+        // Its caller may have left.
+        let _ = broken.waits.send(ended);
     }
 }
--- a/crates/tgw-gateway/src/meters.rs
+++ b/crates/tgw-gateway/src/meters.rs
@@ -36,11 +36,13 @@
     pub(crate) room: AtomicU64,
     pub(crate) ready: AtomicU64,
     pub(crate) unreadable: AtomicU64,
+    pub(crate) held: AtomicU64,
+    pub(crate) suspected: AtomicU64,
 }
 
 type Reading = (&'static str, &'static str, fn(&Gauges) -> &AtomicU64);
 
-const READINGS: [Reading; 12] = [
+const READINGS: [Reading; 14] = [
     ("tgw_config_version", "version of the configuration in force", |g| &g.config),
     ("tgw_config_since_ms", "when it came into force, in ms since the start", |g| &g.config_since),
     ("tgw_upstreams", "upstreams known", |g| &g.upstreams),
@@ -52,6 +54,10 @@
     ("tgw_body_bytes_free", "memory that is free for bodies", |g| &g.room),
     ("tgw_sends_hosted", "sends that run for other VMs", |g| &g.hosted),
     ("tgw_entries_unreadable", "entries that name no upstream", |g| &g.unreadable),
+    ("tgw_requests_held", "requests held back, as upstreams end under them", |g| &g.held),
+    ("tgw_requests_suspected", "requests under which an upstream ended, held back or not", |g| {
+        &g.suspected
+    }),
     ("tgw_ready", "1 while the balancer may send callers", |g| &g.ready),
 ];
 
--- a/crates/tgw-gateway/src/peers.rs
+++ b/crates/tgw-gateway/src/peers.rs
@@ -1,6 +1,7 @@
 use crate::{
     hop::{self, Hosts},
     packets::PACKET,
+    quarantine::{self, Rounds},
     shared::Shared,
     tell::Tell,
 };
@@ -52,6 +53,9 @@
     member: RefCell<Member>,
     /// Where the other live VMs of the region are reached.
     near: RefCell<Vec<SocketAddr>>,
+    /// Where all other live VMs are reached.
+    pub(crate) others: RefCell<Vec<SocketAddr>>,
+    pub(crate) rounds: Rounds,
     addr: SocketAddr,
     pub(crate) tell: Tell,
     /// Which VMs there are has changed since they were counted.
@@ -85,6 +89,8 @@
             shared,
             member,
             near: RefCell::default(),
+            others: RefCell::default(),
+            rounds: Rounds::default(),
             addr,
             tell: Tell::default(),
             changed: Cell::new(false),
@@ -130,6 +136,8 @@
                 _ = tick.tick() => {
                     self.on(Event::Tick);
                     self.settle();
+                    self.pass_on();
+                    self.repeat();
                 }
             }
             self.count_changed();
@@ -163,6 +171,7 @@
         let (config, upstreams) = self.versions();
         self.shared.note_held();
         self.tell_late();
+        self.pass_on();
         self.on(Event::Edit(config));
         self.on(Event::World(upstreams));
         self.on(Event::Blind(self.shared.blind.get()));
@@ -190,7 +199,11 @@
             Ok(Datagram::HopCancelled(number)) => self.shared.hops.cancel(from, number),
             Ok(Datagram::Seek) => {
                 self.shared.packets.send(from, &Datagram::Found(self.found()));
+                if let Some(news) = self.held() {
+                    self.shared.packets.send(from, &Datagram::Quarantine(news));
+                }
             }
+            Ok(Datagram::Quarantine(news)) => quarantine::hear(&self.shared, from, &news),
             Ok(Datagram::Found(found)) => self.on_start(start::Event::Found(from, found)),
             Err(error) => tracing::debug!(%error, %from, "packet refused"),
         }
@@ -255,14 +268,15 @@
         let own = Vm::named(&self.shared.settings.vm);
         let here = directory.members.get(&own).map(|m| m.place.region);
         let all = directory.owners().count();
-        let others: Vec<SocketAddr> = directory
-            .owners()
-            .filter(|(vm, m)| *vm != own && Some(m.place.region) == here)
-            .map(|(_, m)| m.addr)
-            .collect();
-        let near = others.len() + 1;
-        self.on_start(start::Event::Peers(&others));
-        self.near.replace(others);
+        let others = || directory.owners().filter(|(vm, _)| *vm != own);
+        let beside = others().filter(|(_, m)| Some(m.place.region) == here);
+        let beside: Vec<SocketAddr> = beside.map(|(_, m)| m.addr).collect();
+        let near = beside.len() + 1;
+        self.on_start(start::Event::Peers(&beside));
+        self.near.replace(beside);
+        self.others.replace(others().map(|(_, m)| m.addr).collect());
+        let numbers = others().map(|(vm, _)| vm.0).collect();
+        self.shared.core.borrow_mut().quarantine.set_vms(own.0, numbers);
         let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
         let vms = Vms { all: count(all), near: count(near) };
         // At its start a VM knows only itself, and would take all connections for its own.
--- a/crates/tgw-gateway/src/ready.rs
+++ b/crates/tgw-gateway/src/ready.rs
@@ -1,6 +1,6 @@
-use crate::shared::Shared;
+use crate::{quarantine, shared::Shared};
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -47,11 +47,38 @@
     Response::new(Full::new(text.into()))
 }
 
+/// What is held back, as JSON.
+fn held(shared: &Shared) -> Response<Full<Bytes>> {
+    let text = serde_json::to_string(&quarantine::list(shared)).unwrap_or_else(|error| {
+        tracing::warn!(%error, "what is held back cannot be written");
+        String::new()
+    });
+    Response::new(Full::new(text.into()))
+}
+
+/// Lets the request go that a path names.
+fn release(shared: &Shared, name: &str) -> StatusCode {
+    match name.parse() {
+        Err(_) => StatusCode::BAD_REQUEST,
+        Ok(print) if quarantine::release(shared, print) => StatusCode::NO_CONTENT,
+        Ok(_) => StatusCode::NOT_FOUND,
+    }
+}
+
 fn answer(shared: &Shared, request: &Request<Incoming>) -> Response<Full<Bytes>> {
     let path = request.uri().path();
     if path == METRICS {
         return metrics(shared);
     }
+    if path == quarantine::PATH {
+        return held(shared);
+    }
+    let named = path.strip_prefix(quarantine::PATH).and_then(|rest| rest.strip_prefix('/'));
+    if let Some(name) = named.filter(|_| *request.method() == Method::DELETE) {
+        let mut response = Response::new(Full::new(Bytes::new()));
+        *response.status_mut() = release(shared, name);
+        return response;
+    }
     let status = if path != shared.dialect.ready_path() {
         StatusCode::NOT_FOUND
     } else if shared.ready() {
--- a/crates/tgw-gateway/src/serve.rs
+++ b/crates/tgw-gateway/src/serve.rs
@@ -104,6 +104,7 @@
         if slow > 0 {
             tracing::info!(callers = slow, limit_ms = limit.whole(), "heads took too long");
         }
+        shared.core.borrow_mut().quarantine.sweep(now);
         let core = shared.core.borrow();
         shared.pools.sweep(now, |key| core.fleet.get(key).is_some());
     }
--- a/crates/tgw-gateway/src/shared.rs
+++ b/crates/tgw-gateway/src/shared.rs
@@ -235,6 +235,9 @@
         set(&gauges.lines_dropped, self.dropped.as_ref().map_or(0, Dropped::count));
         set(&gauges.room, self.room.free() as u64);
         set(&gauges.hosted, self.hops.hosted() as u64);
+        let (held, suspected) = core.quarantine.counts();
+        set(&gauges.held, held as u64);
+        set(&gauges.suspected, suspected as u64);
         set(&gauges.ready, u64::from(self.ready()));
     }
 
--- a/crates/tgw-operate/src/lib.rs
+++ b/crates/tgw-operate/src/lib.rs
@@ -8,6 +8,8 @@
 mod log;
 /// Where requests were lost, counted from log files.
 pub mod losses;
+/// Requests that a gateway holds back.
+pub mod quarantine;
 /// The fleet as its VMs see it.
 pub mod status;
 /// One request's story, told from log files.
--- a/crates/tgw-quarantine/src/fingerprint.rs
+++ b/crates/tgw-quarantine/src/fingerprint.rs
@@ -1,25 +1,58 @@
-use derive_more::{Display, From};
+use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
-use std::net::IpAddr;
+use std::{fmt, net::IpAddr, str::FromStr};
 
 /// Tells the hash apart from other uses of the same secret.
 const CONTEXT: &str = "tanagergw 2026-12 fingerprint of a request";
 
 /// What two requests share that differ in nothing but their identity and their deadline.
 ///
-/// A keyed hash: a caller cannot make another's request look like its own, and a log that holds it tells nothing
-/// of a body.
+/// Keyed hashes: a caller cannot make another's request look like its own, and a log that holds them tells nothing of
+/// a body.
 #[derive(
-    Copy, Clone, Debug, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+    Copy,
+    Clone,
+    Debug,
+    Default,
+    Display,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
 )]
-#[display("{_0:016x}")]
-pub struct Fingerprint(u64);
+#[display("{content:016x}-{caller:08x}")]
+pub struct Fingerprint {
+    /// Of method, host, path, query and body: the same whoever asks.
+    pub content: u64,
+    /// Of the caller's address.
+    pub caller: u32,
+}
+
+/// A text is not a fingerprint.
+#[derive(Copy, Clone, Debug, Display, Error, PartialEq, Eq)]
+#[display("not a fingerprint: sixteen hexadecimal digits, a hyphen, eight more")]
+pub struct Invalid;
+
+impl FromStr for Fingerprint {
+    type Err = Invalid;
+
+    fn from_str(text: &str) -> Result<Self, Invalid> {
+        let (content, caller) = text.split_once('-').ok_or(Invalid)?;
+        if (content.len(), caller.len()) != (16, 8) {
+            return Err(Invalid);
+        }
+        let content = u64::from_str_radix(content, 16).map_err(|_| Invalid)?;
+        let caller = u32::from_str_radix(caller, 16).map_err(|_| Invalid)?;
+        Ok(Self { content, caller })
+    }
+}
 
-/// What a request asks for, and who asks.
+/// What a request asks for.
 #[derive(Copy, Clone, Debug)]
 pub struct Content<'a> {
-    /// Where its caller connects from; the port is another at each connection.
-    pub caller: IpAddr,
     /// The method.
     pub method: &'a str,
     /// The host that was asked for.
@@ -42,27 +75,37 @@
         Self { key: blake3::derive_key(CONTEXT, secret) }
     }
 
-    /// The fingerprint of a request.
-    pub fn of(&self, content: &Content<'_>) -> Fingerprint {
-        let Content { caller, method, host, target, body } = content;
+    /// Of a caller, by where it connects from; its port is another at each connection.
+    pub fn caller(&self, address: IpAddr) -> u32 {
         let mut hash = blake3::Hasher::new_keyed(&self.key);
-        match caller.to_canonical() {
+        match address.to_canonical() {
             IpAddr::V4(ip) => hash.update(&ip.octets()),
             IpAddr::V6(ip) => hash.update(&ip.octets()),
         };
+        u32::from_le_bytes(first(&hash))
+    }
+
+    /// Of a request, whose caller was hashed before.
+    pub fn request(&self, caller: u32, content: &Content<'_>) -> Fingerprint {
+        let Content { method, host, target, body } = content;
+        let mut hash = blake3::Hasher::new_keyed(&self.key);
         for field in [method.as_bytes(), host.as_bytes(), target.as_bytes(), body] {
             // Without its length, the end of one field could pass for the beginning of the next.
             hash.update(&(field.len() as u64).to_le_bytes());
             hash.update(field);
         }
-        let mut bytes = [0; size_of::<u64>()];
-        hash.finalize_xof().fill(&mut bytes);
-        Fingerprint(u64::from_le_bytes(bytes))
+        Fingerprint { content: u64::from_le_bytes(first(&hash)), caller }
     }
 }
 
-impl std::fmt::Debug for Hasher {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+fn first<const N: usize>(hash: &blake3::Hasher) -> [u8; N] {
+    let mut bytes = [0; N];
+    hash.finalize_xof().fill(&mut bytes);
+    bytes
+}
+
+impl fmt::Debug for Hasher {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("Hasher(..)")
     }
 }
--- a/crates/tgw-spread/src/hop.rs
+++ b/crates/tgw-spread/src/hop.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use std::rc::Rc;
-use tgw_quarantine::Fingerprint;
+use tgw_quarantine::{Fingerprint, message::Seen};
 
 /// Asks a VM to send a request to one upstream.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -33,6 +33,8 @@
     pub body: Vec<u8>,
     /// Tells which requests are the same: its caller is known only where it came in.
     pub print: Fingerprint,
+    /// What the sender knows of upstreams that ended under it.
+    pub seen: Seen,
 }
 
 /// How such a send ended.
@@ -68,4 +70,6 @@
     Broken,
     /// No reply in time: it may have run.
     Silent,
+    /// The upstream's process ended: it may have run.
+    Gone,
 }
--- a/crates/tgw-spread/src/message.rs
+++ b/crates/tgw-spread/src/message.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use tgw_forward::upstream::Entry;
 use tgw_member::Record;
+use tgw_quarantine::message as quarantine;
 use tgw_route::{Limits, Route, Service};
 
 /// One message.
@@ -45,6 +46,8 @@
     Seek,
     /// How far the sender is.
     Found(Found),
+    /// Upstreams that ended under requests, and requests that are held back.
+    Quarantine(quarantine::News),
 }
 
 /// An upstream that is late or slow.
--- a/crates/tgw-spread/tests/spread.rs
+++ b/crates/tgw-spread/tests/spread.rs
@@ -12,6 +12,10 @@
 };
 use tgw_clock::Millis;
 use tgw_forward::upstream::Entry;
+use tgw_quarantine::{
+    Fingerprint,
+    message::{End, Hold, News, Seen},
+};
 use tgw_route::{Config, Route, Safety, Target};
 use tgw_spread::{
     Delta, Ledger, Message, World, hop,
@@ -235,12 +239,17 @@
         uri: "/a/b".into(),
         headers: vec![("host".into(), b"a.example".to_vec())],
         body: vec![1, 2],
-        print: 7.into(),
+        print: Fingerprint { content: 7, caller: 8 },
+        seen: Seen { all: 1, service: 2 },
     };
     let outcome =
         hop::Outcome::Answered { status: 200, seal: Some(b"s".to_vec()), body: vec![3; 32] };
     let late = Late { upstream: "u".into(), started: 3, overdue: true, expected: 12.0 };
+    let (print, seen) = (request.print, request.seen);
+    let ends = vec![End { print, service: 3, upstream: 4, seen }];
+    let holds = vec![Hold { print, service: None, turn: 1, trials: 0, wait: 9 }];
     vec![
+        Datagram::Quarantine(News { ends, holds }),
         Datagram::Hop(Box::new(request)),
         Datagram::HopEnded(Box::new(hop::Reply { number: 7, outcome })),
         Datagram::HopCancelled(7),
