feat(quarantine): what the requests of two addresses have shown holds for all; a failure speaks for no request

Cause: a caller was told by its address. Ruled out: that fingerprints of the content differ (each attempt would end 12). Change: an address is a host, not a caller. Held back for two of them, the same content (with its credentials, if it bears any) is held back for all; one address alone still closes the way for nobody else. Trials and answers count for all then. A reply that reports a failure, as at a deadline, does not show that an upstream bears the request. The look after a break may take 120 ms, as 50 was near the longest way there and back.

--- a/crates/tgw-bench/src/overload/query.rs
+++ b/crates/tgw-bench/src/overload/query.rs
@@ -28,6 +28,8 @@
     pub(super) seed: u64,
     /// Each upstream ends that begins to run it.
     pub(super) deadly: bool,
+    /// The host that it comes from.
+    pub(super) host: u32,
 }
 
 impl Query {
@@ -39,7 +41,7 @@
     /// The same each time that its caller sends it; of the deadly query, however often it comes.
     pub(super) fn print(&self) -> Fingerprint {
         let content = if self.deadly { 0 } else { self.first.as_micros() };
-        Fingerprint { content, caller: 0 }
+        Fingerprint { content, caller: self.host }
     }
 
     /// The same query as its caller sends it again through another VM, if there is time left.
@@ -78,9 +80,9 @@
         let vm = rng.random_range(0..size.vms);
         let (region, seed) = (vm % REGIONS, rng.random());
         let at = Millis::from_f64(at);
-        queries.push(Query { at, first: at, region, vm, full, work, seed, deadly: false });
+        queries.push(Query { at, first: at, region, vm, full, work, seed, deadly: false, host: 0 });
     }
-    if scenario == Scenario::QueryOfDeath {
+    if scenario.deadly() {
         queries.extend(deaths(scenario, size, rng));
     }
     queries
@@ -90,12 +92,24 @@
 fn deaths(scenario: Scenario, size: Size, rng: &mut SmallRng) -> Vec<Query> {
     let mut queries = Vec::new();
     let mut at = FROM_S * 1_000.0;
+    let mut host = 0;
     while scenario.lasts().contains(&at) {
         let (vm, seed) = (rng.random_range(0..size.vms), rng.random());
         let (first, work) = (Millis::from_f64(at), vec![20.0; SHARDS]);
         let region = vm % REGIONS;
-        queries.push(Query { at: first, first, region, vm, full: true, work, seed, deadly: true });
+        queries.push(Query {
+            at: first,
+            first,
+            region,
+            vm,
+            full: true,
+            work,
+            seed,
+            deadly: true,
+            host,
+        });
         at += DEATH_EVERY_MS;
+        host += u32::from(scenario == Scenario::QueryOfDeathOfManyHosts);
     }
     queries
 }
--- a/crates/tgw-bench/src/overload/run.rs
+++ b/crates/tgw-bench/src/overload/run.rs
@@ -34,6 +34,9 @@
 const NEAR_MS: f64 = 0.1;
 /// Above the number of queries of a run; those that come again are numbered from here.
 const ARRIVALS_MOST: usize = 1 << 20;
+/// Time in ms after an answer at which its caller's next request arrives: four ways of 3 ms, the answer's, two of a
+/// new connection, and the request's.
+const RETURN: Millis = Millis::new(12);
 /// Who chooses.
 #[derive(Copy, Clone, Debug, Display, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "lowercase")]
@@ -291,6 +294,10 @@
             Answer::Refused { retry_after, .. } => Some(now + *retry_after),
             Answer::Failed(_) | Answer::TimedOut => Some(now),
         };
+        // How far the word of an upstream's end has come when its caller is back is what that scenario is about; the
+        // others leave a caller's way out.
+        let way = if running.query.deadly { RETURN } else { Millis::ZERO };
+        let back = back.map(|at| at + way);
         let vm = self.rng.random_range(0..self.size.vms);
         if let Some(again) = back.and_then(|at| running.query.again(at, vm)) {
             return self.returns(again);
--- a/crates/tgw-bench/src/overload/scenario.rs
+++ b/crates/tgw-bench/src/overload/scenario.rs
@@ -43,11 +43,14 @@
     /// A query comes again and again under which each upstream ends that begins to run it.
     #[display("query-of-death")]
     QueryOfDeath,
+    /// The same, each time from another of its caller's hosts.
+    #[display("query-of-death-of-many-hosts")]
+    QueryOfDeathOfManyHosts,
 }
 
 impl Scenario {
     /// All of them.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 9] = [
         Self::Pauses,
         Self::ShedAcross,
         Self::SlowAcross,
@@ -56,6 +59,7 @@
         Self::FleetRestart,
         Self::Burst,
         Self::QueryOfDeath,
+        Self::QueryOfDeathOfManyHosts,
     ];
 
     /// The scenario of a name.
@@ -69,13 +73,19 @@
             Self::ShedAcross => 17.0 / 30.0,
             Self::SlowAcross | Self::DarkAcross => 0.15,
             Self::RepliesLost => 0.5,
-            Self::Pauses | Self::FleetRestart | Self::Burst | Self::QueryOfDeath => 0.0,
+            Self::Pauses | Self::FleetRestart | Self::Burst => 0.0,
+            Self::QueryOfDeath | Self::QueryOfDeathOfManyHosts => 0.0,
         }
     }
 
+    /// Whether a query comes under which upstreams end.
+    pub(super) fn deadly(self) -> bool {
+        matches!(self, Self::QueryOfDeath | Self::QueryOfDeathOfManyHosts)
+    }
+
     /// When it goes wrong, in ms.
     pub(super) fn lasts(self) -> Range<f64> {
-        let lasts = if self == Self::QueryOfDeath { DEATH_LASTS_S } else { LASTS_S };
+        let lasts = if self.deadly() { DEATH_LASTS_S } else { LASTS_S };
         FROM_S * 1_000.0..(FROM_S + lasts) * 1_000.0
     }
 
@@ -83,7 +93,7 @@
     /// once all VMs may know it.
     pub(super) fn counted(self) -> Range<f64> {
         let Range { start, end } = self.lasts();
-        let known = if self == Self::QueryOfDeath { KNOWN_S * 1_000.0 } else { 0.0 };
+        let known = if self.deadly() { KNOWN_S * 1_000.0 } else { 0.0 };
         start + known..end + 1_000.0
     }
 
--- a/crates/tgw-bench/tests/overload.rs
+++ b/crates/tgw-bench/tests/overload.rs
@@ -79,3 +79,16 @@
     assert_eq!(tier.ended_late, 0, "{beside}");
     assert!(tier.worth >= 0.95 * without.of(Choice::Tier).unwrap().worth, "{beside}{without}");
 }
+
+// The same from another host each time, as a team has many. Each host was taken for another caller, of whose search
+// nothing was known but that it was to be sent with care, and ended one upstream more for as long as new ones came. The
+// second host's attempt may still do so: then it is held back for all.
+#[test_case(6, 3)]
+#[test_case(76, 1)]
+fn a_query_of_death_of_many_hosts_ends_one_upstream_more(vms: usize, seeds: u64) {
+    let options = Options { seeds, vms: Some(vms), set: vec![] };
+    let report = report(Scenario::QueryOfDeathOfManyHosts, &options).unwrap();
+    let tier = report.of(Choice::Tier).unwrap();
+    assert!(tier.ended <= SHARDS as u64 + 3, "{report}");
+    assert_eq!(tier.ended_late, 0, "{report}");
+}
--- a/crates/tgw-forward/src/caution.rs
+++ b/crates/tgw-forward/src/caution.rs
@@ -1,6 +1,6 @@
 use crate::{
     Core, Plan,
-    message::{Order, Reason, Why},
+    message::{Order, Reason, Response, Why},
     part::{Part, State},
 };
 use tgw_clock::Millis;
@@ -62,8 +62,18 @@
         core.policy().quarantine && self.rounds(core) > 0
     }
 
-    /// An upstream answered, so that it did not end.
-    pub(crate) fn note_answer(&mut self, now: Millis, index: usize, core: &mut Core) {
+    /// An upstream replied, and did not end: the request is no deadly one. Of one that failed, as at its deadline, it is
+    /// not known how far it ran.
+    pub(crate) fn note_answer(
+        &mut self,
+        now: Millis,
+        index: usize,
+        response: &Response,
+        core: &mut Core,
+    ) {
+        if response.status.is_server_error() {
+            return;
+        }
         self.answered = true;
         if let Some(part) = self.parts.get(index) {
             self.released |= core.quarantine.answered(now, self.print, &part.service);
--- a/crates/tgw-forward/src/plan.rs
+++ b/crates/tgw-forward/src/plan.rs
@@ -226,7 +226,7 @@
         match ended {
             Ended::Answered(response) => {
                 self.ran = true;
-                self.note_answer(now, index, core);
+                self.note_answer(now, index, &response, core);
                 let Some(part) = self.parts.get_mut(index) else { return };
                 if !part.waiting() || self.take(index, response) {
                     return;
--- a/crates/tgw-forward/tests/caution/mod.rs
+++ b/crates/tgw-forward/tests/caution/mod.rs
@@ -1,6 +1,6 @@
 //! Requests under which upstreams end, attempt by attempt.
 
-use crate::world::{World, record, route, shards};
+use crate::world::{World, answered, record, route, shards};
 use test_case::test_case;
 use tgw_clock::Millis;
 use tgw_forward::{
@@ -81,6 +81,21 @@
     assert_eq!(world.orders.len(), 6, "answered, it waits for none");
 }
 
+// An upstream gives up at the deadline of a search, as another one would have ended a moment later. Its failure says
+// nothing for the search: the next part is tried alone as well.
+#[test]
+fn a_failure_is_no_answer_that_speaks_for_a_search() {
+    let mut world = World::new(3);
+    world.start(&route(shards(3), Safety::Idempotent));
+    for index in 0..3 {
+        gone(&mut world, index);
+    }
+    world.end(3, answered(504, Some("seal"), &[]), Sign::Failure);
+    assert_eq!(world.orders.len(), 5);
+    gone(&mut world, 4);
+    assert_eq!(world.orders.len(), 6);
+}
+
 // Replies are lost with their connections, and the upstreams are there. These are retried at once, as ever.
 #[test]
 fn lost_replies_are_retried_at_once() {
--- a/crates/tgw-gateway/src/handle.rs
+++ b/crates/tgw-gateway/src/handle.rs
@@ -115,6 +115,7 @@
         method: head.method.as_str(),
         host: host.unwrap_or_default(),
         target: head.uri.path_and_query().map_or("", |target| target.as_str()),
+        credentials: head.headers.get(header::AUTHORIZATION).map_or(&[], HeaderValue::as_bytes),
         body: &body,
     };
     let print = shared.hasher.request(caller, &content);
--- a/crates/tgw-gateway/src/loss.rs
+++ b/crates/tgw-gateway/src/loss.rs
@@ -11,9 +11,9 @@
 use tgw_quarantine::{Fingerprint, message::Seen};
 use tokio::sync::oneshot;
 
-/// Time in ms for a connection that only finds out whether the upstream is there: a little above the longest way
-/// there and back. What broke is tried again after it.
-const LOOK: Millis = Millis::new(50);
+/// Time in ms for a connection that only finds out whether the upstream is there: three times the longest way there
+/// and back (40 ms). What broke is tried again after it; few wait that long, as a host that runs answers at once.
+const LOOK: Millis = Millis::new(120);
 
 /// A send that broke.
 pub(crate) struct Break {
--- a/crates/tgw-quarantine/src/fingerprint.rs
+++ b/crates/tgw-quarantine/src/fingerprint.rs
@@ -25,9 +25,10 @@
 )]
 #[display("{content:016x}-{caller:08x}")]
 pub struct Fingerprint {
-    /// Of method, host, path, query and body: the same whoever asks.
+    /// Of method, host, path, query, credentials and body: the same wherever it comes from.
     pub content: u64,
-    /// Of the caller's address.
+    /// Of the address that it comes from, which is not who its caller is: a team has many hosts, and a balancer one
+    /// address for all.
     pub caller: u32,
 }
 
@@ -59,6 +60,8 @@
     pub host: &'a str,
     /// Path and query.
     pub target: &'a str,
+    /// What its caller shows of who it is, if anything.
+    pub credentials: &'a [u8],
     /// The body.
     pub body: &'a [u8],
 }
@@ -87,9 +90,10 @@
 
     /// Of a request, whose caller was hashed before.
     pub fn request(&self, caller: u32, content: &Content<'_>) -> Fingerprint {
-        let Content { method, host, target, body } = content;
+        let Content { method, host, target, credentials, body } = content;
         let mut hash = blake3::Hasher::new_keyed(&self.key);
-        for field in [method.as_bytes(), host.as_bytes(), target.as_bytes(), body] {
+        let [method, host, target] = [method, host, target].map(|text| text.as_bytes());
+        for field in [method, host, target, credentials, body] {
             // Without its length, the end of one field could pass for the beginning of the next.
             hash.update(&(field.len() as u64).to_le_bytes());
             hash.update(field);
--- a/crates/tgw-quarantine/src/ledger.rs
+++ b/crates/tgw-quarantine/src/ledger.rs
@@ -1,6 +1,6 @@
 use crate::{
     Fingerprint,
-    mark::Mark,
+    mark::{Mark, TRIALS},
     message::{End, Hold, News, Seen},
     record::Record,
     roster::Roster,
@@ -20,6 +20,9 @@
 const FORGET_HELD: Millis = Millis::new(86_400_000);
 /// What is told at once, at most: of each kind, one packet.
 const TOLD: usize = 64;
+/// Callers of whom a request must have been held back to be held back for all: what one sends closes the way for
+/// nobody else, though it may do so in a header of its own; what two send does not depend on who they are.
+const PROOF: usize = 2;
 /// Words that wait to be told; older ones are dropped, as whoever sends so many different requests is known by the
 /// ones that are left.
 const WAITING: usize = 512;
@@ -73,7 +76,7 @@
 /// What one VM knows of requests under which upstreams ended. Empty on most days, when a look costs next to nothing.
 #[derive(Debug, Default)]
 pub struct Ledger {
-    /// By content, then by caller: nobody is turned away for what another caller sent, but what ended upstreams for
+    /// By content, then by caller: nobody is turned away for what one other caller sent, but what ended upstreams for
     /// one is sent with care for the next.
     contents: HashMap<u64, Callers>,
     records: usize,
@@ -100,48 +103,42 @@
     /// What may be done with a request as a whole. A request that is due to be tried again may be sent, with care, by
     /// one VM, which counts that as a trial.
     pub fn verdict(&mut self, now: Millis, print: Fingerprint) -> Verdict {
-        if self.is_empty() {
-            return Verdict::Free;
-        }
-        let leads = self.roster.leads(print.content);
-        if let Some(record) = self.record_mut(print) {
-            record.touched = now;
-            if record.all.held() {
-                return self.held(now, print, None, leads);
-            }
-            if let Some(wait) = record.all.pending(now) {
-                return Verdict::Held(wait);
+        let Some(callers) = self.contents.get_mut(&print.content) else { return Verdict::Free };
+        for (caller, record) in callers.iter_mut() {
+            if *caller == print.caller {
+                record.touched = now;
             }
         }
-        careful(self.seen(print, 0).all)
+        let pending = callers.iter().filter_map(|(_, record)| record.all.pending(now)).max();
+        match (self.judge(now, print, None), pending) {
+            (Verdict::Held(wait), _) => Verdict::Held(wait),
+            (_, Some(wait)) => Verdict::Held(wait),
+            (verdict, None) => verdict,
+        }
     }
 
     /// What may be done with a request's part at a service.
     pub fn part(&mut self, now: Millis, print: Fingerprint, service: &str) -> Verdict {
-        if self.is_empty() {
-            return Verdict::Free;
-        }
-        let service = name(service);
-        let leads = self.roster.leads(print.content);
-        if self.record(print).is_some_and(|record| record.service(service).held()) {
-            return self.held(now, print, Some(service), leads);
-        }
-        careful(self.seen(print, service).service)
+        if self.is_empty() { Verdict::Free } else { self.judge(now, print, Some(name(service))) }
     }
 
     /// Whether a request is held back as a whole.
     pub fn holds(&self, print: Fingerprint) -> bool {
-        self.record(print).is_some_and(|record| record.all.held())
+        !self.is_empty() && self.against(print, None).next().is_some()
     }
 
     /// How often upstreams ended under a request, one time after the other.
     pub fn rounds(&self, print: Fingerprint) -> u8 {
-        if self.is_empty() { 0 } else { self.seen(print, 0).all }
+        if self.is_empty() { 0 } else { self.rounds_at(print, None) }
     }
 
     /// How far a request's rounds have come, at a service and in all.
     pub fn known(&self, print: Fingerprint, service: &str) -> Seen {
-        if self.is_empty() { Seen::default() } else { self.seen(print, name(service)) }
+        if self.is_empty() {
+            return Seen::default();
+        }
+        let service = self.rounds_at(print, Some(name(service)));
+        Seen { all: self.rounds_at(print, None), service }
     }
 
     /// An upstream ended under a request, as this VM saw or another one told.
@@ -151,7 +148,7 @@
             return Change::None;
         }
         let all = record.all.ended(now, end.seen.all);
-        let part = record.service_mut(end.service).ended(now, end.seen.service);
+        let part = record.mark_mut(Some(end.service)).ended(now, end.seen.service);
         push(&mut self.news.ends, *end);
         if all || part { Change::Held { all } } else { Change::Ended }
     }
@@ -163,17 +160,21 @@
             return false;
         }
         let service = name(service);
+        let proven = [None, Some(service)].map(|at| self.against(print, at).count() >= PROOF);
         let Some(callers) = self.contents.get_mut(&print.content) else { return false };
         let mut released = false;
         for (caller, record) in callers {
+            let of = Hold::of(Fingerprint { caller: *caller, ..print });
             let own = *caller == print.caller;
-            let marks = record.services.iter_mut().filter(|(name, _)| *name == service);
-            let marks = marks.map(|(name, mark)| (Some(*name), mark));
-            let of = Hold { print, service: None, turn: 0, trials: 0, wait: 0 };
-            for (service, mark) in marks.chain([(None, &mut record.all)]) {
-                if (own || !mark.held()) && mark.answered() {
+            for (at, mark) in record.marks_mut() {
+                let shown = match at {
+                    None => own || proven[0],
+                    Some(at) => at == service && (own || proven[1]),
+                };
+                let here = at.is_none() || at == Some(service);
+                if here && (shown || !mark.held()) && mark.answered() {
                     released = true;
-                    push(&mut self.news.holds, mark.hold(now, Hold { service, ..of }));
+                    push(&mut self.news.holds, mark.hold(now, Hold { service: at, ..of }));
                 }
             }
         }
@@ -183,10 +184,7 @@
     /// Takes over what another VM says of a request that is held back, or was let go.
     pub fn merge(&mut self, now: Millis, hold: &Hold) -> Change {
         let record = self.enter(now, hold.print);
-        let mark = match hold.service {
-            Some(service) => record.service_mut(service),
-            None => &mut record.all,
-        };
+        let mark = record.mark_mut(hold.service);
         if !mark.merge(now, hold) {
             return Change::None;
         }
@@ -195,17 +193,14 @@
         if held { Change::Held { all: hold.service.is_none() } } else { Change::Released }
     }
 
-    /// Lets a request go. Returns whether it was held back.
+    /// Lets a request go, as it is sent by one caller. Returns whether it was held back.
     pub fn release(&mut self, now: Millis, print: Fingerprint) -> bool {
         let Some(record) = self.record_mut(print) else { return false };
-        let of = Hold { print, service: None, turn: 0, trials: 0, wait: 0 };
-        let services = record.services.iter_mut().map(|(name, mark)| (Some(*name), mark));
-        let marks = services.chain([(None, &mut record.all)]);
-        let held = marks.filter(|(_, mark)| mark.held());
+        let held = record.marks_mut().filter(|(_, mark)| mark.held());
         let released: SmallVec<[Hold; 1]> = held
             .map(|(service, mark)| {
                 mark.answered();
-                mark.hold(now, Hold { service, ..of })
+                mark.hold(now, Hold { service, ..Hold::of(print) })
             })
             .collect();
         released.iter().for_each(|hold| push(&mut self.news.holds, *hold));
@@ -228,10 +223,8 @@
     pub fn holds_from(&self, now: Millis, from: usize) -> Vec<Hold> {
         let mut all = Vec::new();
         for (print, record) in self.iter() {
-            let of = Hold { print, service: None, turn: 0, trials: 0, wait: 0 };
-            let services = record.services.iter().map(|(name, mark)| (Some(*name), mark));
-            for (service, mark) in services.chain([(None, &record.all)]) {
-                let hold = mark.hold(now, Hold { service, ..of });
+            for (service, mark) in record.marks() {
+                let hold = mark.hold(now, Hold { service, ..Hold::of(print) });
                 if hold.turn > 0 {
                     all.push(hold);
                 }
@@ -314,36 +307,49 @@
         self.records -= 1;
     }
 
-    fn seen(&self, print: Fingerprint, service: u32) -> Seen {
-        let mut seen = Seen::default();
-        for (caller, record) in self.contents.get(&print.content).into_iter().flatten() {
+    /// What holds a request back, at a service or everywhere: what its caller's requests did, or what those of two
+    /// other callers did.
+    fn against(
+        &self,
+        print: Fingerprint,
+        service: Option<u32>,
+    ) -> impl Iterator<Item = (u32, Mark)> {
+        let callers = self.contents.get(&print.content).into_iter().flatten();
+        let held = callers.map(move |(caller, record)| (*caller, record.mark(service)));
+        let held: SmallVec<[(u32, Mark); 2]> = held.filter(|(_, mark)| mark.held()).collect();
+        let holds = held.len() >= PROOF || held.iter().any(|(caller, _)| *caller == print.caller);
+        held.into_iter().filter(move |_| holds)
+    }
+
+    /// How often upstreams ended under a request, at a service or anywhere.
+    fn rounds_at(&self, print: Fingerprint, service: Option<u32>) -> u8 {
+        let holds = self.against(print, service).next().is_some();
+        let callers = self.contents.get(&print.content).into_iter().flatten();
+        let rounds = callers.map(|(caller, record)| {
             // What another caller's requests did says what this one may do, but it is not held back for it.
-            let most = if *caller == print.caller { LIMIT } else { LIMIT - 1 };
-            seen.all = seen.all.max(record.all.rounds().min(most));
-            seen.service = seen.service.max(record.service(service).rounds().min(most));
-        }
-        seen
+            let most = if holds || *caller == print.caller { LIMIT } else { LIMIT - 1 };
+            record.mark(service).rounds().min(most)
+        });
+        rounds.max().unwrap_or_default()
     }
 
-    /// What may be done with a request that is held back.
-    fn held(
-        &mut self,
-        now: Millis,
-        print: Fingerprint,
-        service: Option<u32>,
-        leads: bool,
-    ) -> Verdict {
-        let Some(record) = self.record_mut(print) else { return Verdict::Free };
-        let mark = match service {
-            Some(service) => record.service_mut(service),
-            None => &mut record.all,
+    /// What may be done with a request, at a service or anywhere.
+    fn judge(&mut self, now: Millis, print: Fingerprint, service: Option<u32>) -> Verdict {
+        let held: SmallVec<[(u32, Mark); 2]> = self.against(print, service).collect();
+        let Some((caller, mark)) = held.iter().min_by_key(|(caller, _)| *caller).copied() else {
+            return careful(self.rounds_at(print, service));
         };
-        if !leads || !mark.due(now) {
+        let trials = held.iter().map(|(_, mark)| mark.trials()).fold(0, u8::saturating_add);
+        if !mark.due(now) || trials >= TRIALS || !self.roster.leads(print.content) {
             return Verdict::Held(mark.wait(now));
         }
-        mark.tried(now);
-        let hold = mark.hold(now, Hold { print, service, turn: 0, trials: 0, wait: 0 });
-        push(&mut self.news.holds, hold);
+        let of = Fingerprint { caller, ..print };
+        if let Some(record) = self.record_mut(of) {
+            let mark = record.mark_mut(service);
+            mark.tried(now);
+            let hold = mark.hold(now, Hold { service, ..Hold::of(of) });
+            push(&mut self.news.holds, hold);
+        }
         Verdict::Careful(LIMIT - 1)
     }
 }
@@ -353,9 +359,8 @@
 }
 
 fn held_of(now: Millis, print: Fingerprint, record: &Record) -> Held {
-    let services = record.services.iter().map(|(_, mark)| mark);
-    let marks: SmallVec<[&Mark; 2]> =
-        services.chain([&record.all]).filter(|mark| mark.held()).collect();
+    let marks = record.marks().map(|(_, mark)| mark);
+    let marks: SmallVec<[&Mark; 2]> = marks.filter(|mark| mark.held()).collect();
     Held {
         print,
         all: record.all.held(),
--- a/crates/tgw-quarantine/src/mark.rs
+++ b/crates/tgw-quarantine/src/mark.rs
@@ -12,7 +12,7 @@
 const HOLD_MS: u64 = 600_000;
 /// Times that a request is tried again, all VMs together; then only operators let it go. Each may end an upstream,
 /// and the operators allow three sends in all once it is known.
-const TRIALS: u8 = 2;
+pub(crate) const TRIALS: u8 = 2;
 
 /// What a caller is told to wait at least, in ms, where another VM is about to try its request again.
 const RETURN_LEAST: Millis = Millis::new(1_000);
@@ -85,9 +85,9 @@
         }
     }
 
-    /// Whether it may be tried again now.
+    /// Whether its time has come to be tried again, if that is allowed.
     pub(crate) fn due(&self, now: Millis) -> bool {
-        self.held() && self.trials < TRIALS && now >= self.next
+        self.held() && now >= self.next
     }
 
     /// It is being tried again.
--- a/crates/tgw-quarantine/src/message.rs
+++ b/crates/tgw-quarantine/src/message.rs
@@ -44,6 +44,13 @@
     pub wait: u32,
 }
 
+impl Hold {
+    /// A request that was never held back.
+    pub fn of(print: Fingerprint) -> Self {
+        Self { print, service: None, turn: 0, trials: 0, wait: 0 }
+    }
+}
+
 /// What one VM tells others.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct News {
--- a/crates/tgw-quarantine/src/record.rs
+++ b/crates/tgw-quarantine/src/record.rs
@@ -37,12 +37,15 @@
         self.ended.len()
     }
 
-    pub(crate) fn service(&self, service: u32) -> Mark {
+    /// Of a service, or of the request wherever it is sent.
+    pub(crate) fn mark(&self, service: Option<u32>) -> Mark {
+        let Some(service) = service else { return self.all };
         let known = self.services.iter().find(|(name, _)| *name == service);
         known.map(|(_, mark)| *mark).unwrap_or_default()
     }
 
-    pub(crate) fn service_mut(&mut self, service: u32) -> &mut Mark {
+    pub(crate) fn mark_mut(&mut self, service: Option<u32>) -> &mut Mark {
+        let Some(service) = service else { return &mut self.all };
         let at = self.services.iter().position(|(name, _)| *name == service);
         let at = at.unwrap_or_else(|| {
             self.services.push((service, Mark::default()));
@@ -51,8 +54,20 @@
         &mut self.services[at].1
     }
 
+    /// All of them, with their services.
+    pub(crate) fn marks_mut(&mut self) -> impl Iterator<Item = (Option<u32>, &mut Mark)> {
+        let services = self.services.iter_mut().map(|(name, mark)| (Some(*name), mark));
+        services.chain([(None, &mut self.all)])
+    }
+
+    /// All of them, with their services.
+    pub(crate) fn marks(&self) -> impl Iterator<Item = (Option<u32>, &Mark)> {
+        let services = self.services.iter().map(|(name, mark)| (Some(*name), mark));
+        services.chain([(None, &self.all)])
+    }
+
     /// Whether it is held back anywhere.
     pub(crate) fn held(&self) -> bool {
-        self.all.held() || self.services.iter().any(|(_, mark)| mark.held())
+        self.marks().any(|(_, mark)| mark.held())
     }
 }
--- a/crates/tgw-quarantine/tests/fingerprint/mod.rs
+++ b/crates/tgw-quarantine/tests/fingerprint/mod.rs
@@ -11,7 +11,7 @@
 const OTHER: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 2);
 
 fn content() -> Content<'static> {
-    Content { method: "GET", host: "a.example", target: "/x/1?p=2", body: b"ab" }
+    Content { method: "GET", host: "a.example", target: "/x/1?p=2", credentials: b"c", body: b"ab" }
 }
 
 #[test]
@@ -33,9 +33,10 @@
 #[test_case(Content { method: "PUT", ..content() }; "another method")]
 #[test_case(Content { host: "b.example", ..content() }; "another host")]
 #[test_case(Content { target: "/x/1?p=3", ..content() }; "another query")]
+#[test_case(Content { credentials: b"d", ..content() }; "other credentials")]
 #[test_case(Content { body: b"ac", ..content() }; "another body")]
 #[test_case(Content { host: "a.example/", target: "x/1?p=2", ..content() }; "a field that ends later")]
-#[test_case(Content { target: "/x/1?p=2ab", body: b"", ..content() }; "a body that passes for a path")]
+#[test_case(Content { target: "/x/1?p=2cab", credentials: b"", body: b"", ..content() }; "a body that passes for a path")]
 fn what_differs_has_another_fingerprint(other: Content<'_>) {
     let hasher = Hasher::new(b"secret");
     assert_ne!(hasher.request(1, &content()).content, hasher.request(1, &other).content);
--- a/crates/tgw-quarantine/tests/ledger/mod.rs
+++ b/crates/tgw-quarantine/tests/ledger/mod.rs
@@ -92,6 +92,38 @@
     assert_eq!(change, Change::Held { all: true }, "one upstream, not three rounds more");
 }
 
+// A search comes from many addresses: a team's hosts, or callers behind a balancer. Each was taken for another caller's
+// and ended one upstream more, for as long as new addresses came. What two of them have shown holds for all.
+#[test]
+fn what_two_callers_have_shown_holds_a_request_back_for_all() {
+    let mut ledger = deadly();
+    ledger.ended(LATER, &end(OTHER, "s0", 9, ledger.known(OTHER, "s0")));
+    let third = Fingerprint { caller: 3, ..PRINT };
+    assert!(matches!(ledger.verdict(LATER + LATER, third), Verdict::Held(_)));
+    assert!(ledger.holds(third));
+    let another = Fingerprint { content: 8, ..PRINT };
+    assert_eq!(ledger.verdict(LATER, another), Verdict::Free);
+}
+
+// However many callers' requests are held back, the upstreams are tried twice in all; and the answer to a trial lets
+// all of them go.
+#[test]
+fn what_is_held_back_for_all_is_tried_and_let_go_for_all() {
+    let mut ledger = deadly();
+    ledger.ended(LATER, &end(OTHER, "s0", 9, ledger.known(OTHER, "s0")));
+    let third = Fingerprint { caller: 3, ..PRINT };
+    let tried = |ledger: &mut Ledger, print| {
+        let minutes = (0..600).map(|minute| Millis::new(minute * 60_000));
+        minutes.filter(|now| ledger.verdict(*now, print) == Verdict::Careful(2)).count()
+    };
+    assert_eq!(tried(&mut ledger, third), 2);
+    assert_eq!(tried(&mut ledger, OTHER), 0);
+    assert!(ledger.answered(LATER, third, "s0"));
+    for print in [PRINT, OTHER, third] {
+        assert!(!ledger.holds(print));
+    }
+}
+
 // A caller is answered by the VM at which its request has just ended two upstreams, one after the other, and comes to
 // another VM at once. The word of the third is on its way: begun anew, it would end a fourth.
 #[test]
