refactor(spread): when a VM reads, watches or waits, and what becomes of what it reads, decided without I/O

Cause: what a VM does with a removal is spread over the gateway's loops and cannot be played under a virtual clock. Change: Follow decides the next step of reading one kind; Upstreams holds the ledger and the catalog and keeps the fleet; the gateway drives both. Decisions as before, word for word: gathering, watch, pauses, doubts, claims. Tests: those of spread and forward, unchanged in what they check; the property of processes keeps a fleet a VM now.

--- a/crates/tgw-gateway/src/peers.rs
+++ b/crates/tgw-gateway/src/peers.rs
@@ -179,7 +179,7 @@
 
     pub(crate) fn versions(&self) -> (u64, u64) {
         let world = self.shared.world.borrow();
-        (world.config(), world.upstreams_version())
+        (world.config(), world.upstreams.version())
     }
 
     fn packet(self: &Rc<Self>, packet: Result<Datagram, Error>, from: SocketAddr) {
--- a/crates/tgw-gateway/src/shared.rs
+++ b/crates/tgw-gateway/src/shared.rs
@@ -8,7 +8,7 @@
     sync::atomic::{AtomicU64, Ordering},
 };
 use tgw_clock::{Clock, Millis, Monotonic};
-use tgw_forward::{Catalog, Core, Policy, fleet::Key, upstream::Word};
+use tgw_forward::{Core, Policy, fleet::Key, upstream::Word};
 use tgw_quarantine::fingerprint::Hasher;
 use tgw_route::{Config, Limits, Table};
 use tgw_spread::{
@@ -70,7 +70,6 @@
     pub(crate) config: RefCell<Configured>,
     /// What is told to other VMs.
     pub(crate) world: RefCell<World>,
-    pub(crate) catalog: RefCell<Catalog>,
     /// The list of upstreams is known.
     pub(crate) listed: Cell<bool>,
     /// Upstreams are known from a copy of the store, which may be old, and from nothing better.
@@ -133,7 +132,6 @@
             breaks: Breaks::default(),
             config: RefCell::default(),
             world: RefCell::default(),
-            catalog: RefCell::default(),
             listed: Cell::new(false),
             stale: Cell::new(false),
             relay: watch::Sender::new(None),
@@ -175,7 +173,7 @@
     /// Takes note of the versions that this VM holds now.
     pub(crate) fn note_held(&self) {
         let world = self.world.borrow();
-        let (config, upstreams) = (world.config(), world.upstreams_version());
+        let (config, upstreams) = (world.config(), world.upstreams.version());
         if upstreams > 0 {
             self.listed.set(true);
         }
--- a/crates/tgw-gateway/src/stale.rs
+++ b/crates/tgw-gateway/src/stale.rs
@@ -1,10 +1,8 @@
-use crate::{
-    shared::Shared,
-    watch::{Configuration, LOOK},
-};
+use crate::{shared::Shared, watch::Configuration};
 use std::rc::Rc;
 use tgw_forward::upstream::Entry;
 use tgw_platform::{Object, Store, object::List};
+use tgw_spread::follow::LOOK_NEW;
 use tokio::time::sleep;
 
 /// Reads a copy of the store where nobody tells this VM the state at its start: it serves by that until it is
@@ -14,7 +12,7 @@
         if shared.start.borrow().is_over() {
             return;
         }
-        sleep(LOOK).await;
+        sleep(LOOK_NEW.into()).await;
     }
     let kinds = shared.dialect.kinds();
     let (config, upstreams) =
@@ -37,7 +35,7 @@
 /// Takes over upstreams that may be out of date, unless something better is known. Nothing is claimed of them:
 /// other VMs are told what the store says, not what a copy of it said.
 fn take(shared: &Shared, objects: &[Object]) {
-    if shared.world.borrow().upstreams_version() > 0 {
+    if shared.world.borrow().upstreams.version() > 0 {
         return;
     }
     let read = |o: &Object| shared.dialect.upstream(&o.name, &o.value).ok();
@@ -49,7 +47,7 @@
     );
     let known = !entries.is_empty();
     let mut core = shared.core.borrow_mut();
-    shared.catalog.borrow_mut().listed(shared.now(), entries, &[], &mut core.fleet);
+    shared.world.borrow_mut().upstreams.copied(shared.now(), entries, &mut core.fleet);
     if known {
         shared.listed.set(true);
         shared.stale.set(true);
--- a/crates/tgw-gateway/src/tell.rs
+++ b/crates/tgw-gateway/src/tell.rs
@@ -9,9 +9,10 @@
     time::Duration,
 };
 use tgw_clock::Millis;
+use tgw_forward::upstream::Entry;
 use tgw_member::Event;
 use tgw_spread::{
-    Message, Update,
+    Applied, Delta, Message,
     message::News,
     start::{self, Found},
 };
@@ -104,38 +105,39 @@
     }
 
     fn learn(&self, from: SocketAddr, news: News) {
-        let whole = news.upstreams.as_ref().is_some_and(|delta| delta.from.is_none());
-        let Update { config, upstreams } = self.shared.world.borrow_mut().apply(news);
+        let config = news.config.and_then(|c| self.shared.world.borrow_mut().apply(c));
         if let Some(config) = config {
             self.shared.adopt(&config, "peer");
         }
-        if whole {
-            // One line in place of hundreds that say what a line of the store's list says in one.
-            tracing::info!(upstreams = upstreams.changed.len(), removed = upstreams.removed.len(),
-                %from, "upstreams told by a peer");
+        if let Some(delta) = news.upstreams {
+            self.learn_upstreams(from, delta);
         }
+        self.shared.note_held();
+        self.shared.news.notify_one();
+    }
+
+    fn learn_upstreams(&self, from: SocketAddr, delta: Delta<Entry>) {
+        let whole = delta.from.is_none();
+        // What a copy of the store named may have left since: only what is told now stays.
+        let copied = whole && self.shared.stale.replace(false);
         let now = self.shared.now();
         let mut core = self.shared.core.borrow_mut();
-        let mut catalog = self.shared.catalog.borrow_mut();
-        if whole && self.shared.stale.replace(false) {
-            // What a copy of the store named may have left since: only what is told now stays.
-            let entries = upstreams.changed.clone();
-            catalog.listed(now, entries, &[], &mut core.fleet);
+        let mut world = self.shared.world.borrow_mut();
+        let Applied { changed, removed } =
+            world.upstreams.told(now, delta, copied, &mut core.fleet);
+        for id in &removed {
+            tracing::info!(upstream = &**id, %from, "upstream removed");
         }
-        for id in upstreams.removed {
-            tracing::info!(upstream = &*id, %from, "upstream removed");
-            catalog.removed(now, &id, &mut core.fleet);
+        if whole {
+            // One line in place of hundreds that say what a line of the store's list says in one.
+            tracing::info!(upstreams = changed.len(), removed = removed.len(), %from,
+                "upstreams told by a peer");
+            return;
         }
-        for entry in upstreams.changed {
-            if !whole {
-                tracing::info!(upstream = &*entry.id, service = &*entry.service, addr = %entry.addr,
-                    draining = entry.draining, %from, "upstream changed");
-            }
-            catalog.changed(now, entry, &mut core.fleet);
+        for entry in changed {
+            tracing::info!(upstream = &*entry.id, service = &*entry.service, addr = %entry.addr,
+                draining = entry.draining, %from, "upstream changed");
         }
-        drop((core, catalog));
-        self.shared.note_held();
-        self.shared.news.notify_one();
     }
 
     pub(crate) async fn accept(self: Rc<Self>, listener: TcpListener) {
@@ -185,7 +187,10 @@
         config: u64,
         upstreams: u64,
     ) -> anyhow::Result<()> {
-        let news = self.shared.world.borrow().news(config, upstreams);
+        let news = {
+            let world = self.shared.world.borrow();
+            News { config: world.since(config), upstreams: world.upstreams.since(upstreams) }
+        };
         self.write(stream, &Message::News(Box::new(news))).await
     }
 
--- a/crates/tgw-gateway/src/watch.rs
+++ b/crates/tgw-gateway/src/watch.rs
@@ -3,36 +3,17 @@
     shared::Shared,
     unreadable::Unreadable,
 };
-use std::{rc::Rc, time::Duration};
+use std::rc::Rc;
 use tgw_clock::Millis;
 use tgw_forward::upstream::Entry;
-use tgw_platform::{Error, Object, Store, Version, object::List};
-use tgw_spread::start;
+use tgw_platform::{Object, Store, Version, object::List};
+use tgw_spread::{
+    Follow,
+    follow::{self, Step, Turn},
+    start,
+};
 use tokio::{sync::watch, time::sleep};
 
-/// How long one watch waits, in ms. Each end costs a call. A store that keeps its connections and says
-/// nothing shows only when this has passed, and what changed right after its return would be in
-/// force that much later: it stays below the 5 s within which a calm VM counts as reachable again.
-const WAIT: Millis = Millis::new(5_000);
-/// Pause after news before the next watch: what changes meanwhile comes with one call, as when many
-/// upstreams are replaced. It is far below the 3 s in which a change is to be in force.
-const GATHER: Duration = Duration::from_millis(500);
-/// Time between looks for entries that stayed missing.
-const TICK: Duration = Duration::from_millis(500);
-/// Time between looks of a VM that knows nothing yet at whether it is to read the store.
-pub(crate) const LOOK: Duration = Duration::from_millis(25);
-/// Failed calls in a row after which the store counts as lost to this VM alone or to all.
-const SEEN: u32 = 2;
-/// VMs of this domain that the store does not answer from which on it is taken for away, not for one that turns
-/// some VMs away: each that takes over from one of them would else try several times in quick succession.
-const AWAY: usize = 3;
-/// Failures that a VM which takes over then counts from.
-const AWAY_FAILURES: u32 = 5;
-/// First pause in ms after a failed call; doubles, and each is drawn from half to the whole of it.
-const PAUSE_MS: u64 = 100;
-/// Longest pause in ms.
-const PAUSE_MOST_MS: u64 = 1_200;
-
 /// What a watched kind does with its objects.
 trait Topic {
     fn kind(&self) -> &str;
@@ -70,69 +51,105 @@
 /// from peers.
 async fn follow(shared: &Shared, store: &dyn Store, topic: &mut dyn Topic) {
     let mut relay = shared.relay.subscribe();
-    let mut failures = 0;
+    let mut follow = Follow::new(rand::random());
     loop {
-        turn(shared, &mut relay, topic).await;
-        if failures == 0 {
-            topic.reading(true);
-        }
-        let listed = store.list(topic.kind()).await;
-        shared.meters.store("list", &listed);
-        match listed {
-            Ok(list) => {
-                if std::mem::take(&mut failures) > 0 {
-                    tracing::info!(kind = topic.kind(), version = list.version, "store regained");
-                }
-                see(shared, false);
-                topic.reading(true);
-                topic.listed(list.version, list.objects);
-                // Until it is settled who watches, every VM that reads does: what changes in the first
-                // seconds of a process, as entries that come back after an outage, has no other way here.
-                let watch = events(shared, store, topic, list.version);
+        let turn = Turn {
+            relay: *relay.borrow_and_update(),
+            known: topic.known(),
+            due: shared.start.borrow().due(),
+        };
+        match follow.next(shared.now(), turn) {
+            Step::Idle(time) => tokio::select! {
+                // The sender lives as long as the process.
+                _ = relay.changed() => {}
+                () = sleep(time.into()) => topic.tick(),
+            },
+            Step::Pause(time) => sleep(time.into()).await,
+            Step::List => list(shared, store, topic, &mut follow).await,
+            Step::Watch { from, wait } => {
+                let changes = changes(shared, store, topic, &mut follow, from, wait);
                 tokio::select! {
-                    error = watch => tracing::info!(kind = topic.kind(), %error, "watch ended"),
+                    () = changes => {}
                     () = wait_for(&mut relay, false) => {
                         tracing::info!(kind = topic.kind(), "watch given up to other VMs");
+                        end(shared, topic, &mut follow);
                     }
                 }
-                topic.reading(false);
-                if !topic.known() {
-                    shared.tell_start(start::Event::Empty);
-                }
-                sleep(pause(0)).await;
-            }
-            Err(error) => {
-                if failures == 0 {
-                    tracing::warn!(kind = topic.kind(), %error, "store lost");
-                }
-                topic.reading(false);
-                topic.lost();
-                shared.tell_start(start::Event::Refused);
-                failures += 1;
-                see(shared, failures > SEEN);
-                let away = shared.blind_near.get() >= AWAY;
-                sleep(pause(failures.max(if away { AWAY_FAILURES } else { 0 }))).await;
             }
         }
     }
 }
 
-/// Waits until this VM is to read the store: it does so for its failure domain, or knows nothing and was told
-/// nothing in time.
-async fn turn(shared: &Shared, relay: &mut watch::Receiver<Option<bool>>, topic: &mut dyn Topic) {
-    loop {
-        let known = topic.known();
-        let due = !known && shared.now() >= shared.start.borrow().due();
-        if due || *relay.borrow_and_update() == Some(true) {
-            return;
+async fn list(shared: &Shared, store: &dyn Store, topic: &mut dyn Topic, follow: &mut Follow) {
+    if follow.failures() == 0 {
+        topic.reading(true);
+    }
+    let listed = store.list(topic.kind()).await;
+    shared.meters.store("list", &listed);
+    let now = shared.now();
+    match listed {
+        Ok(list) => {
+            if follow.listed(list.version) > 0 {
+                tracing::info!(kind = topic.kind(), version = list.version, "store regained");
+            }
+            see(shared, false);
+            topic.reading(true);
+            topic.listed(list.version, list.objects);
+        }
+        Err(error) => {
+            if follow.failures() == 0 {
+                tracing::warn!(kind = topic.kind(), %error, "store lost");
+            }
+            topic.reading(false);
+            topic.lost();
+            shared.tell_start(start::Event::Refused);
+            follow.failed(now, shared.blind_near.get());
+            see(shared, follow.is_blind());
         }
-        let look = if known { TICK } else { LOOK };
+    }
+}
+
+/// Waits for changes once.
+async fn changes(
+    shared: &Shared,
+    store: &dyn Store,
+    topic: &mut dyn Topic,
+    follow: &mut Follow,
+    from: Version,
+    wait: Millis,
+) {
+    let kind = topic.kind().to_owned();
+    let mut watch = store.watch(&kind, from, wait);
+    let result = loop {
         tokio::select! {
-            // The sender lives as long as the process.
-            _ = relay.changed() => {}
-            () = sleep(look) => topic.tick(),
+            result = &mut watch => break result,
+            () = sleep(follow::LOOK.into()) => topic.tick(),
+        }
+    };
+    shared.meters.store("watch", &result);
+    match result {
+        Ok(List { version, objects }) => {
+            let news = !objects.is_empty();
+            objects.into_iter().for_each(|o| topic.changed(version, o));
+            follow.watched(shared.now(), version, news);
+            if news {
+                shared.news.notify_one();
+            }
         }
+        Err(error) => {
+            tracing::info!(kind, %error, "watch ended");
+            end(shared, topic, follow);
+        }
+    }
+}
+
+/// The kind is not watched any more.
+fn end(shared: &Shared, topic: &dyn Topic, follow: &mut Follow) {
+    topic.reading(false);
+    if !topic.known() {
+        shared.tell_start(start::Event::Empty);
     }
+    follow.stop(shared.now());
 }
 
 /// Says whether the store answers this VM.
@@ -148,43 +165,6 @@
     let _ = relay.wait_for(|r| *r == Some(state)).await;
 }
 
-/// Watches until a call fails.
-async fn events(
-    shared: &Shared,
-    store: &dyn Store,
-    topic: &mut dyn Topic,
-    mut from: Version,
-) -> Error {
-    let kind = topic.kind().to_owned();
-    loop {
-        let mut watch = store.watch(&kind, from, WAIT);
-        let result = loop {
-            tokio::select! {
-                result = &mut watch => break result,
-                () = sleep(TICK) => topic.tick(),
-            }
-        };
-        shared.meters.store("watch", &result);
-        match result {
-            Ok(List { version, objects }) => {
-                let news = !objects.is_empty();
-                objects.into_iter().for_each(|o| topic.changed(version, o));
-                from = version.max(from);
-                if news {
-                    shared.news.notify_one();
-                    sleep(GATHER).await;
-                }
-            }
-            Err(error) => return error,
-        }
-    }
-}
-
-fn pause(failures: u32) -> Duration {
-    let most = (PAUSE_MS << failures.min(6)).min(PAUSE_MOST_MS);
-    Duration::from_millis(rand::random_range(most / 2..=most))
-}
-
 pub(crate) struct Configuration {
     shared: Rc<Shared>,
     kind: String,
@@ -297,14 +277,9 @@
             "upstreams listed"
         );
         let now = self.shared.now();
-        let list = entries.iter().map(|(_, e)| e.clone()).collect();
         let mut core = self.shared.core.borrow_mut();
-        let mut catalog = self.shared.catalog.borrow_mut();
-        catalog.listed(now, list, &unreadable, &mut core.fleet);
-        let kept = core.fleet.ids().cloned().collect();
         let mut world = self.shared.world.borrow_mut();
-        world.upstreams().hold(catalog.doubts());
-        world.list_upstreams(version, entries, &kept);
+        world.upstreams.listed(now, version, entries, &unreadable, &mut core.fleet);
         self.shared.listed.set(true);
         self.shared.stale.set(false);
         self.shared.news.notify_one();
@@ -318,21 +293,15 @@
         }
         let entry = (!removed).then(|| self.decode(&object));
         let mut core = self.shared.core.borrow_mut();
-        let mut catalog = self.shared.catalog.borrow_mut();
         let mut world = self.shared.world.borrow_mut();
         match entry {
             Some(Ok(entry)) => {
                 tracing::info!(upstream = object.name, service = &*entry.service,
                     addr = %entry.addr, started = entry.started, draining = entry.draining,
                     revision = object.version, "upstream changed");
-                world.put_upstream(object.version, entry.clone());
-                catalog.changed(now, entry, &mut core.fleet);
-            }
-            Some(Err(id)) => {
-                catalog.unreadable(&id, &mut core.fleet);
-                world.upstreams().hold(catalog.doubts());
-                world.upstreams().remove(version, &id);
+                world.upstreams.written(now, object.version, entry, &mut core.fleet);
             }
+            Some(Err(id)) => world.upstreams.unreadable(version, &id, &mut core.fleet),
             None => {
                 tracing::info!(
                     upstream = object.name,
@@ -340,21 +309,17 @@
                     "upstream removed"
                 );
                 let id: Rc<str> = object.name.into();
-                catalog.removed(now, &id, &mut core.fleet);
-                world.upstreams().hold(catalog.doubts());
-                if !core.fleet.ids().any(|known| *known == id) {
-                    world.upstreams().remove(version, &id);
-                }
+                world.upstreams.removed(now, version, &id, &mut core.fleet);
             }
         }
     }
 
     fn lost(&mut self) {
-        self.shared.catalog.borrow_mut().lost();
+        self.shared.world.borrow_mut().upstreams.lost();
     }
 
     fn known(&self) -> bool {
-        self.shared.world.borrow().upstreams_version() > 0
+        self.shared.world.borrow().upstreams.version() > 0
     }
 
     fn reading(&self, reading: bool) {
@@ -364,18 +329,12 @@
     fn tick(&mut self) {
         let now = self.shared.now();
         let mut core = self.shared.core.borrow_mut();
-        let mut catalog = self.shared.catalog.borrow_mut();
-        let gone = catalog.tick(now, &mut core.fleet);
-        let mut world = self.shared.world.borrow_mut();
-        world.upstreams().hold(catalog.doubts());
-        if gone.is_empty() {
-            return;
+        let gone = self.shared.world.borrow_mut().upstreams.tick(now, &mut core.fleet);
+        for id in &gone {
+            tracing::info!(upstream = &**id, "upstream given up: its entry did not come back");
         }
-        let version = world.upstreams().complete();
-        for id in gone {
-            tracing::info!(upstream = &*id, "upstream given up: its entry did not come back");
-            world.upstreams().remove(version, &id);
+        if !gone.is_empty() {
+            self.shared.news.notify_one();
         }
-        self.shared.news.notify_one();
     }
 }
--- a/crates/tgw-spread/src/lib.rs
+++ b/crates/tgw-spread/src/lib.rs
@@ -4,6 +4,8 @@
 //! A [`Ledger`] keeps values with the version of their last change and tells what changed since a
 //! version. No I/O.
 
+/// When a VM reads the store, watches it, or leaves it to another.
+pub mod follow;
 /// A send that one VM asks another to make.
 pub mod hop;
 /// Values with versions, and what changed since one.
@@ -12,10 +14,14 @@
 pub mod message;
 /// Whether a VM that starts reads the store, and whom it asks before.
 pub mod start;
+/// The list of upstreams, and the fleet that is kept by it.
+mod upstreams;
 /// The configuration and the list of upstreams as this VM has them.
 mod world;
 
+pub use follow::Follow;
 pub use ledger::{Applied, Delta, Ledger};
 pub use message::Message;
 pub use start::Start;
-pub use world::{Update, World};
+pub use upstreams::Upstreams;
+pub use world::World;
--- a/crates/tgw-spread/tests/spread.rs
+++ b/crates/tgw-spread/tests/spread.rs
@@ -11,14 +11,14 @@
     rc::Rc,
 };
 use tgw_clock::Millis;
-use tgw_forward::upstream::Entry;
+use tgw_forward::{Fleet, upstream::Entry};
 use tgw_quarantine::{
     Fingerprint,
     message::{End, Hold, News, Seen},
 };
 use tgw_route::{Config, Route, Safety, Target};
 use tgw_spread::{
-    Delta, Ledger, Message, World, hop,
+    Delta, Ledger, Message, Upstreams, World, hop,
     message::{Datagram, Late},
 };
 
@@ -183,8 +183,8 @@
     for version in [config(3, &["kept"]), config(4, &["kept", "brief"])] {
         asking.configure(&version);
     }
-    let update = asking.apply(skipping.news(asking.config(), 0));
-    let routes = update.config.unwrap().routes;
+    let news = skipping.since(asking.config()).unwrap();
+    let routes = asking.apply(news).unwrap().routes;
     assert_eq!(routes.iter().map(|r| &*r.name).collect::<Vec<_>>(), ["kept"]);
 }
 
@@ -220,8 +220,8 @@
     }
 }
 
-fn start_of(vm: &mut World) -> Option<u64> {
-    vm.upstreams().get("u").map(|entry| entry.started)
+fn start_of(vm: &Upstreams) -> Option<u64> {
+    vm.get("u").map(|entry| entry.started)
 }
 
 /// One of each kind that a peer sends and whose fields a stranger could bend.
@@ -290,22 +290,26 @@
     fn no_vm_goes_back_to_an_earlier_process(
         steps in prop::collection::vec((0usize..3, 0usize..3, 0u8..3, 1u64..6), 1..40),
     ) {
-        let mut vms = [World::default(), World::default(), World::default()];
+        let mut vms = [Upstreams::default(), Upstreams::default(), Upstreams::default()];
+        let mut fleets = [Fleet::default(), Fleet::default(), Fleet::default()];
+        let now = Millis::ZERO;
         for (version, (teller, hearer, how, started)) in (1u64..).zip(steps) {
-            let before: Vec<_> = vms.iter_mut().map(start_of).collect();
+            let before: Vec<_> = vms.iter().map(start_of).collect();
+            let fleet = &mut fleets[hearer];
             match how {
-                0 => { vms[hearer].put_upstream(version, upstream(started)); }
+                0 => vms[hearer].written(now, version, upstream(started), fleet),
                 1 => {
                     let listed = vec![(version, upstream(started))];
-                    vms[hearer].list_upstreams(version, listed, &nothing_kept());
+                    vms[hearer].listed(now, version, listed, &[], fleet);
                 }
                 _ => {
-                    let at = vms[hearer].upstreams_version();
-                    let news = vms[teller].news(0, at);
-                    vms[hearer].apply(news);
+                    let at = vms[hearer].version();
+                    if let Some(delta) = vms[teller].since(at) {
+                        vms[hearer].told(now, delta, false, fleet);
+                    }
                 }
             }
-            for (vm, before) in vms.iter_mut().zip(before) {
+            for (vm, before) in vms.iter().zip(before) {
                 prop_assert!(start_of(vm) >= before, "from {before:?} to {:?}", start_of(vm));
             }
         }
