feat(operate): logs and explain tell who knew when that an upstream leaves, who kept it, and who sent there all the same

Cause: that a VM keeps an upstream whose entry is missing was not logged, nor until when; first sends are not logged at all, so that no log says why a request went to an upstream that had left. Cost: no line where nothing is doubted; sends are bounded as lines about lost upstreams are.

--- a/crates/tanagergw/src/status.rs
+++ b/crates/tanagergw/src/status.rs
@@ -3,7 +3,7 @@
 use crate::access::{self, Platform, Vms, have};
 use anyhow::Context;
 use std::{path::PathBuf, process::ExitCode};
-use tgw_operate::{explain, losses, status, story};
+use tgw_operate::{explain, leaving, losses, status, story};
 
 /// The VMs, the table in force in each failure domain, and the upstreams with owner and state.
 #[derive(clap::Args)]
@@ -28,7 +28,7 @@
 #[derive(clap::Args)]
 pub(crate) struct Explain {
     /// The query's identity, or the caller's own name for it.
-    #[arg(required_unless_present = "losses")]
+    #[arg(required_unless_present_any = ["losses", "leaving"])]
     query: Option<String>,
     /// Log files of VMs: the story is read from them, and no VM is asked.
     files: Vec<PathBuf>,
@@ -45,6 +45,10 @@
     /// With --losses, leave requests of this cause out, as `no route`. May be given again.
     #[arg(long, value_name = "CAUSE", requires = "losses")]
     leave_out: Vec<String>,
+    /// Instead of one query, tell from these log files who learned when that the upstream of this identity leaves,
+    /// and who sent to it after that.
+    #[arg(long, num_args = 2.., value_names = ["UPSTREAM", "FILE"], conflicts_with_all = ["query", "losses"])]
+    leaving: Vec<String>,
     #[command(flatten)]
     asked: Asked,
 }
@@ -86,7 +90,21 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Tells who learned when that an upstream leaves.
+fn leaving(args: &Explain, upstream: &str, files: &[String]) -> anyhow::Result<ExitCode> {
+    let leaving = leaving::read(upstream, files).context("cannot read the logs")?;
+    if args.asked.json {
+        println!("{}", serde_json::to_string(&leaving)?);
+    } else {
+        print!("{leaving}");
+    }
+    Ok(if leaving.vms.is_empty() { ExitCode::FAILURE } else { ExitCode::SUCCESS })
+}
+
 pub(crate) fn explain(args: &Explain) -> anyhow::Result<ExitCode> {
+    if let Some((upstream, files)) = args.leaving.split_first() {
+        return leaving(args, upstream, files);
+    }
     if !args.losses.is_empty() {
         return losses(args);
     }
--- a/crates/tgw-forward/src/lib.rs
+++ b/crates/tgw-forward/src/lib.rs
@@ -5,7 +5,7 @@
 //! told the time and perform no I/O.
 
 /// Which upstreams exist, from a store that may be away.
-mod catalog;
+pub mod catalog;
 /// Requests under which upstreams may end.
 mod caution;
 /// When a request is answered, and by what.
--- a/crates/tgw-gateway/src/exchange.rs
+++ b/crates/tgw-gateway/src/exchange.rs
@@ -132,6 +132,7 @@
 
 /// Sends on a connection of this VM.
 pub(crate) async fn direct(sent: &Sent) -> (Sign, Ended) {
+    note::doubtful(&sent.shared, sent);
     match attempt(sent).await {
         Ok(response) => classify(&sent.shared, sent.ticket, response),
         Err(Fault::Unsent) => (Sign::Unreachable, Ended::Unsent),
--- a/crates/tgw-gateway/src/note.rs
+++ b/crates/tgw-gateway/src/note.rs
@@ -9,6 +9,7 @@
 use tgw_clock::Millis;
 use tgw_forward::{
     Plan,
+    catalog::{Change, What},
     plan::{Answer, Order, Why, Withheld},
     upstream::{Distance, Entry, Sign},
 };
@@ -102,6 +103,46 @@
     );
 }
 
+/// What became of upstreams whose entries are missing.
+pub(crate) fn doubts(shared: &Shared) {
+    let changes = shared.world.borrow_mut().upstreams.take_changes();
+    let now = shared.now();
+    for Change { id, what, doubt } in changes {
+        let kept_ms = (now - doubt.since).whole();
+        match what {
+            What::Doubted => tracing::info!(
+                upstream = &*id,
+                why = "its entry is missing, and the store was away",
+                left_ms = (doubt.until - now).whole(),
+                "upstream doubted"
+            ),
+            What::Back | What::GivenUp | What::Unreadable => tracing::info!(
+                upstream = &*id,
+                result = %what,
+                kept_ms,
+                late_ms = (now - doubt.until).whole(),
+                "upstream doubted no more"
+            ),
+        }
+    }
+}
+
+/// A send begins to an upstream whose entry is missing.
+pub(crate) fn doubtful(shared: &Shared, sent: &Sent) {
+    let Some(doubt) = shared.world.borrow().upstreams.doubted(&sent.entry.id) else { return };
+    let now = shared.now();
+    if shared.governor.allows(now, Rank::Loss) {
+        tracing::info!(
+            request = identity(&sent.request),
+            upstream = &*sent.entry.id,
+            service = &*sent.entry.service,
+            known_ms = (now - doubt.since).whole(),
+            over_ms = (now - doubt.until).whole(),
+            "send to a doubted upstream"
+        );
+    }
+}
+
 /// A request was answered.
 pub(crate) fn answer(
     shared: &Shared,
--- a/crates/tgw-gateway/src/tell.rs
+++ b/crates/tgw-gateway/src/tell.rs
@@ -1,6 +1,6 @@
 //! What VMs tell one another over TCP: records, and the state that this VM or another lacks.
 
-use crate::peers::Peers;
+use crate::{note, peers::Peers};
 use std::{
     cell::{Cell, RefCell},
     collections::VecDeque,
@@ -111,6 +111,7 @@
         }
         if let Some(delta) = news.upstreams {
             self.learn_upstreams(from, delta);
+            note::doubts(&self.shared);
         }
         self.shared.note_held();
         self.shared.news.notify_one();
--- a/crates/tgw-gateway/src/watch.rs
+++ b/crates/tgw-gateway/src/watch.rs
@@ -1,5 +1,6 @@
 use crate::{
     dialect::{Decoded, Finding},
+    note,
     shared::Shared,
     unreadable::Unreadable,
 };
@@ -280,6 +281,8 @@
         let mut core = self.shared.core.borrow_mut();
         let mut world = self.shared.world.borrow_mut();
         world.upstreams.listed(now, version, entries, &unreadable, &mut core.fleet);
+        drop((core, world));
+        note::doubts(&self.shared);
         self.shared.listed.set(true);
         self.shared.stale.set(false);
         self.shared.news.notify_one();
@@ -312,6 +315,8 @@
                 world.upstreams.removed(now, version, &id, &mut core.fleet);
             }
         }
+        drop((core, world));
+        note::doubts(&self.shared);
     }
 
     fn lost(&mut self) {
@@ -330,9 +335,8 @@
         let now = self.shared.now();
         let mut core = self.shared.core.borrow_mut();
         let gone = self.shared.world.borrow_mut().upstreams.tick(now, &mut core.fleet);
-        for id in &gone {
-            tracing::info!(upstream = &**id, "upstream given up: its entry did not come back");
-        }
+        drop(core);
+        note::doubts(&self.shared);
         if !gone.is_empty() {
             self.shared.news.notify_one();
         }
--- a/crates/tgw-operate/src/lib.rs
+++ b/crates/tgw-operate/src/lib.rs
@@ -4,6 +4,8 @@
 mod call;
 /// What one query's decisions were.
 pub mod explain;
+/// Who learned when that an upstream leaves.
+pub mod leaving;
 /// Lines of log files.
 mod log;
 /// Where requests were lost, counted from log files.
--- a/crates/tgw-operate/src/story.rs
+++ b/crates/tgw-operate/src/story.rs
@@ -30,6 +30,8 @@
 const LEFT_OUT: &str = "log lines left out in the last interval";
 /// The message of a VM that lost an upstream under one or more sends.
 const LOST: &str = "upstream ended under a send";
+/// The message of a send to an upstream whose entry is missing.
+const DOUBTED: &str = "send to a doubted upstream";
 /// Time in s that callers allow for a connection, and that their report may lie after its begin.
 const CONNECT_S: f64 = 1.5;
 /// Messages that tell whether a VM ran.
@@ -162,7 +164,7 @@
     Story {
         before: before.into_iter().map(Line::told).collect(),
         lines: own.iter().map(|l| l.told()).collect(),
-        cause: cause(&own) + &alike(&own, lines),
+        cause: cause(&own) + &doubted(&own) + &alike(&own, lines),
     }
 }
 
@@ -203,6 +205,19 @@
     format!("{outcome} after {age} ms{left_out}: {reason}{once}")
 }
 
+/// Sends of it to upstreams that had left, as far as the VM knew.
+fn doubted(own: &[&Line]) -> String {
+    let sent = own.iter().filter(|l| l.message() == DOUBTED).map(|l| {
+        let (upstream, known) = (l.text("upstream"), l.number("known_ms"));
+        let over = match l.number("over_ms") {
+            0 => String::new(),
+            over => format!(", {over} ms longer than it is kept"),
+        };
+        format!("; sent to {upstream}, whose entry had been missing for {known} ms{over}")
+    });
+    sent.collect()
+}
+
 /// How many upstreams ended under this request and others with its fingerprint.
 fn alike(own: &[&Line], lines: &[Line]) -> String {
     let Some(print) = own.iter().map(|l| l.text("print")).find(|p| !p.is_empty()) else {
--- a/crates/tgw-operate/tests/operate/story.rs
+++ b/crates/tgw-operate/tests/operate/story.rs
@@ -86,3 +86,21 @@
     let file = file(&format!("fresh-{}.log", &at[17..19]), text);
     assert_eq!(story::read(asked, &[file]).unwrap().cause, cause);
 }
+
+const DOUBTED: &str = r#"
+{"timestamp":"2026-01-01T00:00:02.250Z","message":"upstream removed","upstream":"i-9","from":"10.0.0.2:7060"}
+{"timestamp":"2026-01-01T00:00:05.300Z","message":"send to a doubted upstream","request":"q","upstream":"i-9","service":"s","known_ms":3050,"over_ms":1050}
+{"timestamp":"2026-01-01T00:00:05.400Z","message":"request","request":"q","outcome":"forwarded","cause":"","age_ms":90}
+"#;
+
+// An upstream had left three seconds before a request reached it. The request's own story has to say so, or the
+// question why it went there leads to the logs of all VMs.
+#[test]
+fn a_send_to_an_upstream_that_had_left_is_told() {
+    let asked = Asked { request: "q", at: None, vm: None };
+    let story = story::read(asked, &[file("doubted.log", DOUBTED)]).unwrap();
+    let said =
+        "sent to i-9, whose entry had been missing for 3050 ms, 1050 ms longer than it is kept";
+    assert!(story.cause.contains(said), "{}", story.cause);
+    assert!(story.before[0].contains("upstream removed"), "{:?}", story.before);
+}
--- a/crates/tgw-spread/src/upstreams.rs
+++ b/crates/tgw-spread/src/upstreams.rs
@@ -1,7 +1,11 @@
 use crate::{Delta, Ledger, ledger::Applied};
 use std::{collections::BTreeSet, rc::Rc};
 use tgw_clock::Millis;
-use tgw_forward::{Catalog, Fleet, upstream::Entry};
+use tgw_forward::{
+    Catalog, Fleet,
+    catalog::{Change, Doubt},
+    upstream::Entry,
+};
 
 /// The list of upstreams as this VM has it, from the store and from other VMs, and the fleet that is kept by it.
 #[derive(Debug, Default)]
@@ -26,6 +30,16 @@
         (version < self.version()).then(|| self.ledger.since(version))
     }
 
+    /// Whether an upstream is kept though its entry is missing.
+    pub fn doubted(&self, id: &str) -> Option<Doubt> {
+        self.catalog.doubted(id)
+    }
+
+    /// Takes what became of upstreams whose entries are missing since the last call.
+    pub fn take_changes(&mut self) -> Vec<Change> {
+        self.catalog.take_changes()
+    }
+
     /// The store does not answer.
     pub fn lost(&mut self) {
         self.catalog.lost();
