--- a/crates/tanagergw/src/bench.rs
+++ b/crates/tanagergw/src/bench.rs
@@ -3,7 +3,7 @@
 use anyhow::Context;
 use std::{path::PathBuf, process::ExitCode};
 use tgw_bench::{
-    Policy, Report, Scenario, overload, plot,
+    Policy, Report, Scenario, leaving, overload, plot,
     scenario::{self, Options},
     slopes, starts,
 };
@@ -13,7 +13,7 @@
 #[derive(clap::Args)]
 pub(crate) struct Args {
     /// An experiment, `all`, `list`, `slopes` for what units of state and work cost, `starts` for who reads
-    /// the store where many VMs start at once, `overload` for forwarding under load at its worst, or
+    /// the store where many VMs start at once, `leaving` for how long VMs send to upstreams that leave, `overload` for forwarding under load at its worst, or
     /// `overload/NAME` for one of its scenarios.
     scenario: String,
     /// Whose size: coimbra, aspen or both.
@@ -28,7 +28,7 @@
     /// Demand as a part of all slots; by default the experiment's own.
     #[arg(long)]
     load: Option<f64>,
-    /// VMs of the tier; six if not stated, nine for `overload`.
+    /// VMs of the tier; six if not stated, nine for `overload`; 9, 76 and 300 for `leaving`.
     #[arg(long)]
     vms: Option<usize>,
     /// Leave the delays between places out.
@@ -76,6 +76,9 @@
     if args.scenario == "starts" {
         return starts(args);
     }
+    if args.scenario == "leaving" {
+        return leaving(args);
+    }
     if let Some(name) = args.scenario.strip_prefix("overload") {
         return overload(args, name.trim_start_matches('/'));
     }
@@ -119,6 +122,25 @@
 /// Sizes at which `bench starts` plays a start of all.
 const STARTS: [usize; 4] = [7, 50, 300, 1_000];
 
+/// Sizes at which `bench leaving` plays upstreams that leave.
+const LEAVING: [usize; 3] = [9, 76, 300];
+
+fn leaving(args: &Args) -> anyhow::Result<ExitCode> {
+    let sizes = args.vms.map_or(LEAVING.to_vec(), |vms| vec![vms]);
+    let each = |vms: usize| args.seed.iter().flat_map(move |s| leaving::setups(vms, *s));
+    let outcomes: Vec<(String, leaving::Outcome)> = sizes
+        .into_iter()
+        .flat_map(each)
+        .map(|(name, setup)| (name, leaving::play(setup)))
+        .collect();
+    if args.json {
+        println!("{}", serde_json::to_string_pretty(&outcomes)?);
+    } else {
+        print!("{}", leaving::text(&outcomes));
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
 fn starts(args: &Args) -> anyhow::Result<ExitCode> {
     let seed = args.seed.first().copied().unwrap_or(1);
     let setups = STARTS.into_iter().flat_map(|vms| starts::setups(vms, seed));
--- /dev/null
+++ b/crates/tgw-bench/src/leaving/vm.rs
@@ -0,0 +1,54 @@
+use std::net::SocketAddr;
+use tgw_clock::Millis;
+use tgw_forward::Fleet;
+use tgw_member::{Event, Member};
+use tgw_spread::{
+    Follow, Upstreams,
+    follow::{Step, Turn},
+};
+
+/// A call of the store that is under way.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Call {
+    pub(crate) number: u64,
+    pub(crate) step: Step,
+}
+
+/// One VM: the decisions of a real one, driven as the gateway drives them.
+pub(crate) struct Vm {
+    pub(crate) addr: SocketAddr,
+    pub(crate) region: usize,
+    pub(crate) member: Member,
+    pub(crate) upstreams: Upstreams,
+    pub(crate) fleet: Fleet,
+    pub(crate) follow: Follow,
+    pub(crate) relay: Option<bool>,
+    pub(crate) call: Option<Call>,
+    /// Only the last step that was set counts.
+    pub(crate) steps: u64,
+    pub(crate) asking: Option<Millis>,
+    pub(crate) frozen_until: Millis,
+    pub(crate) dead: bool,
+    /// From then on what it knows is judged.
+    pub(crate) judged_from: Millis,
+    /// When it stopped sending to each of the upstreams that leave.
+    pub(crate) aware: Vec<Option<Millis>>,
+}
+
+impl Vm {
+    pub(crate) fn turn(&self) -> Turn {
+        Turn { relay: self.relay, known: true, due: Millis::MAX }
+    }
+
+    /// Whether it may send to an upstream.
+    pub(crate) fn uses(&self, id: &str) -> bool {
+        let upstream = self.fleet.key(id).and_then(|key| self.fleet.get(key));
+        upstream.is_some_and(|u| !u.entry.draining)
+    }
+
+    /// What it has to tell others.
+    pub(crate) fn told(&mut self) -> Vec<Event> {
+        let version = self.upstreams.version();
+        vec![Event::World(version), Event::Blind(self.follow.is_blind())]
+    }
+}
--- a/crates/tgw-bench/src/lib.rs
+++ b/crates/tgw-bench/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod figures;
 /// What forwarding on the users' platform costs.
 mod forward;
+/// Upstreams that leave, and how long VMs still send to them.
+pub mod leaving;
 /// Membership of many VMs under a virtual clock.
 pub mod members;
 /// The upstreams' model.
