test(soak): upstreams that leave without a word; the promise on what leaves checks them

Cause: the soak's upstreams say that they leave; one whose entry is removed while it goes on serving was not among its faults, and that is what was still sent to. Change: such upstreams, drawn apart so that a seed's other faults stay as they were; nothing may run there 5 s later, as with those that say so.

--- a/crates/tgw-soak/src/check.rs
+++ b/crates/tgw-soak/src/check.rs
@@ -176,7 +176,7 @@
     }
 }
 
-/// What leaves gets nothing new after a while.
+/// What leaves gets nothing new after a while, whether it says so or its entry is removed without a word.
 fn drained(world: &World, broken: &mut Vec<String>) {
     for upstream in &world.upstreams {
         let (Some(left), Some(runs)) = (upstream.left, world.runs.get(upstream.leaf.id())) else {
--- a/crates/tgw-soak/src/run.rs
+++ b/crates/tgw-soak/src/run.rs
@@ -242,11 +242,8 @@
                 let id = self.world.overwrite(index);
                 self.undo.extend(id.map(|id| (now + span, Undo::Entry(id))));
             }
-            Fault::Replace(index) => {
-                if index < self.world.upstreams.len() {
-                    self.world.replace(index).await?;
-                }
-            }
+            Fault::Replace(index) => self.world.replace(index, true).await?,
+            Fault::Vanish(index) => self.world.replace(index, false).await?,
             Fault::Pause(index, span) => {
                 if let Some(upstream) = self.world.upstreams.get(index) {
                     upstream.leaf.pause(span);
--- a/crates/tgw-soak/src/schedule.rs
+++ b/crates/tgw-soak/src/schedule.rs
@@ -30,8 +30,10 @@
     Slow(usize, Duration),
     /// All connections to an upstream are reset.
     Reset(usize),
-    /// An upstream leaves and another takes its place.
+    /// An upstream says that it leaves, and another takes its place.
     Replace(usize),
+    /// An upstream's entry is removed without a word, and another takes its place; it serves on for a while.
+    Vanish(usize),
     /// A new version of the configuration is written.
     Configure,
     /// An upstream ends, and another process starts under its identity.
@@ -55,6 +57,11 @@
 /// Tells their draws from the others', so that a seed's other faults stay as they were.
 const ENTRY_SEED: u64 = 0x656e_7472;
 
+/// Mean time between upstreams that leave without a word, in ms.
+const VANISH_GAP_MS: u64 = 1_500;
+/// See `ENTRY_SEED`.
+const VANISH_SEED: u64 = 0x7661_6e69;
+
 /// The faults of a seed, in order, over `span`. Indices are below `vms` and `upstreams`.
 pub(crate) fn draw(seed: u64, span: Duration, vms: usize, upstreams: usize) -> Vec<Step> {
     let mut rng = StdRng::seed_from_u64(seed);
@@ -69,6 +76,7 @@
         at += Duration::from_millis(rng.random_range(GAP_MS / 4..GAP_MS * 2));
     }
     steps.extend(entries(seed, span, upstreams));
+    steps.extend(vanishing(seed, span, upstreams));
     steps.sort_by_key(|step| step.at);
     steps
 }
@@ -93,6 +101,18 @@
     steps
 }
 
+/// Upstreams that leave without a word, often while the store is cut off or away.
+fn vanishing(seed: u64, span: Duration, upstreams: usize) -> Vec<Step> {
+    let mut rng = StdRng::seed_from_u64(seed ^ VANISH_SEED);
+    let mut steps = Vec::new();
+    let mut at = Duration::from_millis(rng.random_range(0..VANISH_GAP_MS));
+    while at < span {
+        steps.push(Step { at, fault: Fault::Vanish(rng.random_range(0..upstreams)) });
+        at += Duration::from_millis(rng.random_range(VANISH_GAP_MS / 4..VANISH_GAP_MS * 2));
+    }
+    steps
+}
+
 fn one(rng: &mut StdRng, vms: usize, upstreams: usize) -> Fault {
     let vm = rng.random_range(0..vms);
     let upstream = rng.random_range(0..upstreams);
--- a/crates/tgw-soak/src/world.rs
+++ b/crates/tgw-soak/src/world.rs
@@ -24,6 +24,8 @@
     started: u64,
     /// When it was said that it leaves.
     pub(crate) left: Option<Instant>,
+    /// Its entry was removed without a word.
+    vanished: bool,
 }
 
 impl Upstream {
@@ -36,6 +38,9 @@
 
     /// Writes its entry.
     fn enter(&self, store: &Store) {
+        if self.vanished {
+            return;
+        }
         store.put("servers", self.leaf.id(), &self.entry());
     }
 }
@@ -76,7 +81,7 @@
         let leaf = Leaf::bind(service, &id, WORK).await?;
         let proxy = Proxy::bind(leaf.addr()).await?;
         let started = u64::from(self.next);
-        let upstream = Upstream { leaf, proxy, domain, started, left: None };
+        let upstream = Upstream { leaf, proxy, domain, started, left: None, vanished: false };
         upstream.enter(&self.store);
         self.upstreams.push(upstream);
         Ok(())
@@ -105,7 +110,8 @@
 
     /// Overwrites an upstream's entry with what nobody can read; its identity.
     pub(crate) fn overwrite(&mut self, index: usize) -> Option<String> {
-        let id = self.upstreams.get(index)?.leaf.id().to_owned();
+        let upstream = self.upstreams.get(index).filter(|u| !u.vanished)?;
+        let id = upstream.leaf.id().to_owned();
         let foreign = json!({ "meta": { "name": id, "revision": "none" }, "spec": ["service"] });
         self.store.put_foreign("servers", &id, foreign.to_string().as_bytes());
         Some(id)
@@ -133,15 +139,18 @@
         self.store.put("config", "main", &files::config(self.version, &routes, &services));
     }
 
-    /// An upstream says that it leaves, and another takes its place.
-    pub(crate) async fn replace(&mut self, index: usize) -> anyhow::Result<()> {
-        let upstream = &mut self.upstreams[index];
-        if upstream.left.is_some() {
-            return Ok(());
-        }
+    /// An upstream leaves, with a word of it or without, and another takes its place.
+    pub(crate) async fn replace(&mut self, index: usize, tells: bool) -> anyhow::Result<()> {
+        let lives = |u: &&mut Upstream| u.left.is_none();
+        let Some(upstream) = self.upstreams.get_mut(index).filter(lives) else { return Ok(()) };
         let (service, domain) = (upstream.leaf.service().to_owned(), upstream.domain);
         upstream.left = Some(Instant::now());
-        upstream.enter(&self.store);
+        if tells {
+            upstream.enter(&self.store);
+        } else {
+            upstream.vanished = true;
+            self.store.remove("servers", upstream.leaf.id());
+        }
         self.add(&service, domain).await
     }
 
