fix(quarantine): a VM that starts is told what is held back together with the state that it serves by

Cause: what is held back went to a VM that starts in a packet beside the answer to its first question. That question is often lost, as its socket is not known to be writable yet; the state then comes by another way, within 5 ms, the start is over before the second question at 50 ms, and only the rounds, one VM's word in half a second, tell it. Ruled out: that holds expire or are let go (no line says so), and that other VMs did not know (five others held it). Change: the answer that carries configuration and upstreams to a VM at version zero carries what is held back too, all of it; it is taken over before the configuration. Class: knowledge that must precede a role travels apart from what gives the role.

--- a/crates/tgw-gateway/src/tell.rs
+++ b/crates/tgw-gateway/src/tell.rs
@@ -1,6 +1,6 @@
 //! What VMs tell one another over TCP: records, and the state that this VM or another lacks.
 
-use crate::{note, peers::Peers};
+use crate::{note, peers::Peers, quarantine};
 use std::{
     cell::{Cell, RefCell},
     collections::VecDeque,
@@ -10,6 +10,7 @@
 };
 use tgw_clock::Millis;
 use tgw_member::Event;
+use tgw_quarantine::message::News as Told;
 use tgw_spread::{
     Applied, Message,
     message::News,
@@ -105,6 +106,9 @@
     }
 
     fn learn(&self, from: SocketAddr, news: News) {
+        if !news.held.is_empty() {
+            quarantine::hear(&self.shared, from, &Told { ends: vec![], holds: news.held });
+        }
         let config = news.config.and_then(|c| self.shared.world.borrow_mut().apply(c));
         if let Some(config) = config {
             self.shared.adopt(&config, "peer");
@@ -189,9 +193,15 @@
     ) -> anyhow::Result<()> {
         let news = {
             let world = self.shared.world.borrow();
+            let now = self.shared.now();
+            // A VM that starts serves from then on: what ends upstreams must be known to it by then, and a packet
+            // beside this answer may be lost.
+            let starts = upstreams == 0;
+            let held = starts.then(|| self.shared.core.borrow().quarantine.holds_all(now));
             News {
                 config: world.since(config),
-                upstreams: world.upstreams.since(self.shared.now(), upstreams),
+                upstreams: world.upstreams.since(now, upstreams),
+                held: held.unwrap_or_default(),
             }
         };
         self.write(stream, &Message::News(Box::new(news))).await
--- a/crates/tgw-quarantine/src/ledger.rs
+++ b/crates/tgw-quarantine/src/ledger.rs
@@ -221,6 +221,15 @@
     /// All that is held back, or was let go, for VMs that may have missed it. From `from` on, of as many as one packet
     /// takes.
     pub fn holds_from(&self, now: Millis, from: usize) -> Vec<Hold> {
+        let mut all = self.holds_all(now);
+        let from = if all.is_empty() { 0 } else { from % all.len() };
+        all.rotate_left(from);
+        all.truncate(TOLD);
+        all
+    }
+
+    /// All that is held back, or was let go.
+    pub fn holds_all(&self, now: Millis) -> Vec<Hold> {
         let mut all = Vec::new();
         for (print, record) in self.iter() {
             for (service, mark) in record.marks() {
@@ -230,9 +239,6 @@
                 }
             }
         }
-        let from = if all.is_empty() { 0 } else { from % all.len() };
-        all.rotate_left(from);
-        all.truncate(TOLD);
         all
     }
 
--- a/crates/tgw-spread/src/message.rs
+++ b/crates/tgw-spread/src/message.rs
@@ -69,6 +69,8 @@
     pub config: Option<ConfigNews>,
     /// The list of upstreams.
     pub upstreams: Option<upstreams::News>,
+    /// Requests that are held back, for a VM that starts.
+    pub held: Vec<quarantine::Hold>,
 }
 
 /// What changed in the configuration.
