test(soak): a query that ends its upstreams, in every other seed

Cause: the soak had no such query, though the rule on it is the newest; the emulator and the stand-ins' tests have no processes, no kills, no cuts beside it. Change: in even seeds a caller sends it to any VM again and again; upstreams (and the proxies before them) end under it, lose their entries after 1.5 s and are replaced. Promise: from 5 s after the third end it runs at most three times more by way of VMs that nothing disturbed for as long; it is refused, answered in part, or failed, as all else is checked. Faults of one kind drawn by a seed of their own share one function.

--- a/crates/tgw-soak/src/callers.rs
+++ b/crates/tgw-soak/src/callers.rs
@@ -16,6 +16,9 @@
 /// What a caller tells the product that it waits, in ms.
 const DEADLINE_MS: u64 = 1_400;
 
+/// The path of the query under which upstreams end.
+pub(crate) const DEADLY: &str = "/all/deadly";
+
 /// What a request is for.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Kind {
@@ -25,6 +28,8 @@
     Safe,
     /// One upstream, at most once.
     Once,
+    /// All shards, and each upstream ends that begins to run it.
+    Deadly,
 }
 
 impl Kind {
@@ -33,6 +38,7 @@
             Self::All => "/all/q?x=1",
             Self::Safe => "/safe/q",
             Self::Once => "/once/q",
+            Self::Deadly => DEADLY,
         }
     }
 }
@@ -101,7 +107,7 @@
         connection.ready().await.ok()?;
         let (method, body) = match kind {
             Kind::Once => (Method::POST, Bytes::from_static(b"order")),
-            Kind::All | Kind::Safe => (Method::GET, Bytes::new()),
+            Kind::All | Kind::Safe | Kind::Deadly => (Method::GET, Bytes::new()),
         };
         let names = tgw_site_standin::leaf::names();
         let request = Request::builder()
--- a/crates/tgw-soak/src/check.rs
+++ b/crates/tgw-soak/src/check.rs
@@ -20,6 +20,11 @@
 /// Time until an upstream's leaving is known everywhere, with the slack of a busy machine.
 const DRAIN: Duration = Duration::from_millis(5_000);
 
+/// Time in which all VMs learn of a query under which three upstreams have ended.
+const KNOWN: Duration = Duration::from_millis(5_000);
+/// Times that it may still reach upstreams from then on.
+const DEADLY_MOST: usize = 3;
+
 /// What a run showed.
 pub(crate) struct Report {
     pub(crate) asked: usize,
@@ -64,6 +69,7 @@
         }
     }
     recovery(seen, recovered, &mut broken);
+    held_back(seen, &runs, (world, disturbed), &mut broken);
     strangers(seen, &runs, &mut broken);
     drained(world, &mut broken);
     broken.truncate(TOLD);
@@ -104,6 +110,7 @@
         Kind::All => "GET /all/q?x=1 ",
         Kind::Safe => "GET /safe/q ",
         Kind::Once => "POST /once/q order",
+        Kind::Deadly => "GET /all/deadly ",
     };
     if let Some(other) = runs.iter().find(|what| **what != expected) {
         broken.push(format!("{identity}: reached an upstream as {other:?}"));
@@ -117,7 +124,7 @@
     }
     let identity = &exchange.identity;
     let wrong = match exchange.kind {
-        Kind::All => merged(identity, answer),
+        Kind::All | Kind::Deadly => merged(identity, answer),
         Kind::Safe | Kind::Once => single(identity, answer),
     };
     if let Some(wrong) = wrong {
@@ -158,7 +165,8 @@
 
 /// Some time after the last fault nearly everything is served again.
 fn recovery(seen: &[Exchange], since: Instant, broken: &mut Vec<String>) {
-    let late: Vec<&Exchange> = seen.iter().filter(|e| e.sent >= since).collect();
+    let late = seen.iter().filter(|e| e.sent >= since && e.kind != Kind::Deadly);
+    let late: Vec<&Exchange> = late.collect();
     let served = late
         .iter()
         .filter(|e| e.answer.as_ref().is_some_and(|answer| answer.status == StatusCode::OK));
@@ -168,6 +176,26 @@
     }
 }
 
+/// What upstreams ended under is known to all VMs that run and are reached, soon after the third.
+fn held_back(
+    seen: &[Exchange],
+    runs: &BTreeMap<&str, Vec<&str>>,
+    (world, disturbed): (&World, &Disturbed),
+    broken: &mut Vec<String>,
+) {
+    let Some(third) = world.ends.get(2) else { return };
+    let calm = |e: &&Exchange| {
+        let times = disturbed.get(&e.vm).into_iter().flatten();
+        times.clone().all(|at| *at + KNOWN < e.sent || *at > e.sent + e.took)
+    };
+    let late = seen.iter().filter(|e| e.kind == Kind::Deadly && e.sent > *third + KNOWN);
+    let ran = late.filter(calm).filter(|e| runs.contains_key(e.identity.as_str())).count();
+    if ran > DEADLY_MOST {
+        let ended = world.ends.len();
+        broken.push(format!("a deadly query ran {ran} times once known, {ended} upstreams ended"));
+    }
+}
+
 /// Upstreams run only what a caller sent.
 fn strangers(seen: &[Exchange], runs: &BTreeMap<&str, Vec<&str>>, broken: &mut Vec<String>) {
     let known: BTreeSet<&str> = seen.iter().map(|e| e.identity.as_str()).collect();
--- a/crates/tgw-soak/src/proxy.rs
+++ b/crates/tgw-soak/src/proxy.rs
@@ -38,7 +38,7 @@
 pub(crate) struct Proxy {
     state: Rc<State>,
     addr: SocketAddr,
-    _task: Rc<Task>,
+    task: Rc<Task>,
 }
 
 struct Task(AbortHandle);
@@ -61,7 +61,7 @@
                 tokio::task::spawn_local(pass(inner.clone(), stream, to));
             }
         });
-        Ok(Self { state, addr, _task: Rc::new(Task(task.abort_handle())) })
+        Ok(Self { state, addr, task: Rc::new(Task(task.abort_handle())) })
     }
 
     /// Where it listens.
@@ -69,6 +69,11 @@
         self.addr
     }
 
+    /// Ends it: connections that it holds end with either side, and it takes no more.
+    pub(crate) fn task(&self) -> AbortHandle {
+        self.task.0.clone()
+    }
+
     /// Bends the way.
     pub(crate) fn set(&self, way: Way) {
         self.state.way.set(way);
--- a/crates/tgw-soak/src/run.rs
+++ b/crates/tgw-soak/src/run.rs
@@ -51,6 +51,9 @@
     /// What is undone, and when.
     undo: Vec<(Instant, Undo)>,
     exits: Vec<String>,
+    seen: Seen,
+    /// Times that the deadly query was sent.
+    deadly: u32,
 }
 
 enum Undo {
@@ -79,7 +82,7 @@
     let upstreams = world.upstreams.len();
     let steps = schedule::draw(options.seed, span, usize::from(options.vms), upstreams);
     let (disturbed, undo, exits) = (Disturbed::new(), Vec::new(), Vec::new());
-    let mut run = Run { world, fleet, stores, disturbed, undo, exits };
+    let mut run = Run { world, fleet, stores, disturbed, undo, exits, seen, deadly: 0 };
     let start = Instant::now();
     for step in &steps {
         run.until(start + step.at).await?;
@@ -90,7 +93,7 @@
     stop.set(true);
     while callers.join_next().await.is_some() {}
     run.world.collect();
-    let seen = seen.take();
+    let seen = run.seen.take();
     let recovered = start + span + RECOVER / 2;
     let mut report = check::check(&seen, &run.world, &run.disturbed, recovered);
     report.broken.append(&mut run.exits);
@@ -150,6 +153,7 @@
             self.undo();
             self.restart()?;
             self.world.retire(GONE);
+            self.world.revive().await?;
         }
         Ok(())
     }
@@ -238,6 +242,7 @@
             }
             Fault::Compact => self.world.store.compact(),
             Fault::Configure => self.world.configure(),
+            Fault::Deadly(vm) => self.deadly(vm),
             Fault::Restart(index) => self.world.restart(index).await?,
             Fault::Foreign(index, span) => {
                 let id = self.world.overwrite(index);
@@ -264,6 +269,16 @@
         Ok(())
     }
 
+    /// A caller sends the deadly query to a VM, on a new connection.
+    fn deadly(&mut self, vm: usize) {
+        let to = self.fleet.borrow().processes[vm].callers();
+        let (seen, number) = (self.seen.clone(), self.deadly);
+        self.deadly += 1;
+        tokio::task::spawn_local(async move {
+            Caller::new(vm).ask(to, Kind::Deadly, format!("d{number}"), &seen).await;
+        });
+    }
+
     fn bend(&mut self, index: usize, way: Way, until: Instant) {
         let Some(upstream) = self.world.upstreams.get(index) else { return };
         upstream.proxy.set(way);
--- a/crates/tgw-soak/src/schedule.rs
+++ b/crates/tgw-soak/src/schedule.rs
@@ -40,6 +40,8 @@
     Restart(usize),
     /// Somebody else overwrites an upstream's entry with what nobody can read, for a while.
     Foreign(usize, Duration),
+    /// A caller sends a query to a VM under which upstreams end.
+    Deadly(usize),
 }
 
 /// A fault and its time from the start.
@@ -56,6 +58,10 @@
 const ENTRY_GAP_MS: u64 = 900;
 /// Tells their draws from the others', so that a seed's other faults stay as they were.
 const ENTRY_SEED: u64 = 0x656e_7472;
+/// Mean time between two times that a deadly query comes, in ms.
+const DEADLY_GAP_MS: u64 = 900;
+/// See `ENTRY_SEED`.
+const DEADLY_SEED: u64 = 0x6465_6164;
 
 /// Mean time between upstreams that leave without a word, in ms.
 const VANISH_GAP_MS: u64 = 1_500;
@@ -76,7 +82,16 @@
         at += Duration::from_millis(rng.random_range(GAP_MS / 4..GAP_MS * 2));
     }
     steps.extend(entries(seed, span, upstreams));
-    steps.extend(vanishing(seed, span, upstreams));
+    // Upstreams that leave without a word, often while the store is cut off or away.
+    steps.extend(again(seed ^ VANISH_SEED, VANISH_GAP_MS, span, |rng| {
+        Fault::Vanish(rng.random_range(0..upstreams))
+    }));
+    if seed.is_multiple_of(2) {
+        // A query that comes again and again, at any VM, in every other seed.
+        steps.extend(again(seed ^ DEADLY_SEED, DEADLY_GAP_MS, span, |rng| {
+            Fault::Deadly(rng.random_range(0..vms))
+        }));
+    }
     steps.sort_by_key(|step| step.at);
     steps
 }
@@ -101,14 +116,19 @@
     steps
 }
 
-/// Upstreams that leave without a word, often while the store is cut off or away.
-fn vanishing(seed: u64, span: Duration, upstreams: usize) -> Vec<Step> {
-    let mut rng = StdRng::seed_from_u64(seed ^ VANISH_SEED);
+/// One kind of fault again and again, drawn by a seed of its own.
+fn again(
+    seed: u64,
+    gap_ms: u64,
+    span: Duration,
+    mut fault: impl FnMut(&mut StdRng) -> Fault,
+) -> Vec<Step> {
+    let mut rng = StdRng::seed_from_u64(seed);
     let mut steps = Vec::new();
-    let mut at = Duration::from_millis(rng.random_range(0..VANISH_GAP_MS));
+    let mut at = Duration::from_millis(rng.random_range(0..gap_ms));
     while at < span {
-        steps.push(Step { at, fault: Fault::Vanish(rng.random_range(0..upstreams)) });
-        at += Duration::from_millis(rng.random_range(VANISH_GAP_MS / 4..VANISH_GAP_MS * 2));
+        steps.push(Step { at, fault: fault(&mut rng) });
+        at += Duration::from_millis(rng.random_range(gap_ms / 4..gap_ms * 2));
     }
     steps
 }
--- a/crates/tgw-soak/src/world.rs
+++ b/crates/tgw-soak/src/world.rs
@@ -1,7 +1,11 @@
-use crate::{fleet::DOMAINS, proxy::Proxy};
+use crate::{callers::DEADLY, fleet::DOMAINS, proxy::Proxy};
 use serde_json::{Value, json};
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
-use tgw_site_standin::{Leaf, Store, leaf::Run, settings as files};
+use tgw_site_standin::{
+    Leaf, Store,
+    leaf::{Fault, Run},
+    settings as files,
+};
 use tokio::time::Instant;
 
 /// Shards of the query route.
@@ -15,6 +19,9 @@
 /// How long an upstream works on a request.
 const WORK: Duration = Duration::from_millis(6);
 
+/// Time after which an upstream that ended is replaced, and its entry lapses.
+const LAPSE: Duration = Duration::from_millis(1_500);
+
 /// An upstream and the way to it.
 pub(crate) struct Upstream {
     pub(crate) leaf: Leaf,
@@ -26,6 +33,8 @@
     pub(crate) left: Option<Instant>,
     /// Its entry was removed without a word.
     vanished: bool,
+    /// When it was found to have ended.
+    ended: Option<Instant>,
 }
 
 impl Upstream {
@@ -55,6 +64,8 @@
     pub(crate) runs: BTreeMap<String, Vec<Run>>,
     /// From when until when the store was down for all.
     pub(crate) outages: Vec<(Instant, Instant)>,
+    /// When upstreams ended under a query.
+    pub(crate) ends: Vec<Instant>,
 }
 
 /// The services of the query route.
@@ -66,7 +77,15 @@
     pub(crate) async fn new() -> anyhow::Result<Self> {
         let store = Store::bind().await?;
         let (upstreams, runs) = (Vec::new(), BTreeMap::new());
-        let mut world = Self { store, upstreams, version: 0, next: 0, runs, outages: Vec::new() };
+        let mut world = Self {
+            store,
+            upstreams,
+            version: 0,
+            next: 0,
+            runs,
+            outages: Vec::new(),
+            ends: Vec::new(),
+        };
         for service in shards().iter().map(String::as_str).chain([SINGLE]) {
             for domain in DOMAINS {
                 world.add(service, domain.0).await?;
@@ -80,10 +99,10 @@
     async fn add(&mut self, service: &str, domain: &'static str) -> anyhow::Result<()> {
         self.next += 1;
         let id = format!("i-{}", self.next);
-        let leaf = Leaf::bind(service, &id, WORK).await?;
-        let proxy = Proxy::bind(leaf.addr()).await?;
+        let (leaf, proxy) = start(service, &id).await?;
         let started = u64::from(self.next);
-        let upstream = Upstream { leaf, proxy, domain, started, left: None, vanished: false };
+        let (left, ended) = (None, None);
+        let upstream = Upstream { leaf, proxy, domain, started, left, vanished: false, ended };
         upstream.enter(&self.store);
         self.upstreams.push(upstream);
         Ok(())
@@ -92,7 +111,7 @@
     /// An upstream ends, and another process starts under its identity. The last heartbeat of the one before
     /// takes effect after the first one of its successor, which writes again.
     pub(crate) async fn restart(&mut self, index: usize) -> anyhow::Result<()> {
-        let lives = |u: &&Upstream| u.left.is_none();
+        let lives = |u: &&Upstream| u.left.is_none() && !u.leaf.ended();
         let Some(upstream) = self.upstreams.get(index).filter(lives) else { return Ok(()) };
         // Its connections end with it, and nothing begins to run any more.
         upstream.proxy.reset();
@@ -101,8 +120,7 @@
         let upstream = &mut self.upstreams[index];
         let before = upstream.entry();
         let (service, id) = (upstream.leaf.service().to_owned(), upstream.leaf.id().to_owned());
-        upstream.leaf = Leaf::bind(&service, &id, WORK).await?;
-        upstream.proxy = Proxy::bind(upstream.leaf.addr()).await?;
+        (upstream.leaf, upstream.proxy) = start(&service, &id).await?;
         upstream.started = u64::from(self.next);
         upstream.enter(&self.store);
         self.store.put("servers", &id, &before);
@@ -143,7 +161,7 @@
 
     /// An upstream leaves, with a word of it or without, and another takes its place.
     pub(crate) async fn replace(&mut self, index: usize, tells: bool) -> anyhow::Result<()> {
-        let lives = |u: &&mut Upstream| u.left.is_none();
+        let lives = |u: &&mut Upstream| u.left.is_none() && !u.leaf.ended();
         let Some(upstream) = self.upstreams.get_mut(index).filter(lives) else { return Ok(()) };
         let (service, domain) = (upstream.leaf.service().to_owned(), upstream.domain);
         upstream.left = Some(Instant::now());
@@ -169,6 +187,29 @@
         });
     }
 
+    /// Upstreams that ended under a query lose their entries after a while, and others start in their place.
+    pub(crate) async fn revive(&mut self) -> anyhow::Result<()> {
+        self.collect();
+        let mut gone = Vec::new();
+        let (store, ends) = (self.store.clone(), &mut self.ends);
+        self.upstreams.retain_mut(|upstream| {
+            if upstream.leaf.ended() && upstream.ended.is_none() {
+                upstream.ended = Some(Instant::now());
+                ends.push(Instant::now());
+            }
+            let over = upstream.ended.is_some_and(|at| at.elapsed() > LAPSE);
+            if over {
+                store.remove("servers", upstream.leaf.id());
+                gone.push((upstream.leaf.service().to_owned(), upstream.domain));
+            }
+            !over
+        });
+        for (service, domain) in gone {
+            self.add(&service, domain).await?;
+        }
+        Ok(())
+    }
+
     /// Takes over what ran.
     pub(crate) fn collect(&mut self) {
         for upstream in &self.upstreams {
@@ -182,3 +223,12 @@
         self.store.addr()
     }
 }
+
+/// Starts an upstream's process and the way to it, which ends with it.
+async fn start(service: &str, id: &str) -> anyhow::Result<(Leaf, Proxy)> {
+    let leaf = Leaf::bind(service, id, WORK).await?;
+    let proxy = Proxy::bind(leaf.addr()).await?;
+    leaf.fail_at(DEADLY, Fault::Ends);
+    leaf.ends_with(proxy.task());
+    Ok((leaf, proxy))
+}
