fix(spread): a watch that hangs is not a store that is away

Cause: the watches of all three VMs that follow the store hung; each ran out after 3.6 s, which counted as a silence of the store, so that the removals that its list lacked were doubted for 2.5 s more, though the store had answered four probes meanwhile. Change: an answered probe counts as an answer of the store. A watch waits 2.5 s and is given up 0.5 s later, for the margin of half a second in that case too.

--- a/crates/tgw-bench/src/leaving/mod.rs
+++ b/crates/tgw-bench/src/leaving/mod.rs
@@ -1,11 +1,17 @@
 //! Upstreams that leave: how long after the store's acknowledgement the last VM may still send to them, under a
 //! virtual clock, with the decisions of a real VM and beside faults of the store, of VMs and of the ways between.
 
+/// What a VM does.
+mod acting;
 /// What came of a run.
 mod outcome;
+/// What VMs say to one another.
+mod peers;
+/// What happens at the store, and to whom.
+mod platform;
 /// What is played.
 mod setup;
-/// The platform's store.
+/// What the store holds.
 mod store;
 /// One VM.
 mod vm;
--- a/crates/tgw-forward/src/catalog.rs
+++ b/crates/tgw-forward/src/catalog.rs
@@ -18,6 +18,26 @@
 /// Changes that are kept for the log; of more at once the first ones.
 const CHANGES: usize = 256;
 
+/// A time in which the store answered nobody, as far as is known.
+#[derive(Copy, Clone, Debug)]
+struct Silence {
+    /// When it last answered somebody.
+    since: Millis,
+    /// When a call last failed.
+    until: Millis,
+}
+
+impl Silence {
+    fn length(self) -> Millis {
+        self.until - self.since
+    }
+
+    /// Whether entries that lapsed in it are back, if their upstreams live.
+    fn is_over(self, now: Millis) -> bool {
+        now - self.until > GRACE
+    }
+}
+
 /// An upstream that is kept though its entry is missing.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
 pub struct Doubt {
@@ -68,8 +88,8 @@
     lapse: Millis,
     /// When the store last answered this VM, or one that told it news.
     heard: Millis,
-    /// When a call of this VM last failed, if that was since the store last answered it.
-    failed: Option<Millis>,
+    /// The longest silence since this VM last read the store, up to the last call that failed in it.
+    silence: Option<Silence>,
     doubted: HashMap<Rc<str>, Doubt>,
     changes: Vec<Change>,
 }
@@ -86,7 +106,7 @@
         Self {
             lapse: heartbeat.unwrap_or(HEARTBEAT).scale(LAPSE),
             heard: Millis::ZERO,
-            failed: None,
+            silence: None,
             doubted: HashMap::new(),
             changes: Vec::new(),
         }
@@ -94,16 +114,20 @@
 
     /// The store has not answered this VM, or those that this VM takes over from.
     pub fn lost(&mut self, now: Millis) {
-        self.failed = Some(now);
+        let silence = Silence { since: self.heard, until: now };
+        let longer = |known: Silence| silence.length() >= known.length() || known.is_over(now);
+        if self.silence.is_none_or(longer) {
+            self.silence = Some(silence);
+        }
     }
 
     /// The store has answered this VM.
     pub fn answered(&mut self, now: Millis) {
-        self.failed = None;
+        self.silence = None;
         self.heard = now;
     }
 
-    /// Another VM tells what the store has answered it.
+    /// The store has answered something else of this VM, or another VM, as that one tells.
     pub fn heard(&mut self, now: Millis) {
         self.heard = now;
     }
@@ -111,6 +135,9 @@
     /// This VM stood still for so long: it heard nothing because of itself, not of the store.
     pub fn paused(&mut self, gap: Millis) {
         self.heard += gap;
+        if let Some(silence) = &mut self.silence {
+            silence.since += gap;
+        }
     }
 
     /// The whole list was read; `unreadable` names entries of it that nobody can use.
@@ -121,7 +148,7 @@
         unreadable: &[Rc<str>],
         fleet: &mut Fleet,
     ) {
-        let away = self.was_away();
+        let away = self.was_away(now);
         self.answered(now);
         for id in unreadable {
             self.unreadable(id, fleet);
@@ -141,11 +168,12 @@
         }
     }
 
-    /// Whether entries of live upstreams may have lapsed: as far as is known, the store answered nobody for long enough.
-    fn was_away(&self) -> bool {
+    /// Whether entries of live upstreams may have lapsed and not be back: as far as is known, the store answered nobody
+    /// for long enough, until just now.
+    fn was_away(&self, now: Millis) -> bool {
         // A store that turned this VM away and served others lost no heartbeat: what it does not list was removed. Nor
         // does a call that failed long ago tell how long the store was away after that.
-        self.failed.is_some_and(|at| at - self.heard >= self.lapse)
+        self.silence.is_some_and(|s| s.length() >= self.lapse && !s.is_over(now))
     }
 
     /// One entry was written.
--- a/crates/tgw-forward/tests/catalog/mod.rs
+++ b/crates/tgw-forward/tests/catalog/mod.rs
@@ -66,8 +66,8 @@
 #[test]
 fn a_store_that_serves_others_is_not_away() {
     let (mut fleet, mut catalog, entries) = catalogued();
-    catalog.lost(Millis::new(9_900));
     catalog.heard(Millis::new(9_500));
+    catalog.lost(Millis::new(9_900));
     catalog.listed(Millis::new(10_000), entries[1..].to_vec(), &[], &mut fleet);
     assert_eq!(fleet.ids().map(Rc::to_string).collect::<Vec<_>>(), ["b"]);
 }
@@ -138,3 +138,25 @@
     catalog.removed(&"b".into(), &mut fleet);
     assert!(!fleet.takes(a) && !fleet.takes(b));
 }
+
+// The connection on which a VM waits for changes falls silent, and all others with it. The store answers what the VM
+// asks on new ones all the while: it was not away, and what its list lacks has left.
+#[test]
+fn a_watch_that_hangs_is_no_store_that_is_away() {
+    let (mut fleet, mut catalog, entries) = catalogued();
+    catalog.answered(Millis::new(6_500));
+    catalog.heard(Millis::new(9_000));
+    catalog.lost(Millis::new(9_500));
+    catalog.listed(Millis::new(9_600), entries[1..].to_vec(), &[], &mut fleet);
+    assert_eq!(fleet.ids().map(Rc::to_string).collect::<Vec<_>>(), ["b"]);
+}
+
+// The store is back, and answers a probe before the list is read. What lapsed while it was away is not back yet.
+#[test]
+fn an_answer_at_the_return_does_not_hide_the_silence_before() {
+    let (mut fleet, mut catalog, entries) = catalogued();
+    catalog.lost(Millis::new(9_000));
+    catalog.heard(Millis::new(9_700));
+    catalog.listed(Millis::new(10_000), entries[1..].to_vec(), &[], &mut fleet);
+    assert_eq!(fleet.len(), 2);
+}
--- a/crates/tgw-gateway/src/watch.rs
+++ b/crates/tgw-gateway/src/watch.rs
@@ -190,8 +190,11 @@
             }
             Err(_) => Probed::Silent,
         };
-        if probed == Probed::Silent {
-            shared.world.borrow_mut().upstreams.lost(shared.now());
+        match probed {
+            // A watch that hangs is then no sign of a store that is away.
+            Probed::Answered => shared.world.borrow_mut().upstreams.probed(shared.now()),
+            Probed::Silent => shared.world.borrow_mut().upstreams.lost(shared.now()),
+            Probed::Refused => {}
         }
         let changed = shared.sight.borrow_mut().probed(probed);
         see(&shared, changed);
--- a/crates/tgw-spread/src/follow.rs
+++ b/crates/tgw-spread/src/follow.rs
@@ -6,9 +6,9 @@
 /// How long one watch waits, in ms. Each end costs a call. A connection that says nothing any more, while new ones are
 /// answered, shows only when this and [`MARGIN`] have passed: together they stay below the 4 s within which a calm VM
 /// counts as reachable again.
-pub const WAIT: Millis = Millis::new(3_000);
+pub const WAIT: Millis = Millis::new(2_500);
 /// Time in ms for the answer to a watch beyond what it waits for; a slow store takes 0.25 s.
-pub const MARGIN: Millis = Millis::new(600);
+pub const MARGIN: Millis = Millis::new(500);
 /// Time in ms between two probes of the store by a VM that follows it. One that is turned away in silence would else
 /// notice it after a watch and several lists, ten seconds in which nobody who learns from it hears of a change.
 pub const PROBE_EVERY: Millis = Millis::new(800);
--- a/crates/tgw-spread/src/upstreams.rs
+++ b/crates/tgw-spread/src/upstreams.rs
@@ -96,6 +96,11 @@
         self.catalog.paused(gap);
     }
 
+    /// The store has answered a probe of this VM.
+    pub fn probed(&mut self, now: Millis) {
+        self.catalog.heard(now);
+    }
+
     /// The store was read as of `version`: its entries, each with its own version, and the identities of those that
     /// nobody can read.
     pub fn listed(
