--- a/justfile
+++ b/justfile
@@ -16,6 +16,10 @@
 overload *ARGS:
     cargo run --release -p tanagergw -- bench overload {{ARGS}}
 
+# Upstreams that leave, beside faults of the store, of VMs and of the ways between.
+leaving *ARGS:
+    cargo run --release -p tanagergw -- bench leaving {{ARGS}}
+
 # What units of state and work cost, for docs/CAPACITY.md.
 slopes:
     cargo run --release -p tanagergw -- bench slopes
