--- a/crates/tgw-member/src/contact.rs
+++ b/crates/tgw-member/src/contact.rs
@@ -88,7 +88,7 @@
     }
 
     /// Tells any VM of another domain. Both of its relays may stand still, and until that is noticed nobody else
-    /// there would hear of anything: 50 VMs were 3.5 s late.
+    /// there would hear of anything.
     fn contact_any(&mut self, domain: Domain, out: &mut Out) {
         let there = self.records.values().filter(|r| r.member.place.domain == domain);
         let live = there.filter(|r| r.member.state.owns()).map(|r| r.member.addr);
--- a/crates/tgw-spread/src/follow.rs
+++ b/crates/tgw-spread/src/follow.rs
@@ -10,7 +10,7 @@
 /// Time in ms for the answer to a watch beyond what it waits for; a slow store takes 0.25 s.
 pub const MARGIN: Millis = Millis::new(500);
 /// Time in ms between two probes of the store by a VM that follows it. One that is turned away in silence would else
-/// notice it after a watch and several lists, ten seconds in which nobody who learns from it hears of a change.
+/// notice it after a watch and several lists, and nobody who learns from it would hear of a change until then.
 pub const PROBE_EVERY: Millis = Millis::new(800);
 /// Time in ms for the answer to a probe.
 pub const PROBE_REPLY: Millis = Millis::new(700);
