feat(forward): requests of a route stay in its home regions, by every way they are sent

Cause: `serving_regions` was not read.

Ruled out: keeping it in the choice of an upstream alone (hedges, retries, parked parts, lent sends and sends for peers each choose again, and a connection may take 250 ms to be made); believing the version of the request's arrival alone (homes may change while it waits), or the newest alone (a VM may hear of a route's homes late).

Change: homes are read once in the adapter (`tgw_route::Residency`); one decision, `tgw_forward::Scope`, holds what the route said at the request's arrival and what the configuration in force says, and every choice, the look before a request is written, and the admission of sends for other VMs (`hosting.rs`, which the emulator now shares) ask it. A VM that is asked by a peer finds the route in its own configuration. Where nothing at home serves, the request is refused at once and told to come back in 0.5 to 1.5 s.

--- a/crates/tgw-bench/src/forward.rs
+++ b/crates/tgw-bench/src/forward.rs
@@ -19,7 +19,7 @@
     upstream::{Entry, Sign},
 };
 use tgw_quarantine::{Fingerprint, message::Seen};
-use tgw_route::{Config, Route, Safety, Service, Target, config::Shards};
+use tgw_route::{Config, Residency, Route, Safety, Service, Target, config::Shards};
 use tgw_spread::{
     hop::{Outcome, Reply, Request},
     message::Datagram,
@@ -62,6 +62,7 @@
         aim: Millis::new(150),
         attempts: 2,
         priority: 1,
+        residency: Residency::default(),
     })
 }
 
--- a/crates/tgw-bench/src/overload/run.rs
+++ b/crates/tgw-bench/src/overload/run.rs
@@ -21,8 +21,8 @@
 use tgw_clock::Millis;
 use tgw_forward::{
     Plan, Policy,
-    core::Way,
     fleet::{Hop, Key, Ticket},
+    hosting,
     plan::{self, Answer, Ended, Order, Response},
     upstream::Sign,
 };
@@ -373,18 +373,16 @@
             (0..self.size.vms).filter(|v| self.vms[*v].region == region).collect();
         let host = near[self.rng.random_range(0..near.len())];
         let life = self.world.upstreams[upstream].life();
-        let core = &mut self.vms[host].core;
-        let key = core.fleet.key(&death::name(upstream, life))?;
-        let known = core.fleet.get(key)?;
-        let most = core.most(&known.entry.service, Way::Peers);
-        if (!order.insist && known.doubtful(at)) || !known.open(at, most.near) {
-            return None;
-        }
-        let service = known.entry.service.clone();
-        if order.lent && !core.lend(at, &service) {
-            return None;
-        }
-        Some((host, core.fleet.send(at, key)))
+        let id = death::name(upstream, life);
+        let request = hosting::Request {
+            upstream: &id,
+            started: 0,
+            insist: order.insist,
+            lent: order.lent,
+            route: None,
+        };
+        let ticket = self.vms[host].core.host(at, request).ok()?;
+        Some((host, ticket))
     }
 
     /// When a send ends at its upstream, and how.
--- a/crates/tgw-bench/src/overload/vms.rs
+++ b/crates/tgw-bench/src/overload/vms.rs
@@ -10,7 +10,7 @@
     fleet::Place,
     upstream::Entry,
 };
-use tgw_route::{Config, Route, Safety, Service, Target, config::Shards};
+use tgw_route::{Config, Residency, Route, Safety, Service, Target, config::Shards};
 
 /// Shards of the index, as the users' site has them.
 pub const SHARDS: usize = 10;
@@ -71,6 +71,7 @@
             aim: Millis::new(aim),
             attempts: 2,
             priority: 1,
+            residency: Residency::default(),
         })
     };
     [route("full", 200, 1_000, 0.89), route("urgent", 100, 600, 0.75)]
--- a/crates/tgw-forward/src/conclude.rs
+++ b/crates/tgw-forward/src/conclude.rs
@@ -1,5 +1,5 @@
 use crate::{
-    Core, Plan,
+    Core, Plan, Scope,
     merge::{self, Cut},
     message::{Answer, Cause},
     part::{Part, State},
@@ -11,6 +11,9 @@
 /// What a refused caller is told to wait, in ms; spread over one to three times this, so that those
 /// refused together do not return together.
 const RETRY_AFTER: Millis = Millis::new(60);
+/// The same where nothing in the request's home regions serves it: a region that is cut off or evacuated is back after
+/// seconds.
+const RETRY_HOME: Millis = Millis::new(500);
 
 /// Whether `count` of `all` parts make a success.
 pub(crate) fn enough(shards: &Shards, count: usize, all: usize) -> bool {
@@ -88,9 +91,20 @@
         if let Some(retry_after) = self.held {
             return Answer::Refused { retry_after, cause: Cause::Quarantined };
         }
-        let served = self.parts.iter().all(|p| core.fleet.serves(&p.service));
-        let cause = if served { Cause::Full } else { Cause::NoUpstream };
+        let (cause, retry_after) = self.unserved(core);
         let spread = 1.0 + 2.0 * f64::from(self.spread % 64) / 64.0;
-        Answer::Refused { retry_after: RETRY_AFTER.scale(spread), cause }
+        Answer::Refused { retry_after: retry_after.scale(spread), cause }
+    }
+
+    /// Why a request that reached no upstream did not, and when to come back at the earliest.
+    fn unserved(&self, core: &Core) -> (Cause, Millis) {
+        let served = |scope| self.parts.iter().all(|p| core.fleet.serves(&p.service, scope));
+        if served(core.scope(&self.route)) {
+            (Cause::Full, RETRY_AFTER)
+        } else if served(Scope::default()) {
+            (Cause::Residency, RETRY_HOME)
+        } else {
+            (Cause::NoUpstream, RETRY_AFTER)
+        }
     }
 }
--- a/crates/tgw-forward/src/core.rs
+++ b/crates/tgw-forward/src/core.rs
@@ -7,7 +7,7 @@
 use std::{collections::HashMap, rc::Rc};
 use tgw_clock::Millis;
 use tgw_quarantine::Ledger;
-use tgw_route::{Config, Route, Share};
+use tgw_route::{Config, Residency, Route, Share};
 use tgw_tail::Hedge;
 
 /// The part of a route's aim after which a second send is made before latencies were seen: sooner
@@ -76,6 +76,8 @@
     policy: Policy,
     vms: Vms,
     connections: HashMap<Rc<str>, u32>,
+    /// Of the routes that name regions.
+    residencies: HashMap<Rc<str>, Residency>,
     windows: HashMap<Rc<str>, Window>,
     hedges: HashMap<Rc<str>, [Hedge; 3]>,
     shares: HashMap<Rc<str>, Share>,
@@ -97,11 +99,18 @@
     pub fn configure(&mut self, config: &Config) {
         self.connections =
             config.services.iter().map(|(name, s)| (name.clone(), s.connections)).collect();
+        let bound = config.routes.iter().filter(|route| !route.residency.is_free());
+        self.residencies = bound.map(|r| (r.name.clone(), r.residency.clone())).collect();
         self.windows.retain(|name, _| config.services.contains_key(name));
         self.hedges.retain(|name, _| config.routes.iter().any(|r| r.name == *name));
         self.shares.retain(|name, _| config.routes.iter().any(|r| r.name == *name));
     }
 
+    /// Where requests of a route may be served by the configuration in force, if it says so.
+    pub(crate) fn residency(&self, route: &str) -> Option<&Residency> {
+        self.residencies.get(route)
+    }
+
     /// Sets the operators' budget.
     pub fn set_budget(&mut self, budget: Budget) {
         self.budget = budget;
--- a/crates/tgw-forward/src/fleet.rs
+++ b/crates/tgw-forward/src/fleet.rs
@@ -1,7 +1,7 @@
 //! The upstreams and the choice among them.
 
 use crate::{
-    Policy,
+    Policy, Scope,
     core::Most,
     upstream::{Distance, Entry, Sign, Upstream, Word},
 };
@@ -61,6 +61,11 @@
         self.regions.keys().nth(usize::from(number)).map(String::as_str)
     }
 
+    /// The region of a failure domain, if it is known.
+    pub fn region(&self, domain: &str) -> Option<&str> {
+        self.regions.get(domain).map(String::as_str)
+    }
+
     fn distance(&self, domain: &str) -> Distance {
         if domain == self.domain {
             return Distance::Domain;
@@ -184,12 +189,29 @@
         self.upstreams.is_empty()
     }
 
-    /// The best upstream of a service that has room for one more of at most `most` sends at once and
-    /// is not among `tried`.
-    pub fn pick(&self, now: Millis, service: &str, most: Most, tried: &[Key]) -> Option<Choice> {
-        let keys = self.services.get(service)?;
-        let usable = keys.iter().filter(|key| !tried.contains(key)).filter_map(|key| {
-            let upstream = self.upstreams.get(key)?;
+    /// Where this VM is.
+    pub(crate) fn place(&self) -> &Place {
+        &self.place
+    }
+
+    /// The upstreams of a service.
+    pub(crate) fn of(&self, service: &str) -> &[Key] {
+        self.services.get(service).map(SmallVec::as_slice).unwrap_or_default()
+    }
+
+    /// The best upstream of a service that has room for one more of at most `most` sends at once, is
+    /// not among `tried`, and lies where the request may be sent.
+    pub fn pick(
+        &self,
+        now: Millis,
+        service: &str,
+        most: Most,
+        tried: &[Key],
+        scope: Scope<'_>,
+    ) -> Option<Choice> {
+        let untried = self.of(service).iter().filter(|key| !tried.contains(key));
+        let usable = untried.filter_map(|key| {
+            let upstream = self.upstreams.get(key).filter(|u| self.is_open(u, scope))?;
             let hop = self.hop(upstream, most);
             let open = match (hop, upstream.distance) {
                 (Hop::Peer, _) => upstream.free(most.peer),
@@ -208,17 +230,6 @@
         if through { Hop::Peer } else { Hop::Direct }
     }
 
-    /// Whether an upstream is still there and not leaving.
-    pub fn takes(&self, key: Key) -> bool {
-        self.upstreams.get(&key).is_some_and(|u| !u.entry.draining)
-    }
-
-    /// Whether a service has an upstream that is not leaving.
-    pub fn serves(&self, service: &str) -> bool {
-        let keys = self.services.get(service).map(SmallVec::as_slice).unwrap_or_default();
-        keys.iter().any(|k| self.takes(*k))
-    }
-
     /// Counts a send.
     pub fn send(&mut self, now: Millis, key: Key) -> Ticket {
         let number = self.next_send;
--- a/crates/tgw-forward/src/lib.rs
+++ b/crates/tgw-forward/src/lib.rs
@@ -14,6 +14,8 @@
 pub mod core;
 /// The upstreams, their state, and the choice among them.
 pub mod fleet;
+/// Sends that other VMs ask this one to make.
+pub mod hosting;
 /// How long before its aim an answer leaves.
 mod margin;
 /// The greatest records of several parts.
@@ -26,6 +28,8 @@
 pub mod plan;
 /// What an experiment may change.
 pub mod policy;
+/// Where a request may be sent.
+mod scope;
 /// One upstream: what the store says of it and what its replies told.
 pub mod upstream;
 /// Sliding budgets for extra sends.
@@ -37,5 +41,6 @@
 pub use margin::Margin;
 pub use plan::Plan;
 pub use policy::Policy;
+pub use scope::Scope;
 pub use upstream::Upstream;
 pub use window::Window;
--- a/crates/tgw-forward/src/message.rs
+++ b/crates/tgw-forward/src/message.rs
@@ -145,6 +145,8 @@
 pub enum Cause {
     /// No upstream of a service is known that is not leaving.
     NoUpstream,
+    /// Upstreams that would serve it lie outside of its home regions.
+    Residency,
     /// All upstreams hold as many sends as this VM may make, or turned it away.
     Full,
     /// Upstreams failed it, and no further send was allowed.
@@ -160,6 +162,7 @@
     pub fn text(self) -> &'static str {
         match self {
             Self::NoUpstream => "no upstream",
+            Self::Residency => "no upstream in its home regions",
             Self::Full => "all upstreams full",
             Self::Upstreams => "upstreams failed",
             Self::TooFew => "too few parts",
--- a/crates/tgw-forward/src/part.rs
+++ b/crates/tgw-forward/src/part.rs
@@ -157,9 +157,10 @@
         }
         let most = most(core, route, &self.service);
         let passed: SmallVec<[Key; 4]> = self.tried.iter().chain(&self.busy).copied().collect();
-        let fresh = core.fleet.pick(now, &self.service, most, &passed);
+        let pick = |passed| core.fleet.pick(now, &self.service, most, passed, core.scope(route));
+        let fresh = pick(&passed);
         let insist = fresh.is_none() && core.policy().insists;
-        let again = || core.fleet.pick(now, &self.service, most, &self.tried);
+        let again = || pick(&self.tried);
         let choice = fresh.or_else(again).ok_or(Reason::Upstream)?;
         let allowed = self.sends == 0 || core.spend(now, &self.service, why, need);
         let lendable = choice.hop == Hop::Peer && need == Need::Least && why == Why::Retry;
--- a/crates/tgw-forward/src/plan.rs
+++ b/crates/tgw-forward/src/plan.rs
@@ -205,7 +205,9 @@
     fn feasible(&self, now: Millis, core: &Core) -> bool {
         let Target::Shards(shards) = &self.route.target else { return true };
         let most = |part: &Part| part::most(core, &self.route, &part.service);
-        let found = self.count(|p| core.fleet.pick(now, &p.service, most(p), &[]).is_some());
+        let scope = core.scope(&self.route);
+        let pick = |part: &Part| core.fleet.pick(now, &part.service, most(part), &[], scope);
+        let found = self.count(|part| pick(part).is_some());
         enough(shards, found, self.parts.len())
     }
 
@@ -290,12 +292,13 @@
     /// Gives a part up for which nothing is under way, or parks it while it may still come in time.
     pub(crate) fn give_up(&mut self, now: Millis, index: usize, core: &Core) {
         let parks = core.policy().parks && self.parks(now, core);
+        let scope = core.scope(&self.route);
         if let Some(part) = self.parts.get_mut(index)
             && part.waiting()
             && part.open == 0
             && part.delayed.is_none()
         {
-            let park = parks && core.fleet.serves(&part.service);
+            let park = parks && core.fleet.serves(&part.service, scope);
             let again = park && part.sendable(&self.route);
             part.parked = again.then_some(now + PARK);
             if !again {
--- a/crates/tgw-forward/tests/catalog/mod.rs
+++ b/crates/tgw-forward/tests/catalog/mod.rs
@@ -3,7 +3,16 @@
 use crate::world::{NEAR, entry};
 use std::rc::Rc;
 use tgw_clock::Millis;
-use tgw_forward::{Catalog, Fleet, Policy, catalog::GRACE, fleet::Place, upstream::Entry};
+use tgw_forward::{
+    Catalog, Fleet, Policy, Scope,
+    catalog::GRACE,
+    fleet::{Key, Place},
+    upstream::Entry,
+};
+
+fn takes(fleet: &Fleet, key: Key) -> bool {
+    fleet.takes(key, Scope::default())
+}
 
 fn catalogued() -> (Fleet, Catalog, Vec<Entry>) {
     let (mut fleet, mut catalog) =
@@ -132,11 +141,11 @@
 fn who_leaves_meanwhile_takes_no_request_that_waits_for_a_connection() {
     let (mut fleet, mut catalog, entries) = catalogued();
     let [a, b] = ["a", "b"].map(|id| fleet.key(id).unwrap());
-    assert!(fleet.takes(a) && fleet.takes(b));
+    assert!(takes(&fleet, a) && takes(&fleet, b));
     let leaving = Entry { draining: true, ..entries[0].clone() };
     catalog.changed(Millis::new(1_000), leaving, &mut fleet);
     catalog.removed(&"b".into(), &mut fleet);
-    assert!(!fleet.takes(a) && !fleet.takes(b));
+    assert!(!takes(&fleet, a) && !takes(&fleet, b));
 }
 
 // The connection on which a VM waits for changes falls silent, and all others with it. The store answers what the VM
--- a/crates/tgw-forward/tests/forward.rs
+++ b/crates/tgw-forward/tests/forward.rs
@@ -8,6 +8,7 @@
 mod margin;
 mod merge;
 mod peers;
+mod residency;
 mod restart;
 mod window;
 mod words;
@@ -17,7 +18,7 @@
 use test_case::test_case;
 use tgw_clock::Millis;
 use tgw_forward::{
-    Policy,
+    Policy, Scope,
     core::{Most, Vms, Way},
     plan::{Answer, Cause, Ended, Why},
     upstream::Sign,
@@ -270,9 +271,9 @@
     world.core.fleet.remove("s0-far");
     world.core.set_vms(Vms { all: 8, near: 1 });
     let most = world.core.most("s0", Way::Direct);
-    let key = world.core.fleet.pick(world.now, "s0", most, &[]).unwrap().key;
+    let key = world.core.fleet.pick(world.now, "s0", most, &[], Scope::default()).unwrap().key;
     let mut sends = 0;
-    while world.core.fleet.pick(world.now, "s0", most, &[]).is_some() {
+    while world.core.fleet.pick(world.now, "s0", most, &[], Scope::default()).is_some() {
         world.core.fleet.send(world.now, key);
         sends += 1;
         if sends == 2 {
@@ -290,7 +291,7 @@
     let mut world = World::new(1);
     world.core.set_vms(Vms { all: 8, near: 1 });
     let most = world.core.most("s0", Way::Direct);
-    let key = world.core.fleet.pick(world.now, "s0", most, &[]).unwrap().key;
+    let key = world.core.fleet.pick(world.now, "s0", most, &[], Scope::default()).unwrap().key;
     assert_eq!((most.near, world.core.keep(key)), (4, 2));
     world.core.set_vms(Vms { all: 64, near: 32 });
     assert_eq!(world.core.keep(key), 1, "none kept");
--- a/crates/tgw-forward/tests/peers/mod.rs
+++ b/crates/tgw-forward/tests/peers/mod.rs
@@ -7,6 +7,7 @@
 use test_case::test_case;
 use tgw_clock::Millis;
 use tgw_forward::{
+    Scope,
     core::{Budget, Vms, Way},
     fleet::Hop,
     plan::{Answer, Ended, Why},
@@ -34,7 +35,7 @@
     world.core.fleet.set_manned(["r2".into()].into());
     let most = world.core.most("s0", Way::Peers);
     let mut sends = 0;
-    while let Some(choice) = world.core.fleet.pick(world.now, "s0", most, &[]) {
+    while let Some(choice) = world.core.fleet.pick(world.now, "s0", most, &[], Scope::default()) {
         world.core.fleet.send(world.now, choice.key);
         sends += 1;
     }
@@ -77,7 +78,7 @@
     world.core.fleet.remove("s0-far");
     world.core.set_vms(Vms { all: 32, near: 32 });
     let most = world.core.most("s0", Way::Peers);
-    let key = world.core.fleet.pick(world.now, "s0", most, &[]).unwrap().key;
+    let key = world.core.fleet.pick(world.now, "s0", most, &[], Scope::default()).unwrap().key;
     let busy = world.core.fleet.send(world.now, key);
     world.start(&route(shards(4), Safety::Idempotent));
     assert_eq!(world.orders.len(), 3);
@@ -96,7 +97,7 @@
     world.core.fleet.remove("s0-far");
     world.core.set_vms(Vms { all: 32, near: 32 });
     let most = world.core.most("s0", Way::Peers);
-    let key = world.core.fleet.pick(world.now, "s0", most, &[]).unwrap().key;
+    let key = world.core.fleet.pick(world.now, "s0", most, &[], Scope::default()).unwrap().key;
     world.core.fleet.send(world.now, key);
     world.start(&route(shards(4), Safety::Idempotent));
     for index in 0..3 {
--- a/crates/tgw-forward/tests/world/mod.rs
+++ b/crates/tgw-forward/tests/world/mod.rs
@@ -15,7 +15,7 @@
     upstream::{Entry, Sign},
 };
 use tgw_quarantine::Fingerprint;
-use tgw_route::{Config, Route, Safety, Service, Target, config::Shards};
+use tgw_route::{Config, Residency, Route, Safety, Service, Target, config::Shards};
 
 pub(crate) const NEAR: &str = "near";
 pub(crate) const FAR: &str = "far";
@@ -49,6 +49,7 @@
         aim: Millis::new(150),
         attempts: 2,
         priority: 1,
+        residency: Residency::default(),
     })
 }
 
--- a/crates/tgw-gateway/src/exchange.rs
+++ b/crates/tgw-gateway/src/exchange.rs
@@ -17,6 +17,7 @@
     upstream::{Entry, Sign},
 };
 use tgw_quarantine::{Fingerprint, message::Seen};
+use tgw_route::Route;
 use tokio::time::timeout;
 
 /// Largest reply that is held, in bytes; parts are a few kilobytes.
@@ -33,6 +34,8 @@
     pub(crate) _held: Option<Taken>,
     pub(crate) identity: HeaderValue,
     pub(crate) print: Fingerprint,
+    /// Its route as it was when it arrived; `None` where it came from another VM and has none here.
+    pub(crate) route: Option<Rc<Route>>,
     pub(crate) deadline: Millis,
 }
 
@@ -163,9 +166,9 @@
             }
             return Err(Fault::Crowded);
         }
-        // A connection may take seconds to be made, and the upstream may have left meanwhile: the request would reach
-        // it long after. Nothing was sent, so that it can go elsewhere.
-        if !shared.core.borrow().fleet.takes(ticket.upstream) {
+        // A connection may take seconds to be made, and the upstream may have left meanwhile, or the request's home
+        // regions may have changed: it would reach it long after. Nothing was sent, so that it can go elsewhere.
+        if !shared.core.borrow().permits(request.route.as_deref(), ticket.upstream) {
             return Err(Fault::Unsent);
         }
         let message = message(shared, request, &expected).map_err(|_| Fault::Unsent)?;
--- a/crates/tgw-gateway/src/handle.rs
+++ b/crates/tgw-gateway/src/handle.rs
@@ -81,18 +81,14 @@
     let arrived = shared.now();
     let (head, body) = request.into_parts();
     let names = shared.dialect.headers();
-    let host = head
-        .uri
-        .authority()
-        .map(http::uri::Authority::as_str)
-        .or_else(|| text(&head.headers, &header::HOST));
+    let host = headers::host(&head.uri, &head.headers);
     let (route, version) = {
         let config = shared.config.borrow();
         let Some(version) = config.version else {
             note::unconfigured(shared, arrived, text(&head.headers, &names.request));
             return Err(refuse(StatusCode::SERVICE_UNAVAILABLE, Some(UNCONFIGURED_RETRY)));
         };
-        let route = host.and_then(|h| config.table.find(h, head.uri.path())).cloned();
+        let route = config.route(&head.uri, &head.headers).cloned();
         (route, version)
     };
     let Some(route) = route else {
@@ -129,6 +125,7 @@
         _held: held,
         identity,
         print,
+        route: Some(route.clone()),
         deadline: Millis::ZERO,
     };
     Ok(Accepted { route, version, arrived, patience, outgoing })
--- a/crates/tgw-gateway/src/headers.rs
+++ b/crates/tgw-gateway/src/headers.rs
@@ -1,4 +1,4 @@
-use http::{HeaderMap, HeaderName, header};
+use http::{HeaderMap, HeaderName, Uri, header, uri::Authority};
 
 /// Headers that concern one connection only and are never forwarded.
 const HOP: [HeaderName; 7] = [
@@ -31,6 +31,12 @@
     headers.remove(header::EXPECT);
 }
 
+/// The host that a request names.
+pub(crate) fn host<'a>(uri: &'a Uri, headers: &'a HeaderMap) -> Option<&'a str> {
+    let named = || headers.get(header::HOST)?.to_str().ok();
+    uri.authority().map(Authority::as_str).or_else(named)
+}
+
 /// The idle time in whole seconds that a peer states for its connection.
 pub(crate) fn keep_alive_seconds(headers: &HeaderMap) -> Option<u64> {
     let text = headers.get(KEEP_ALIVE)?.to_str().ok()?;
--- a/crates/tgw-gateway/src/hop.rs
+++ b/crates/tgw-gateway/src/hop.rs
@@ -4,7 +4,7 @@
     shared::Shared,
 };
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, Uri};
 use rand::seq::IndexedRandom;
 use std::{
     cell::{Cell, RefCell},
@@ -14,8 +14,8 @@
 };
 use tgw_clock::Millis;
 use tgw_forward::{
-    core::Way,
-    fleet::{Hop, Place, Ticket},
+    fleet::{Hop, Place},
+    hosting::{self, Refusal},
     merge::Cut,
     plan::{Ended, Response},
     upstream::Sign,
@@ -248,32 +248,30 @@
 }
 
 async fn serve(shared: &Rc<Shared>, request: Request) -> Outcome {
-    let ticket = match admit(shared, &request) {
-        Ok(ticket) => ticket,
-        Err(outcome) => return outcome,
-    };
-    let lent = request.lent.then(|| service_of(shared, &request.upstream)).flatten();
-    // What reached no upstream is no extra send.
-    let refund = || {
-        if let Some(service) = &lent {
-            shared.core.borrow_mut().refund(service);
-        }
-    };
     let limit = usize::try_from(request.limit).unwrap_or(usize::MAX);
-    let seen = request.seen;
     let cut = (limit > 0).then_some(Cut { limit, floor: request.floor });
-    let Some(outgoing) = unpack(shared, request) else {
-        shared.core.borrow_mut().fleet.end(shared.now(), ticket, Sign::Dropped);
-        refund();
-        return Outcome::Unsent;
+    let Request { started, insist, lent, seen, .. } = request;
+    let upstream = request.upstream.clone();
+    let Some(outgoing) = unpack(shared, request) else { return Outcome::Unsent };
+    let route = outgoing.route.as_deref();
+    let asked = hosting::Request { upstream: &upstream, started, insist, lent, route };
+    let hosted = shared.core.borrow_mut().host(shared.now(), asked);
+    let ticket = match hosted {
+        Ok(ticket) => ticket,
+        Err(Refusal::Unknown) => return Outcome::Unsent,
+        Err(Refusal::Busy) => return Outcome::Busy,
     };
+    let service = if lent { service_of(shared, &upstream) } else { None };
     let (hop, insist) = (Hop::Direct, true);
     let way = exchange::Way { ticket, hop, insist, lent: false, cut: None, seen };
     match exchange::run(shared.clone(), way, Rc::new(outgoing)).await {
         Ended::Answered(response) => answered(*response, cut),
         Ended::Declined => Outcome::Declined,
         Ended::Unsent => {
-            refund();
+            // What reached no upstream is no extra send.
+            if let Some(service) = &service {
+                shared.core.borrow_mut().refund(service);
+            }
             Outcome::Unsent
         }
         Ended::Busy => Outcome::Busy,
@@ -299,26 +297,6 @@
     }
 }
 
-/// Counts the send if this VM knows the upstream, has room for it and does not doubt it.
-fn admit(shared: &Shared, request: &Request) -> Result<Ticket, Outcome> {
-    let now = shared.now();
-    let mut core = shared.core.borrow_mut();
-    let key = core.fleet.key(&request.upstream).ok_or(Outcome::Unsent)?;
-    let upstream = core.fleet.get(key).ok_or(Outcome::Unsent)?;
-    let most = core.most(&upstream.entry.service, Way::Peers);
-    let doubted = !request.insist && upstream.doubtful(now);
-    // One of the two VMs has not heard yet that the upstream has started again.
-    let other = upstream.entry.started != request.started;
-    if doubted || other || !upstream.open(now, most.near) {
-        return Err(Outcome::Busy);
-    }
-    let service = upstream.entry.service.clone();
-    if request.lent && !core.lend(now, &service) {
-        return Err(Outcome::Busy);
-    }
-    Ok(core.fleet.send(now, key))
-}
-
 fn service_of(shared: &Shared, upstream: &str) -> Option<Rc<str>> {
     let core = shared.core.borrow();
     let known = core.fleet.key(upstream).and_then(|key| core.fleet.get(key));
@@ -332,14 +310,17 @@
         headers.append(HeaderName::try_from(name).ok()?, HeaderValue::from_bytes(&value).ok()?);
     }
     let identity = headers.get(&shared.dialect.headers().request)?.clone();
+    let uri: Uri = request.uri.parse().ok()?;
+    let route = shared.config.borrow().route(&uri, &headers).cloned();
     Some(Outgoing {
         method: request.method.parse().ok()?,
-        uri: request.uri.parse().ok()?,
+        uri,
         headers,
         body: request.body.into(),
         _held: None,
         identity,
         print: request.print,
+        route,
         deadline: shared.now() + Millis::new(request.left),
     })
 }
--- a/crates/tgw-gateway/src/shared.rs
+++ b/crates/tgw-gateway/src/shared.rs
@@ -1,7 +1,8 @@
 use crate::{
-    Dialect, Settings, governor::Governor, heads::Heads, hop::Hops, log::Dropped, loss::Breaks,
-    meters::Meters, packets::Packets, pool::Pools, room::Room,
+    Dialect, Settings, governor::Governor, headers, heads::Heads, hop::Hops, log::Dropped,
+    loss::Breaks, meters::Meters, packets::Packets, pool::Pools, room::Room,
 };
+use http::{HeaderMap, Uri};
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
@@ -10,7 +11,7 @@
 use tgw_clock::{Clock, Millis, Monotonic};
 use tgw_forward::{Core, Policy, fleet::Key, upstream::Word};
 use tgw_quarantine::fingerprint::Hasher;
-use tgw_route::{Config, Limits, Table};
+use tgw_route::{Config, Limits, Route, Table};
 use tgw_spread::{
     Start, World,
     follow::Sight,
@@ -60,6 +61,13 @@
     pub(crate) since: Millis,
 }
 
+impl Configured {
+    /// The route of a request.
+    pub(crate) fn route(&self, uri: &Uri, headers: &HeaderMap) -> Option<&Rc<Route>> {
+        self.table.find(headers::host(uri, headers)?, uri.path())
+    }
+}
+
 /// What the tasks of the serving thread share. Borrows never span an await.
 pub(crate) struct Shared {
     pub(crate) settings: Settings,
--- a/crates/tgw-route/src/config.rs
+++ b/crates/tgw-route/src/config.rs
@@ -1,5 +1,6 @@
 //! One version of the configuration.
 
+use crate::Residency;
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeMap, rc::Rc};
@@ -39,6 +40,8 @@
     pub attempts: u32,
     /// Its rank; zero is the most urgent.
     pub priority: u32,
+    /// Where its requests may be served.
+    pub residency: Residency,
 }
 
 /// Whether a request may run more than once.
--- a/crates/tgw-route/src/lib.rs
+++ b/crates/tgw-route/src/lib.rs
@@ -5,11 +5,14 @@
 
 /// One version of the configuration: routes, services and limits.
 pub mod config;
+/// Where requests may be served.
+mod residency;
 /// Dealing requests out by weight.
 mod share;
 /// Finding the route of a request.
 mod table;
 
 pub use config::{Config, Limits, Route, Safety, Service, Target};
+pub use residency::Residency;
 pub use share::Share;
 pub use table::Table;
--- /dev/null
+++ b/crates/tgw-route/src/residency.rs
@@ -0,0 +1,25 @@
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+use std::rc::Rc;
+
+/// The regions in which requests may be served, cached and stored, their bodies included; none named: everywhere.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Residency(SmallVec<[Rc<str>; 2]>);
+
+impl Residency {
+    /// Whether a request may be sent into a region; `None` where the region is not known.
+    pub fn admits(&self, region: Option<&str>) -> bool {
+        self.is_free() || region.is_some_and(|region| self.0.iter().any(|home| **home == *region))
+    }
+
+    /// Whether no region is named.
+    pub fn is_free(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
+impl FromIterator<Rc<str>> for Residency {
+    fn from_iter<I: IntoIterator<Item = Rc<str>>>(regions: I) -> Self {
+        Self(regions.into_iter().collect())
+    }
+}
--- a/crates/tgw-route/tests/route.rs
+++ b/crates/tgw-route/tests/route.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use test_case::test_case;
 use tgw_clock::Millis;
-use tgw_route::{Config, Route, Safety, Share, Table, Target};
+use tgw_route::{Config, Residency, Route, Safety, Share, Table, Target};
 
 fn route(name: &str, host: &str, prefix: &str) -> Rc<Route> {
     Rc::new(Route {
@@ -18,6 +18,7 @@
         aim: Millis::new(150),
         attempts: 2,
         priority: 1,
+        residency: Residency::default(),
     })
 }
 
--- a/crates/tgw-spread/tests/spread.rs
+++ b/crates/tgw-spread/tests/spread.rs
@@ -16,7 +16,7 @@
     Fingerprint,
     message::{End, Hold, News, Seen},
 };
-use tgw_route::{Config, Route, Safety, Target};
+use tgw_route::{Config, Residency, Route, Safety, Target};
 use tgw_spread::{
     Delta, Ledger, Message, Upstreams, World, hop,
     message::{Datagram, Late},
@@ -126,6 +126,7 @@
         aim: Millis::new(150),
         attempts: 2,
         priority: 0,
+        residency: Residency::default(),
     };
     let routes = routes.iter().map(|name| Rc::new(route(name))).collect();
     Config { version, routes, ..Config::default() }
