feat(spread): evacuations reach all VMs as fast as an upstream's leaving, and are taken back as fast

Ruled out: entries among those of upstreams (a VM that follows both kinds may be further in one than in the other, and would claim a version whose evacuations it does not hold); polling a copy (seconds old); a flood of its own (a second way beside the one that `bench leaving` proves).

Change: a third version travels in every packet of membership; the list is short and told whole, as of a version of the store (`tgw_spread::Evacuations`). The VM that follows the store for its region follows this kind too, with watches of 20 s and no pause after news: that its connection went silent shows by probes of the connection. The choice of an upstream, the look before a request is written and the admission of sends for peers leave evacuated domains out; what runs there may answer. What an object holds besides its name does not matter. A VM is ready, and accepts requests, once it read or was told the list, or could not read it.

--- a/crates/tanagergw/src/bench.rs
+++ b/crates/tanagergw/src/bench.rs
@@ -13,7 +13,7 @@
 #[derive(clap::Args)]
 pub(crate) struct Args {
     /// An experiment, `all`, `list`, `slopes` for what units of state and work cost, `starts` for who reads
-    /// the store where many VMs start at once, `leaving` for how long VMs send to upstreams that leave, `overload` for forwarding under load at its worst, or
+    /// the store where many VMs start at once, `leaving` for how long VMs send to upstreams that leave, `evacuations` for the same of failure domains, `overload` for forwarding under load at its worst, or
     /// `overload/NAME` for one of its scenarios.
     scenario: String,
     /// Whose size: coimbra, aspen or both.
@@ -28,7 +28,7 @@
     /// Demand as a part of all slots; by default the experiment's own.
     #[arg(long)]
     load: Option<f64>,
-    /// VMs of the tier; six if not stated, nine for `overload`; 9, 76 and 300 for `leaving`.
+    /// VMs of the tier; six if not stated, nine for `overload`; 9, 82 and 300 for `leaving` and `evacuations`.
     #[arg(long)]
     vms: Option<usize>,
     /// Leave the delays between places out.
@@ -77,7 +77,10 @@
         return starts(args);
     }
     if args.scenario == "leaving" {
-        return leaving(args);
+        return leaving(args, leaving::Subject::Upstreams);
+    }
+    if args.scenario == "evacuations" {
+        return leaving(args, leaving::Subject::Evacuations);
     }
     if let Some(name) = args.scenario.strip_prefix("overload") {
         return overload(args, name.trim_start_matches('/'));
@@ -123,11 +126,11 @@
 const STARTS: [usize; 4] = [7, 50, 300, 1_000];
 
 /// Sizes at which `bench leaving` plays upstreams that leave.
-const LEAVING: [usize; 3] = [9, 76, 300];
+const LEAVING: [usize; 3] = [9, 82, 300];
 
-fn leaving(args: &Args) -> anyhow::Result<ExitCode> {
+fn leaving(args: &Args, subject: leaving::Subject) -> anyhow::Result<ExitCode> {
     let sizes = args.vms.map_or(LEAVING.to_vec(), |vms| vec![vms]);
-    let each = |vms: usize| args.seed.iter().flat_map(move |s| leaving::setups(vms, *s));
+    let each = |vms: usize| args.seed.iter().flat_map(move |s| leaving::setups(subject, vms, *s));
     let outcomes: Vec<(String, leaving::Outcome)> = sizes
         .into_iter()
         .flat_map(each)
--- a/crates/tgw-bench/src/leaving/acting.rs
+++ b/crates/tgw-bench/src/leaving/acting.rs
@@ -1,14 +1,15 @@
 use super::{
     What,
     platform::STORE,
+    setup::Subject,
     store::Change,
     vm::Call,
-    world::{Due, LEAVING, SETTLE, TICK, World, name},
+    world::{Due, LEAVING, SETTLE, TICK, World},
 };
 use tgw_clock::Millis;
 use tgw_forward::upstream::Entry;
 use tgw_member::Event;
-use tgw_spread::follow::{LOST_NEAR, MARGIN, PROBE_EVERY, PROBE_REPLY, Probed, Step, Way};
+use tgw_spread::follow::{LOST_NEAR, MARGIN, PROBE_EVERY, PROBE_REPLY, Probed, Step};
 
 /// One way between VMs, from the users' networks: within a region and between two.
 pub(super) const NEAR: Millis = Millis::from_micros(1_400);
@@ -86,11 +87,11 @@
         }
         let seat = &mut self.vms[vm];
         if seat.member.blind_near() >= LOST_NEAR {
-            seat.upstreams.lost(self.now);
+            seat.known.note(|known| known.lost(self.now));
         }
         seat.follow.listed(version);
-        seat.sight.read(Way::Upstreams);
-        seat.upstreams.listed(self.now, version, entries, &[], &mut seat.fleet);
+        seat.sight.read(seat.known.way());
+        seat.known.listed(self.now, version, entries);
         self.tell(vm);
         self.step(vm);
     }
@@ -107,15 +108,8 @@
         }
         let seat = &mut self.vms[vm];
         let news = !changes.is_empty();
-        seat.upstreams.answered(self.now);
-        for (revision, id, entry) in changes {
-            match entry {
-                Some(entry) => {
-                    seat.upstreams.written(self.now, revision, entry, &mut seat.fleet);
-                }
-                None => seat.upstreams.removed(version, revision, &id, &mut seat.fleet),
-            }
-        }
+        seat.known.note(|known| known.answered(self.now));
+        changes.into_iter().for_each(|change| seat.known.changed(self.now, version, change));
         seat.follow.watched(self.now, version, news);
         if news {
             self.tell(vm);
@@ -130,13 +124,13 @@
         let blind_near = seat.member.blind_near();
         match step {
             Step::List => {
-                seat.upstreams.lost(self.now);
+                seat.known.note(|known| known.lost(self.now));
                 seat.follow.failed(self.now, blind_near);
-                seat.sight.note(Way::Upstreams, seat.follow.is_blind());
+                seat.sight.note(seat.known.way(), seat.follow.is_blind());
             }
             Step::Watch { wait, .. } => {
                 if self.now - began >= wait {
-                    seat.upstreams.lost(self.now);
+                    seat.known.note(|known| known.lost(self.now));
                 }
                 seat.follow.stop(self.now);
             }
@@ -156,7 +150,7 @@
         self.at(self.now + TICK, Due::Tick(vm));
         self.member(vm, Event::Tick);
         let seat = &mut self.vms[vm];
-        seat.upstreams.tick(self.now, &mut seat.fleet);
+        seat.known.tick(self.now);
         if self.now < SETTLE {
             return;
         }
@@ -181,14 +175,15 @@
         let seat = &mut self.vms[vm];
         for (number, left) in self.left_at.iter().enumerate() {
             if left.is_some() {
-                let uses = seat.uses(&name(number));
+                let knows = seat.known.knows(number);
                 let aware = &mut seat.aware[number];
-                *aware = (!uses).then(|| aware.unwrap_or(now));
+                *aware = knows.then(|| aware.unwrap_or(now));
             }
         }
-        if now > SETTLE && seat.judged_from == Millis::ZERO {
+        let judged = self.setup.subject == Subject::Upstreams && now > SETTLE;
+        if judged && seat.judged_from == Millis::ZERO {
             let live = LEAVING..self.setup.upstreams;
-            let used = live.clone().filter(|number| seat.uses(&name(*number))).count();
+            let used = live.clone().filter(|number| seat.known.uses(*number)).count();
             self.usable = self.usable.min(used as f64 / live.len() as f64);
         }
     }
--- a/crates/tgw-bench/src/leaving/peers.rs
+++ b/crates/tgw-bench/src/leaving/peers.rs
@@ -1,13 +1,13 @@
 use super::{
     What,
     acting::{FAR, NEAR},
+    known::News,
     world::{Due, World, address, index},
 };
 use rand::Rng;
 use std::net::SocketAddr;
 use tgw_clock::Millis;
 use tgw_member::{Action, Event};
-use tgw_spread::upstreams::News;
 
 /// Time for one exchange with a peer, and the time after which another is asked beside, as in the gateway.
 const EXCHANGE: Millis = Millis::new(1_500);
@@ -32,8 +32,10 @@
                         self.at(self.now + way + way + way, Due::Records { to, records });
                     }
                 }
-                Action::Newer { addr, world, .. } => self.ask(vm, addr, world),
-                Action::Paused(gap) => self.vms[vm].upstreams.paused(gap),
+                Action::Newer { addr, world, evacuations, .. } => {
+                    self.ask(vm, addr, world.max(evacuations));
+                }
+                Action::Paused(gap) => self.vms[vm].known.note(|known| known.paused(gap)),
                 Action::Changed => {}
             }
         }
@@ -53,7 +55,7 @@
         let now = self.now;
         let seat = &mut self.vms[vm];
         let waits = seat.asking.is_some_and(|at| now - at < PATIENCE);
-        let version = seat.upstreams.version();
+        let version = seat.known.version();
         if there <= version || waits {
             return;
         }
@@ -65,7 +67,7 @@
     }
 
     pub(super) fn asked(&mut self, vm: usize, from: usize, version: u64, asked: Millis) {
-        let news = self.vms[vm].upstreams.since(self.now, version);
+        let news = self.vms[vm].known.since(self.now, version);
         if let Some((to, way)) = self.way(vm, address(from)) {
             self.at(self.now + way, Due::News { to, asked, news });
         }
@@ -77,7 +79,7 @@
             seat.asking = None;
         }
         if let Some(news) = news {
-            seat.upstreams.told(self.now, news, false, &mut seat.fleet);
+            seat.known.told(self.now, news);
             self.tell(vm);
         }
     }
--- a/crates/tgw-bench/src/leaving/platform.rs
+++ b/crates/tgw-bench/src/leaving/platform.rs
@@ -1,5 +1,5 @@
 use super::{
-    Trouble, What, Whom,
+    Subject, Trouble, What, Whom,
     acting::NEAR,
     vm::Call,
     world::{Due, LEAVING, World, entry, name},
@@ -12,6 +12,8 @@
 /// An answer of the store, and one of a slow store.
 pub(super) const STORE: Millis = Millis::new(12);
 const STORE_SLOW: Millis = Millis::new(212);
+/// Time after which a connection that went silent counts as dead, as in the adapter.
+const PROBED: Millis = Millis::new(3_000);
 /// Upstreams whose entries are written again and again, and the time between two writings.
 const FRESH: usize = 6;
 const NEWS_MS: (u64, u64) = (150, 650);
@@ -88,8 +90,14 @@
             return;
         }
         self.waiting.retain(|w| w.0 != vm);
-        let Some(call) = self.vms[vm].call.filter(|_| what == What::Refused) else { return };
-        self.at(self.now + NEAR, Due::Failed(vm, call.number));
+        let Some(call) = self.vms[vm].call else { return };
+        let after = match what {
+            What::Refused => NEAR,
+            // Probes of the connection find nobody there.
+            What::Hung => PROBED,
+            _ => return,
+        };
+        self.at(self.now + after, Due::Failed(vm, call.number));
     }
 
     pub(super) fn end(&mut self, number: usize) {
@@ -102,11 +110,13 @@
         }
     }
 
-    /// Half of those that leave say so, the entries of the others are removed.
+    /// Half of those that leave say so, the entries of the others are removed; of domains, half are evacuated and half
+    /// are taken back.
     pub(super) fn leave(&mut self, number: usize) {
         self.left_at[number] = Some(self.now);
         if number.is_multiple_of(2) {
-            return self.write(entry(name(number), true, Millis::ZERO));
+            let draining = self.setup.subject == Subject::Upstreams;
+            return self.write(entry(name(number), draining, Millis::ZERO));
         }
         self.store.remove(&name(number));
         self.publish();
--- a/crates/tgw-bench/src/leaving/setup.rs
+++ b/crates/tgw-bench/src/leaving/setup.rs
@@ -45,9 +45,20 @@
     pub whom: Whom,
 }
 
+/// What changes at the store.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub enum Subject {
+    /// Upstreams leave.
+    Upstreams,
+    /// Failure domains are evacuated, and others are taken back.
+    Evacuations,
+}
+
 /// What is played.
 #[derive(Clone, Debug)]
 pub struct Setup {
+    /// What changes.
+    pub subject: Subject,
     /// VMs in all.
     pub vms: usize,
     /// Regions, of one failure domain each up to nine VMs and of two beyond.
@@ -70,6 +81,7 @@
     /// So many VMs, with nothing wrong but one packet in a hundred lost.
     pub fn of(vms: usize, seed: u64) -> Self {
         Self {
+            subject: Subject::Upstreams,
             vms,
             regions: 3,
             upstreams: 60,
@@ -81,6 +93,11 @@
         }
     }
 
+    /// The same for evacuations, of which nothing else is written.
+    pub fn of_evacuations(vms: usize, seed: u64) -> Self {
+        Self { subject: Subject::Evacuations, news: false, upstreams: 0, ..Self::of(vms, seed) }
+    }
+
     /// The same beside a trouble that begins and ends so many ms before or after the upstreams leave.
     #[must_use]
     pub fn beside(mut self, what: What, whom: Whom, from: i64, to: i64) -> Self {
@@ -92,8 +109,11 @@
 }
 
 /// What is printed: sizes, and what may be wrong beside.
-pub fn setups(vms: usize, seed: u64) -> Vec<(String, Setup)> {
-    let of = || Setup::of(vms, seed);
+pub fn setups(subject: Subject, vms: usize, seed: u64) -> Vec<(String, Setup)> {
+    let of = || match subject {
+        Subject::Upstreams => Setup::of(vms, seed),
+        Subject::Evacuations => Setup::of_evacuations(vms, seed),
+    };
     let named = |name: &str, setup: Setup| (name.to_owned(), setup);
     vec![
         named("nothing else", of()),
--- a/crates/tgw-bench/src/leaving/vm.rs
+++ b/crates/tgw-bench/src/leaving/vm.rs
@@ -1,9 +1,9 @@
+use super::known::Known;
 use std::net::SocketAddr;
 use tgw_clock::Millis;
-use tgw_forward::Fleet;
 use tgw_member::{Event, Member};
 use tgw_spread::{
-    Follow, Upstreams,
+    Follow,
     follow::{Sight, Step, Turn},
 };
 
@@ -20,8 +20,7 @@
     pub(crate) addr: SocketAddr,
     pub(crate) region: usize,
     pub(crate) member: Member,
-    pub(crate) upstreams: Upstreams,
-    pub(crate) fleet: Fleet,
+    pub(crate) known: Known,
     pub(crate) follow: Follow,
     pub(crate) sight: Sight,
     pub(crate) relay: Option<bool>,
@@ -42,15 +41,13 @@
         Turn { relay: self.relay, known: true, due: Millis::MAX }
     }
 
-    /// Whether it may send to an upstream.
-    pub(crate) fn uses(&self, id: &str) -> bool {
-        let upstream = self.fleet.key(id).and_then(|key| self.fleet.get(key));
-        upstream.is_some_and(|u| !u.entry.draining)
-    }
-
     /// What it has to tell others.
     pub(crate) fn told(&mut self) -> Vec<Event> {
-        let version = self.upstreams.version();
-        vec![Event::World(version), Event::Blind(self.sight.is_blind())]
+        let version = self.known.version();
+        let news = match self.known {
+            Known::Upstreams(_) => Event::World(version),
+            Known::Evacuations(_) => Event::Evacuations(version),
+        };
+        vec![news, Event::Blind(self.sight.is_blind())]
     }
 }
--- a/crates/tgw-bench/src/leaving/world.rs
+++ b/crates/tgw-bench/src/leaving/world.rs
@@ -1,5 +1,7 @@
 use super::{
     Outcome, Setup,
+    known::{Known, News},
+    setup::Subject,
     store::{Change, Store},
     vm::Vm,
 };
@@ -11,12 +13,11 @@
     rc::Rc,
 };
 use tgw_clock::Millis;
-use tgw_forward::{Fleet, upstream::Entry};
+use tgw_forward::upstream::Entry;
 use tgw_member::{Event, Member, Options, Packet, Record};
 use tgw_spread::{
-    Delta, Follow, Upstreams,
+    Follow,
     follow::{Probed, Sight},
-    upstreams::News,
 };
 use tgw_topology::{
     Place, Vm as Id,
@@ -129,8 +130,14 @@
             rng: SmallRng::seed_from_u64(setup.seed),
             setup,
         };
-        for number in 0..world.setup.upstreams {
-            world.store.write(entry(name(number), false, Millis::ZERO));
+        match world.setup.subject {
+            Subject::Upstreams => (0..world.setup.upstreams).for_each(|number| {
+                world.store.write(entry(name(number), false, Millis::ZERO));
+            }),
+            // Those that are taken back, as each other one is.
+            Subject::Evacuations => (1..LEAVING).step_by(2).for_each(|number| {
+                world.store.write(entry(name(number), false, Millis::ZERO));
+            }),
         }
         for number in 0..world.setup.vms {
             let vm = world.vm(number);
@@ -160,19 +167,12 @@
             seeds: (0..domains.min(vms)).map(address).collect(),
             seed: self.rng.random(),
         };
-        let (mut upstreams, mut fleet) = (Upstreams::default(), Fleet::default());
-        let changed = self.store.list().into_iter().map(|(v, e)| (e.id.clone(), v, e)).collect();
-        let to = self.store.revision;
-        let known = Delta { from: None, to, changed, removed: vec![], gaps: vec![] };
-        let known = News { delta: known, lapsed: vec![] };
-        upstreams.told(Millis::ZERO, known, false, &mut fleet);
         Vm {
             addr: address(number),
             region,
             member: Member::new(options),
-            upstreams,
-            fleet,
-            follow: Follow::new(self.rng.random()),
+            known: Known::new(self.setup.subject, &self.store),
+            follow: Follow::new(self.rng.random(), self.setup.subject.pace()),
             sight: Sight::default(),
             relay: None,
             call: None,
@@ -230,8 +230,8 @@
             Due::Probe(vm) => self.probe(vm),
             Due::Probed(vm, probed) => {
                 match probed {
-                    Probed::Answered => self.vms[vm].upstreams.probed(self.now),
-                    Probed::Silent => self.vms[vm].upstreams.lost(self.now),
+                    Probed::Answered => self.vms[vm].known.note(|known| known.probed(self.now)),
+                    Probed::Silent => self.vms[vm].known.note(|known| known.lost(self.now)),
                     Probed::Refused => {}
                 }
                 self.vms[vm].sight.probed(probed);
--- a/crates/tgw-bench/tests/leaving/mod.rs
+++ b/crates/tgw-bench/tests/leaving/mod.rs
@@ -1,7 +1,7 @@
 //! How long VMs send to upstreams that leave.
 
 use test_case::test_case;
-use tgw_bench::leaving::{Outcome, Setup, What, Whom, play, setups, turned_away};
+use tgw_bench::leaving::{Outcome, Setup, Subject, What, Whom, play, setups, turned_away};
 
 /// The least time in ms for which operators let requests reach an upstream that leaves, less half a second for what a
 /// request takes on its way there and for a VM's turns.
@@ -52,7 +52,7 @@
 #[test]
 fn no_trouble_beside_keeps_a_vm_sending() {
     for seed in 1..=3 {
-        for (name, setup) in setups(9, seed) {
+        for (name, setup) in setups(Subject::Upstreams, 9, seed) {
             within_the_bound(&name, setup);
         }
     }
@@ -68,3 +68,33 @@
         assert!(outcome.usable >= 0.95, "seed {seed}: {outcome:?}");
     }
 }
+
+/// Time in ms within which an evacuation is known to all VMs, in 99 of 100 cases where nothing is wrong, and at most
+/// beside whatever is wrong.
+const EVACUATED_MS: f64 = 500.0;
+const EVACUATED_MOST_MS: f64 = 2_000.0;
+
+// Operators evacuate failure domains, and take others back: no VM may go on sending to the first, or leave the others out,
+// for long.
+#[test]
+fn an_evacuation_is_known_everywhere_within_half_a_second() {
+    for seed in 1..=3 {
+        for vms in [9, 82] {
+            let outcome = play(Setup::of_evacuations(vms, seed));
+            let kept = outcome.never == 0 && outcome.after_ms[1] <= EVACUATED_MS;
+            assert!(kept, "{vms} VMs, seed {seed}: {outcome:?}");
+        }
+    }
+}
+
+// The same while the store turns VMs away, or says nothing to them, and while VMs stand still, die or are cut off.
+#[test]
+fn no_trouble_beside_holds_an_evacuation_up() {
+    for seed in 1..=3 {
+        for (name, setup) in setups(Subject::Evacuations, 9, seed) {
+            let outcome = play(setup);
+            let kept = outcome.never == 0 && outcome.after_ms[2] <= EVACUATED_MOST_MS;
+            assert!(kept, "{name}, seed {seed}: {outcome:?}");
+        }
+    }
+}
--- a/crates/tgw-forward/src/fleet.rs
+++ b/crates/tgw-forward/src/fleet.rs
@@ -109,6 +109,8 @@
     levels: HashMap<Rc<str>, Level>,
     /// Regions in which another VM lives.
     manned: BTreeSet<String>,
+    /// Failure domains whose upstreams are to get nothing more.
+    evacuated: BTreeSet<Rc<str>>,
     next_key: u64,
     next_send: u64,
 }
@@ -124,6 +126,16 @@
         self.manned = regions;
     }
 
+    /// Sets the failure domains whose upstreams are to get nothing more. What they are at work on they may finish.
+    pub fn set_evacuated(&mut self, domains: BTreeSet<Rc<str>>) {
+        self.evacuated = domains;
+    }
+
+    /// Whether the upstreams of a failure domain are to get nothing more.
+    pub fn is_evacuated(&self, domain: &str) -> bool {
+        self.evacuated.contains(domain)
+    }
+
     /// The upstream of an identity.
     pub fn key(&self, id: &str) -> Option<Key> {
         self.keys.get(id).copied()
--- a/crates/tgw-forward/src/scope.rs
+++ b/crates/tgw-forward/src/scope.rs
@@ -48,6 +48,7 @@
 
     pub(crate) fn is_open(&self, upstream: &Upstream, scope: Scope<'_>) -> bool {
         let domain = &*upstream.entry.domain;
-        !upstream.entry.draining && scope.admits(self.place().region(domain))
+        let taken = !upstream.entry.draining && !self.is_evacuated(domain);
+        taken && scope.admits(self.place().region(domain))
     }
 }
--- a/crates/tgw-forward/tests/forward.rs
+++ b/crates/tgw-forward/tests/forward.rs
@@ -5,6 +5,7 @@
 mod budget;
 mod catalog;
 mod caution;
+mod evacuation;
 mod margin;
 mod merge;
 mod peers;
--- a/crates/tgw-gateway/src/dialect.rs
+++ b/crates/tgw-gateway/src/dialect.rs
@@ -34,6 +34,8 @@
     pub config_name: String,
     /// The kind of the upstreams' entries.
     pub upstreams: String,
+    /// The kind under which operators name the failure domains that are evacuated.
+    pub evacuations: String,
     /// The kind, of the product's own, under which VMs announce themselves.
     pub vms: String,
 }
--- a/crates/tgw-gateway/src/handle.rs
+++ b/crates/tgw-gateway/src/handle.rs
@@ -84,7 +84,8 @@
     let host = headers::host(&head.uri, &head.headers);
     let (route, version) = {
         let config = shared.config.borrow();
-        let Some(version) = config.version else {
+        let known = config.version.filter(|_| shared.evacuations_asked.get());
+        let Some(version) = known else {
             note::unconfigured(shared, arrived, text(&head.headers, &names.request));
             return Err(refuse(StatusCode::SERVICE_UNAVAILABLE, Some(UNCONFIGURED_RETRY)));
         };
--- a/crates/tgw-gateway/src/peers.rs
+++ b/crates/tgw-gateway/src/peers.rs
@@ -19,7 +19,7 @@
 use tgw_owner::Directory;
 use tgw_spread::{
     Message,
-    message::{Datagram, Late},
+    message::{Datagram, Late, Versions},
     start::{self, Found},
 };
 use tgw_topology::Vm;
@@ -46,7 +46,7 @@
 const SETTLE_ALONE: Millis = Millis::new(4_500);
 
 /// Versions above any: of a VM that was named by another as one that holds the state.
-const ANY: Found = Found { config: u64::MAX, upstreams: u64::MAX, reads: false };
+const ANY: Versions = Versions { config: u64::MAX, upstreams: u64::MAX, evacuations: u64::MAX };
 
 /// Membership and the spread of news, with their sockets.
 pub(crate) struct Peers {
@@ -169,7 +169,12 @@
 
     /// Tells what decides the start of this VM.
     pub(crate) fn on_start(self: &Rc<Self>, event: start::Event<'_>) {
-        let there = if let start::Event::Found(_, found) = &event { *found } else { ANY };
+        let there = match &event {
+            start::Event::Found(_, Found { config, upstreams, .. }) => {
+                Versions { config: *config, upstreams: *upstreams, evacuations: 0 }
+            }
+            _ => ANY,
+        };
         let mut actions = Vec::new();
         self.shared.start.borrow_mut().on(self.shared.now(), event, &mut actions);
         for action in actions {
@@ -182,18 +187,18 @@
 
     /// Passes on what this VM learned.
     fn told(self: &Rc<Self>) {
-        let (config, upstreams) = self.versions();
+        let Versions { config, upstreams, evacuations } = self.versions();
         self.shared.note_held();
         self.tell_late();
         self.pass_on();
         self.on(Event::Edit(config));
         self.on(Event::World(upstreams));
+        self.on(Event::Evacuations(evacuations));
         self.on(Event::Blind(self.shared.sight.borrow().is_blind()));
     }
 
-    pub(crate) fn versions(&self) -> (u64, u64) {
-        let world = self.shared.world.borrow();
-        (world.config(), world.upstreams.version())
+    pub(crate) fn versions(&self) -> Versions {
+        self.shared.world.borrow().versions()
     }
 
     fn packet(self: &Rc<Self>, packet: Result<Datagram, Error>, from: SocketAddr) {
@@ -225,7 +230,7 @@
 
     /// How far this VM is.
     fn found(&self) -> Found {
-        let (config, upstreams) = self.versions();
+        let Versions { config, upstreams, .. } = self.versions();
         Found { config, upstreams, reads: self.shared.reading.both() }
     }
 
@@ -245,8 +250,8 @@
                     });
                 }
                 Action::Changed => self.changed.set(true),
-                Action::Newer { addr, edit, world, .. } => {
-                    self.ask(addr, Found { config: edit, upstreams: world, reads: false });
+                Action::Newer { addr, edit, world, evacuations, .. } => {
+                    self.ask(addr, Versions { config: edit, upstreams: world, evacuations });
                 }
                 Action::Paused(gap) => {
                     tracing::warn!(gap_ms = gap.whole(), "this VM was paused");
--- a/crates/tgw-gateway/src/shared.rs
+++ b/crates/tgw-gateway/src/shared.rs
@@ -86,6 +86,8 @@
     pub(crate) world: RefCell<World>,
     /// The list of upstreams is known.
     pub(crate) listed: Cell<bool>,
+    /// Evacuations were read or told, or cannot be read now: until then what is sent may go where nothing may be sent.
+    pub(crate) evacuations_asked: Cell<bool>,
     /// Upstreams are known from a copy of the store, which may be old, and from nothing better.
     pub(crate) stale: Cell<bool>,
     /// This VM watches the store for its failure domain; `None` until that is known.
@@ -148,6 +150,7 @@
             config: RefCell::default(),
             world: RefCell::new(world),
             listed: Cell::new(false),
+            evacuations_asked: Cell::new(false),
             stale: Cell::new(false),
             relay: watch::Sender::new(None),
             start: RefCell::new(start),
@@ -177,6 +180,7 @@
     pub(crate) fn ready(&self) -> bool {
         self.phase() == Phase::Serving
             && self.listed.get()
+            && self.evacuations_asked.get()
             && self.config.borrow().version.is_some()
     }
 
@@ -216,6 +220,19 @@
         self.news.notify_one();
     }
 
+    /// Sends nothing more to the upstreams of the failure domains that the world says are evacuated.
+    pub(crate) fn evacuate(&self, source: &str) {
+        let world = self.world.borrow();
+        let domains = world.evacuations.domains();
+        let version = world.evacuations.version();
+        tracing::info!(?domains, version, source, "evacuations in force");
+        for unknown in domains.iter().filter(|d| self.settings.place.region(d).is_none()) {
+            tracing::warn!(domain = &**unknown, "an evacuated failure domain is not known here");
+        }
+        self.core.borrow_mut().fleet.set_evacuated(domains.clone());
+        self.news.notify_one();
+    }
+
     /// Tells other VMs of upstreams that are late or slow.
     pub(crate) fn tell_late(&self, now: Millis, keys: &[Key]) {
         let mut core = self.core.borrow_mut();
--- a/crates/tgw-gateway/src/stale.rs
+++ b/crates/tgw-gateway/src/stale.rs
@@ -1,4 +1,7 @@
-use crate::{shared::Shared, watch::Configuration};
+use crate::{
+    shared::Shared,
+    watch::{Configuration, evacuations::named},
+};
 use std::rc::Rc;
 use tgw_forward::upstream::Entry;
 use tgw_platform::{Object, Store, object::List};
@@ -15,10 +18,24 @@
         sleep(LOOK_NEW.into()).await;
     }
     let kinds = shared.dialect.kinds();
-    let (config, upstreams) =
-        tokio::join!(store.list_stale(&kinds.config), store.list_stale(&kinds.upstreams));
+    let (evacuations, config, upstreams) = tokio::join!(
+        store.list_stale(&kinds.evacuations),
+        store.list_stale(&kinds.config),
+        store.list_stale(&kinds.upstreams)
+    );
+    shared.meters.store("stale list", &evacuations);
     shared.meters.store("stale list", &config);
     shared.meters.store("stale list", &upstreams);
+    match evacuations {
+        Ok(List { objects, .. }) => {
+            shared.world.borrow_mut().evacuations.copied(named(&objects));
+            shared.evacuate("copy of the store");
+            shared.evacuations_asked.set(true);
+        }
+        Err(error) => {
+            tracing::info!(kind = kinds.evacuations, %error, "copy of the store not read");
+        }
+    }
     match config {
         Ok(List { objects, .. }) => {
             let topic = Configuration::new(&shared);
--- a/crates/tgw-gateway/src/tell.rs
+++ b/crates/tgw-gateway/src/tell.rs
@@ -13,9 +13,8 @@
 use tgw_quarantine::message::News as Told;
 use tgw_spread::{
     Applied, Message,
-    message::News,
-    start::{self, Found},
-    upstreams,
+    message::{News, Versions},
+    start, upstreams,
 };
 use tgw_wire::{FRAME_LIMIT, LENGTH};
 use tokio::{
@@ -69,19 +68,18 @@
 
 impl Peers {
     /// Asks a peer for what is newer there.
-    pub(crate) fn ask(self: &Rc<Self>, addr: SocketAddr, there: Found) {
-        let (config, upstreams) = self.versions();
-        let newer = there.config > config || there.upstreams > upstreams;
+    pub(crate) fn ask(self: &Rc<Self>, addr: SocketAddr, there: Versions) {
+        let held = self.versions();
         let now = self.shared.now();
         // Each packet of a peer that is further says so again; one question at a time is enough.
         let waits = self.tell.asking.get().is_some_and(|at| now - at < PATIENCE);
-        if !newer || waits {
+        if !there.is_beyond(held) || waits {
             return;
         }
         self.tell.asking.set(Some(now));
         let peers = self.clone();
         tokio::task::spawn_local(async move {
-            let message = Message::Ask { config, upstreams, listens: peers.addr() };
+            let message = Message::Ask { held, listens: peers.addr() };
             let answer = peers.exchange(addr, &message, true).await;
             if peers.tell.asking.get() == Some(now) {
                 peers.tell.asking.set(None);
@@ -113,6 +111,14 @@
         if let Some(config) = config {
             self.shared.adopt(&config, "peer");
         }
+        self.shared.evacuations_asked.set(true);
+        // Before the upstreams: those of an evacuated domain are never free to be sent to.
+        if let Some(news) = news.evacuations {
+            let newer = self.shared.world.borrow_mut().evacuations.told(news);
+            if newer {
+                self.shared.evacuate("peer");
+            }
+        }
         if let Some(news) = news.upstreams {
             self.learn_upstreams(from, news);
             note::doubts(&self.shared);
@@ -164,20 +170,18 @@
     async fn answer(self: &Rc<Self>, mut stream: TcpStream) -> anyhow::Result<()> {
         match self.read(&mut stream).await? {
             Message::Records(records) => self.on(Event::Records(records)),
-            Message::Ask { config, upstreams, listens } if upstreams == 0 => {
+            Message::Ask { held, listens } if held.upstreams == 0 => {
                 let Some(_telling) = Telling::begin(&self.tell.telling) else {
                     let others = self.tell.told.borrow().iter().copied().collect();
                     return self.write(&mut stream, &Message::Busy(others)).await;
                 };
-                self.news(&mut stream, config, upstreams).await?;
+                self.news(&mut stream, held).await?;
                 let mut told = self.tell.told.borrow_mut();
                 told.push_back(listens);
                 let excess = told.len().saturating_sub(REFERRED);
                 told.drain(..excess);
             }
-            Message::Ask { config, upstreams, .. } => {
-                self.news(&mut stream, config, upstreams).await?;
-            }
+            Message::Ask { held, .. } => self.news(&mut stream, held).await?,
             Message::News(_) | Message::Busy(_) => {
                 anyhow::bail!("an answer that nobody asked for")
             }
@@ -185,23 +189,19 @@
         Ok(())
     }
 
-    async fn news(
-        &self,
-        stream: &mut TcpStream,
-        config: u64,
-        upstreams: u64,
-    ) -> anyhow::Result<()> {
+    async fn news(&self, stream: &mut TcpStream, held: Versions) -> anyhow::Result<()> {
         let news = {
             let world = self.shared.world.borrow();
             let now = self.shared.now();
             // A VM that starts serves from then on: what ends upstreams must be known to it by then, and a packet
             // beside this answer may be lost.
-            let starts = upstreams == 0;
-            let held = starts.then(|| self.shared.core.borrow().quarantine.holds_all(now));
+            let starts = held.upstreams == 0;
+            let holds = starts.then(|| self.shared.core.borrow().quarantine.holds_all(now));
             News {
-                config: world.since(config),
-                upstreams: world.upstreams.since(now, upstreams),
-                held: held.unwrap_or_default(),
+                config: world.since(held.config),
+                upstreams: world.upstreams.since(now, held.upstreams),
+                evacuations: world.evacuations.since(held.evacuations),
+                held: holds.unwrap_or_default(),
             }
         };
         self.write(stream, &Message::News(Box::new(news))).await
--- /dev/null
+++ b/crates/tgw-gateway/src/watch/upstreams.rs
@@ -0,0 +1,127 @@
+use super::Topic;
+use crate::{dialect::Finding, note, shared::Shared, unreadable::Unreadable};
+use std::rc::Rc;
+use tgw_forward::upstream::Entry;
+use tgw_platform::{Object, Version};
+use tgw_spread::follow::Way;
+
+/// The list of upstreams.
+pub(super) struct Upstreams {
+    shared: Rc<Shared>,
+    kind: String,
+    unreadable: Unreadable,
+}
+
+impl Upstreams {
+    pub(super) fn new(shared: &Rc<Shared>) -> Self {
+        let kind = shared.dialect.kinds().upstreams.clone();
+        Self { shared: shared.clone(), kind, unreadable: Unreadable::default() }
+    }
+
+    fn decode(&mut self, object: &Object) -> Result<Entry, Rc<str>> {
+        let read = self.shared.dialect.upstream(&object.name, &object.value);
+        let result = read.and_then(|entry| self.dated(entry)).map_err(|findings| {
+            self.unreadable.found(&object.name, &findings, object.version);
+            object.name.as_str().into()
+        });
+        if result.is_ok() {
+            self.unreadable.ended(&object.name);
+        }
+        self.shared.meters.unreadable(self.unreadable.len());
+        result
+    }
+
+    /// The entry, unless it says no start though the upstream's own did: somebody else wrote it.
+    fn dated(&self, entry: Entry) -> Result<Entry, Vec<Finding>> {
+        let core = self.shared.core.borrow();
+        let known = core.fleet.key(&entry.id).and_then(|key| core.fleet.get(key));
+        if entry.started == 0 && known.is_some_and(|u| u.entry.started > 0) {
+            let place = format!("upstream {}", entry.id);
+            return Err(vec![Finding { place, what: "the start is missing".into() }]);
+        }
+        Ok(entry)
+    }
+}
+
+impl Topic for Upstreams {
+    fn kind(&self) -> &str {
+        &self.kind
+    }
+
+    fn way(&self) -> Way {
+        Way::Upstreams
+    }
+
+    fn listed(&mut self, version: Version, objects: Vec<Object>) {
+        self.unreadable.keep(|name| objects.iter().any(|o| o.name == name));
+        let (mut entries, mut unreadable): (Vec<(Version, Entry)>, Vec<Rc<str>>) =
+            Default::default();
+        for object in &objects {
+            match self.decode(object) {
+                Ok(entry) => entries.push((object.version, entry)),
+                Err(id) => unreadable.push(id),
+            }
+        }
+        tracing::info!(
+            upstreams = entries.len(),
+            unreadable = unreadable.len(),
+            "upstreams listed"
+        );
+        let now = self.shared.now();
+        let mut core = self.shared.core.borrow_mut();
+        let mut world = self.shared.world.borrow_mut();
+        world.upstreams.listed(now, version, entries, &unreadable, &mut core.fleet);
+        drop((core, world));
+        note::doubts(&self.shared);
+        self.shared.listed.set(true);
+        self.shared.stale.set(false);
+        self.shared.news.notify_one();
+    }
+
+    fn changed(&mut self, version: Version, object: Object) {
+        let now = self.shared.now();
+        let removed = object.value.is_null();
+        if removed {
+            self.unreadable.ended(&object.name);
+        }
+        let entry = (!removed).then(|| self.decode(&object));
+        let mut core = self.shared.core.borrow_mut();
+        let mut world = self.shared.world.borrow_mut();
+        match entry {
+            Some(Ok(entry)) => {
+                tracing::info!(upstream = object.name, service = &*entry.service,
+                    addr = %entry.addr, started = entry.started, draining = entry.draining,
+                    revision = object.version, "upstream changed");
+                world.upstreams.written(now, object.version, entry, &mut core.fleet);
+            }
+            Some(Err(id)) => world.upstreams.unreadable(version, &id, &mut core.fleet),
+            None => {
+                tracing::info!(
+                    upstream = object.name,
+                    revision = object.version,
+                    "upstream removed"
+                );
+                let id: Rc<str> = object.name.into();
+                world.upstreams.removed(version, object.version, &id, &mut core.fleet);
+            }
+        }
+        drop((core, world));
+        note::doubts(&self.shared);
+    }
+
+    fn lost(&mut self) {
+        self.shared.world.borrow_mut().upstreams.lost(self.shared.now());
+    }
+
+    fn known(&self) -> bool {
+        self.shared.world.borrow().upstreams.version() > 0
+    }
+
+    fn reading(&self, reading: bool) {
+        self.shared.reading.upstreams.set(reading);
+    }
+
+    fn answered(&mut self) {
+        self.shared.world.borrow_mut().upstreams.answered(self.shared.now());
+    }
+}
--- a/crates/tgw-member/src/member.rs
+++ b/crates/tgw-member/src/member.rs
@@ -71,6 +71,8 @@
     Edit(u64),
     /// The catalog of this version is in use here now.
     World(u64),
+    /// The list of evacuated failure domains of this version is in force here now.
+    Evacuations(u64),
     /// This VM cannot reach the platform, or can again.
     Blind(bool),
     /// This VM leaves.
@@ -88,7 +90,7 @@
     Sync(SocketAddr, Vec<Record>),
     /// The directory has changed.
     Changed,
-    /// A VM has a newer edition of the table or a newer catalog than this one.
+    /// A VM has a newer edition of the table, a newer catalog or a newer list of evacuations than this one.
     Newer {
         /// The VM.
         vm: Vm,
@@ -98,6 +100,8 @@
         edit: u64,
         /// The version of its catalog.
         world: u64,
+        /// The version of its list of evacuated failure domains.
+        evacuations: u64,
     },
     /// This VM was paused: others may have taken over what it owned.
     Paused(Millis),
@@ -130,6 +134,7 @@
     pub(crate) blind: bool,
     pub(crate) edit: u64,
     pub(crate) world: u64,
+    pub(crate) evacuations: u64,
     pub(crate) records: BTreeMap<Vm, Record>,
     pub(crate) suspicions: BTreeMap<Vm, Suspicion>,
     pub(crate) dead_since: BTreeMap<Vm, Millis>,
@@ -164,6 +169,7 @@
             blind: false,
             edit: 0,
             world: 0,
+            evacuations: 0,
             records: BTreeMap::new(),
             suspicions: BTreeMap::new(),
             dead_since: BTreeMap::new(),
@@ -229,6 +235,10 @@
                 self.world = self.world.max(world);
                 self.push_edit(out);
             }
+            Event::Evacuations(version) => {
+                self.evacuations = self.evacuations.max(version);
+                self.push_edit(out);
+            }
             Event::Blind(blind) => self.set_blind(blind, out),
             Event::Leave => self.leave(now, out),
             Event::Tick => self.tick(now, out),
@@ -277,20 +287,20 @@
     pub(crate) fn send(&mut self, to: SocketAddr, body: Body, out: &mut Out) {
         self.stats.sent += 1;
         let news = self.gossip.take();
-        let Self { edit, world, .. } = *self;
-        let packet = Packet { from: self.options.vm, edit, world, body, news };
+        let Self { edit, world, evacuations, .. } = *self;
+        let packet = Packet { from: self.options.vm, edit, world, evacuations, body, news };
         out.push(Action::Send(to, Box::new(packet)));
     }
 
     fn packet(&mut self, now: Millis, addr: SocketAddr, packet: Packet, out: &mut Out) {
-        let Packet { from, edit, world, body, news } = packet;
+        let Packet { from, edit, world, evacuations, body, news } = packet;
         let stranger = !self.records.contains_key(&from);
         self.heard(now, from, out);
         for item in news {
             self.news(now, item, out);
         }
-        if edit > self.edit || world > self.world {
-            out.push(Action::Newer { vm: from, addr, edit, world });
+        if edit > self.edit || world > self.world || evacuations > self.evacuations {
+            out.push(Action::Newer { vm: from, addr, edit, world, evacuations });
         }
         match body {
             Body::Ping { seq } => self.answer_ping(from, stranger, addr, seq, out),
--- a/crates/tgw-member/src/packet.rs
+++ b/crates/tgw-member/src/packet.rs
@@ -18,6 +18,10 @@
     pub edit: u64,
     /// The version of the catalog in use there.
     pub world: u64,
+    /// The version of the list of evacuated failure domains that is in force there. Traces recorded before do not
+    /// hold it.
+    #[serde(default)]
+    pub evacuations: u64,
     /// What it is for.
     pub body: Body,
     /// News that travels along.
--- a/crates/tgw-spread/src/follow.rs
+++ b/crates/tgw-spread/src/follow.rs
@@ -3,6 +3,23 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use tgw_clock::Millis;
 
+/// How a kind is watched.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub struct Pace {
+    /// How long one watch waits.
+    pub wait: Millis,
+    /// Pause after news before the next watch.
+    pub gather: Millis,
+}
+
+impl Pace {
+    /// A kind that changes often.
+    pub const OFTEN: Self = Self { wait: WAIT, gather: GATHER };
+    /// A kind that changes a few times a day, each time alone. That its connection went silent shows by probes of the
+    /// connection; a store that says nothing, by the watches of the other kinds.
+    pub const SELDOM: Self = Self { wait: Millis::new(20_000), gather: Millis::ZERO };
+}
+
 /// How long one watch waits, in ms. Each end costs a call. A connection that says nothing any more, while new ones are
 /// answered, shows only when this and [`MARGIN`] have passed: together they stay below the 4 s within which a calm VM
 /// counts as reachable again.
@@ -80,6 +97,8 @@
     Configuration,
     /// Reading the list of upstreams.
     Upstreams,
+    /// Reading the list of evacuations.
+    Evacuations,
     /// Probing.
     Probe,
 }
@@ -101,7 +120,7 @@
 /// blind in turn, and no other VM took over from it.
 #[derive(Clone, Debug, Default)]
 pub struct Sight {
-    lost: [bool; 3],
+    lost: [bool; 4],
     refused: bool,
 }
 
@@ -141,6 +160,7 @@
 /// The reading of one kind.
 #[derive(Clone, Debug)]
 pub struct Follow {
+    pace: Pace,
     state: State,
     paused: Millis,
     failures: u32,
@@ -149,9 +169,9 @@
 
 impl Follow {
     /// Nothing was read yet; pauses are drawn by `seed`.
-    pub fn new(seed: u64) -> Self {
+    pub fn new(seed: u64, pace: Pace) -> Self {
         let rng = SmallRng::seed_from_u64(seed);
-        Self { state: State::Away, paused: Millis::ZERO, failures: 0, rng }
+        Self { pace, state: State::Away, paused: Millis::ZERO, failures: 0, rng }
     }
 
     /// Calls that failed in a row.
@@ -176,7 +196,7 @@
                 self.stop(now);
                 self.next(now, turn)
             }
-            State::Watching(from) => Step::Watch { from, wait: WAIT },
+            State::Watching(from) => Step::Watch { from, wait: self.pace.wait },
             State::Away if turn.relay == Some(true) || (!turn.known && now >= turn.due) => {
                 Step::List
             }
@@ -195,7 +215,7 @@
         let State::Watching(from) = self.state else { return };
         self.state = State::Watching(from.max(version));
         if news {
-            self.paused = now + GATHER;
+            self.paused = now + self.pace.gather;
         }
     }
 
--- a/crates/tgw-spread/src/lib.rs
+++ b/crates/tgw-spread/src/lib.rs
@@ -4,6 +4,8 @@
 //! A [`Ledger`] keeps values with the version of their last change and tells what changed since a
 //! version. No I/O.
 
+/// Failure domains whose upstreams are to get nothing more.
+pub mod evacuations;
 /// When a VM reads the store, watches it, or leaves it to another.
 pub mod follow;
 /// A send that one VM asks another to make.
@@ -19,6 +21,7 @@
 /// The configuration and the list of upstreams as this VM has them.
 mod world;
 
+pub use evacuations::Evacuations;
 pub use follow::Follow;
 pub use ledger::{Applied, Delta, Ledger};
 pub use message::Message;
--- a/crates/tgw-spread/src/message.rs
+++ b/crates/tgw-spread/src/message.rs
@@ -1,12 +1,32 @@
 //! What VMs ask one another over TCP.
 
-use crate::{Delta, hop, start::Found, upstreams};
+use crate::{Delta, evacuations, hop, start::Found, upstreams};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use tgw_member::Record;
 use tgw_quarantine::message as quarantine;
 use tgw_route::{Limits, Route, Service};
 
+/// How far a VM is; zero for what it does not hold.
+#[derive(Copy, Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Versions {
+    /// The version of its configuration.
+    pub config: u64,
+    /// The version of its list of upstreams.
+    pub upstreams: u64,
+    /// The version of its list of evacuated failure domains.
+    pub evacuations: u64,
+}
+
+impl Versions {
+    /// Whether it is further than `other` in anything.
+    pub fn is_beyond(self, other: Self) -> bool {
+        self.config > other.config
+            || self.upstreams > other.upstreams
+            || self.evacuations > other.evacuations
+    }
+}
+
 /// One message.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
@@ -14,10 +34,8 @@
     Records(Vec<Record>),
     /// Asks for what changed after these versions; answered by [`Message::News`].
     Ask {
-        /// The version of the asker's configuration.
-        config: u64,
-        /// The version of the asker's list of upstreams.
-        upstreams: u64,
+        /// How far the asker is.
+        held: Versions,
         /// Where the asker can be asked once it was told.
         listens: SocketAddr,
     },
@@ -69,6 +87,8 @@
     pub config: Option<ConfigNews>,
     /// The list of upstreams.
     pub upstreams: Option<upstreams::News>,
+    /// The evacuated failure domains.
+    pub evacuations: Option<evacuations::News>,
     /// Requests that are held back, for a VM that starts.
     pub held: Vec<quarantine::Hold>,
 }
--- a/crates/tgw-spread/src/world.rs
+++ b/crates/tgw-spread/src/world.rs
@@ -1,4 +1,7 @@
-use crate::{Ledger, Upstreams, message::ConfigNews};
+use crate::{
+    Evacuations, Ledger, Upstreams,
+    message::{ConfigNews, Versions},
+};
 use std::{collections::BTreeMap, rc::Rc};
 use tgw_clock::Millis;
 use tgw_route::{Config, Limits, Route, Service};
@@ -12,6 +15,8 @@
     limits: Limits,
     /// The list of upstreams.
     pub upstreams: Upstreams,
+    /// The evacuated failure domains.
+    pub evacuations: Evacuations,
 }
 
 impl World {
@@ -20,6 +25,15 @@
         Self { upstreams: Upstreams::new(heartbeat), ..Self::default() }
     }
 
+    /// How far this VM is.
+    pub fn versions(&self) -> Versions {
+        Versions {
+            config: self.config,
+            upstreams: self.upstreams.version(),
+            evacuations: self.evacuations.version(),
+        }
+    }
+
     /// The version of the configuration; zero before the first.
     pub fn config(&self) -> u64 {
         self.config
