feat(forward): one VM holds the right to send to a cold upstream that states what it bears

Cause: `warmup_per_s` was not read.

Change: the VMs of an upstream's failure domain are ranked by rendezvous hashing, and the first holds the right to send (`tgw_forward::warmup`). It may write as many in any second as the upstream states, and no more than half of what operators allow, so that one that goes on after standing still and its successor stay within that together. It gives its rights up after a second without word of anybody, or while most VMs of the domain are taken for dead; a dead VM keeps others from its rights for 1.5 s more. Parts of searches go through the holder; what may run once is sent by the holder alone, and refused elsewhere. A request counts when it is written, not when its connection is asked for. An upstream that was silent or unreachable, or whose domain was taken back, may be cold until it had time to say so. Services that state no limit are as before. Absurd figures are named and taken for one request a second.

One holder is kept; `--set warm_holders=4` is the other.

Left: a single request that may be repeated is refused by VMs that hold no right, too.

--- a/crates/tanagergw/src/bench.rs
+++ b/crates/tanagergw/src/bench.rs
@@ -5,7 +5,7 @@
 use tgw_bench::{
     Policy, Report, Scenario, leaving, overload, plot,
     scenario::{self, Options},
-    slopes, starts,
+    slopes, starts, warmup,
 };
 use tgw_clock::Millis;
 use tgw_standin::size::{Spread, User};
@@ -13,7 +13,7 @@
 #[derive(clap::Args)]
 pub(crate) struct Args {
     /// An experiment, `all`, `list`, `slopes` for what units of state and work cost, `starts` for who reads
-    /// the store where many VMs start at once, `leaving` for how long VMs send to upstreams that leave, `evacuations` for the same of failure domains, `overload` for forwarding under load at its worst, or
+    /// the store where many VMs start at once, `leaving` for how long VMs send to upstreams that leave, `evacuations` for the same of failure domains, `warmup` for what a cold upstream gets from all VMs, `overload` for forwarding under load at its worst, or
     /// `overload/NAME` for one of its scenarios.
     scenario: String,
     /// Whose size: coimbra, aspen or both.
@@ -79,6 +79,9 @@
     if args.scenario == "leaving" {
         return leaving(args, leaving::Subject::Upstreams);
     }
+    if args.scenario == "warmup" {
+        return warmup(args);
+    }
     if args.scenario == "evacuations" {
         return leaving(args, leaving::Subject::Evacuations);
     }
@@ -144,6 +147,31 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Rates at which `bench warmup` plays a cold upstream, in requests a second, and VMs that hold the right to send to it.
+const RATES: [f64; 3] = [2.0, 4.0, 20.0];
+const HOLDERS: [usize; 2] = [1, 4];
+
+fn warmup(args: &Args) -> anyhow::Result<ExitCode> {
+    let sizes = args.vms.map_or(LEAVING.to_vec(), |vms| vec![vms]);
+    let mut outcomes = Vec::new();
+    for (vms, rate, holders) in every(&sizes) {
+        for seed in &args.seed {
+            for (name, setup) in warmup::setups(vms, rate, holders, *seed) {
+                let outcome = warmup::play(setup.clone());
+                outcomes.push((name, setup, outcome));
+            }
+        }
+    }
+    print!("{}", warmup::text(&outcomes));
+    Ok(ExitCode::SUCCESS)
+}
+
+/// All sizes, rates and holders.
+fn every(sizes: &[usize]) -> Vec<(usize, f64, usize)> {
+    let rates = sizes.iter().flat_map(|vms| RATES.map(|rate| (*vms, rate)));
+    rates.flat_map(|(vms, rate)| HOLDERS.map(|holders| (vms, rate, holders))).collect()
+}
+
 fn starts(args: &Args) -> anyhow::Result<ExitCode> {
     let seed = args.seed.first().copied().unwrap_or(1);
     let setups = STARTS.into_iter().flat_map(|vms| starts::setups(vms, seed));
--- a/crates/tgw-bench/src/forward.rs
+++ b/crates/tgw-bench/src/forward.rs
@@ -19,7 +19,7 @@
     upstream::{Entry, Sign},
 };
 use tgw_quarantine::{Fingerprint, message::Seen};
-use tgw_route::{Config, Residency, Route, Safety, Service, Target, config::Shards};
+use tgw_route::{Config, Residency, Route, Safety, Service, Target, Warmup, config::Shards};
 use tgw_spread::{
     hop::{Outcome, Reply, Request},
     message::Datagram,
@@ -75,7 +75,9 @@
     let mut config = Config::default();
     for shard in 0..shards {
         let service: Rc<str> = format!("s{shard}").into();
-        config.services.insert(service.clone(), Service { connections: 77 });
+        config
+            .services
+            .insert(service.clone(), Service { connections: 77, warmup: Warmup::default() });
         for domain in domains {
             let entry = Entry {
                 id: format!("i-{shard}-{domain}").into(),
--- a/crates/tgw-bench/src/lib.rs
+++ b/crates/tgw-bench/src/lib.rs
@@ -36,6 +36,8 @@
 pub mod slopes;
 /// Starts of many VMs at once.
 pub mod starts;
+/// Cold upstreams that all VMs want to send to.
+pub mod warmup;
 
 pub use figures::Figures;
 pub use policy::Policy;
--- a/crates/tgw-bench/src/overload/vms.rs
+++ b/crates/tgw-bench/src/overload/vms.rs
@@ -10,7 +10,7 @@
     fleet::Place,
     upstream::Entry,
 };
-use tgw_route::{Config, Residency, Route, Safety, Service, Target, config::Shards};
+use tgw_route::{Config, Residency, Route, Safety, Service, Target, Warmup, config::Shards};
 
 /// Shards of the index, as the users' site has them.
 pub const SHARDS: usize = 10;
@@ -84,7 +84,10 @@
     let mut config = Config::default();
     for shard in 0..SHARDS {
         let service: Rc<str> = format!("s{shard}").into();
-        config.services.insert(service, Service { connections: size.connections() });
+        config.services.insert(
+            service,
+            Service { connections: size.connections(), warmup: Warmup::default() },
+        );
         (0..REGIONS).for_each(|r| enter(&mut core, Millis::ZERO, upstream(shard, r), 0));
     }
     core.configure(&config);
--- /dev/null
+++ b/crates/tgw-bench/src/warmup/vm.rs
@@ -0,0 +1,119 @@
+use super::Setup;
+use std::{
+    collections::BTreeMap,
+    net::{Ipv4Addr, SocketAddr},
+    rc::Rc,
+};
+use tgw_clock::Millis;
+use tgw_forward::{
+    Core, Policy,
+    core::{Budget, Vms},
+    fleet,
+    upstream::Entry,
+    warmup::{REMEMBERED, Roster, Seat},
+};
+use tgw_member::{Member, Options};
+use tgw_owner::State;
+use tgw_route::{Config, Service, Warmup};
+use tgw_topology::{
+    Place, Vm as Id,
+    place::{Domain, Region},
+};
+
+pub(super) const SERVICE: &str = "s";
+pub(super) const UPSTREAM: &str = "u";
+/// Time until a VM counts on the VMs that it knows, as in the gateway.
+const SETTLE: Millis = Millis::new(1_500);
+const REGIONS: usize = 3;
+const CONNECTIONS: u32 = 73;
+const FOREVER: Millis = Millis::new(3_600_000);
+
+/// One VM: the decisions of a real one.
+pub(super) struct Vm {
+    pub(super) member: Member,
+    pub(super) core: Core,
+    pub(super) region: usize,
+    began: Millis,
+    number: usize,
+    pub(super) frozen_until: Millis,
+    /// Its process does not run.
+    pub(super) ended: bool,
+}
+
+pub(super) fn address(number: usize) -> SocketAddr {
+    let [_, _, high, low] = (number as u32).to_be_bytes();
+    SocketAddr::from((Ipv4Addr::new(10, 9, high, low), 7802))
+}
+
+pub(super) fn number(addr: SocketAddr) -> usize {
+    let SocketAddr::V4(v4) = addr else { return usize::MAX };
+    let [_, _, high, low] = v4.ip().octets();
+    usize::from(u16::from_be_bytes([high, low]))
+}
+
+fn domain(number: u8) -> String {
+    format!("d{number}")
+}
+
+impl Vm {
+    pub(super) fn start(now: Millis, setup: &Setup, number: usize, seed: u64) -> Self {
+        let domains = if setup.vms <= 9 { REGIONS } else { 2 * REGIONS };
+        let at = number % domains;
+        let region = at % REGIONS;
+        let place = Place { region: Region(region as u8), domain: Domain(at as u8) };
+        let options = Options {
+            vm: Id::named(&format!("vm-{number}")),
+            name: format!("vm-{number}"),
+            incarnation: (1 << 16) + now.whole(),
+            place,
+            addr: address(number),
+            seeds: (0..domains).map(address).collect(),
+            seed,
+        };
+        let regions = (0..domains).map(|d| (domain(d as u8), format!("r{}", d % REGIONS)));
+        let place = fleet::Place { domain: domain(at as u8), regions: regions.collect() };
+        let policy = Policy { warm_holders: setup.holders as f64, ..Policy::default() };
+        let mut core = Core::new(place, Budget::default(), policy);
+        core.set_excess(setup.excess);
+        let warmup = Warmup { span: FOREVER, rate: setup.rate };
+        let mut config = Config::default();
+        config.services.insert(SERVICE.into(), Service { connections: CONNECTIONS, warmup });
+        core.configure(&config);
+        core.fleet.put(now, entry());
+        let near = setup.vms.div_ceil(REGIONS) as u32;
+        core.set_vms(Vms { all: setup.vms as u32, near });
+        let member = Member::new(options);
+        Self { member, core, region, began: now, number, frozen_until: Millis::ZERO, ended: false }
+    }
+
+    /// Takes over the VMs that it knows, once it counts on them.
+    pub(super) fn settle(&mut self, now: Millis) {
+        if now - self.began < SETTLE {
+            return;
+        }
+        let directory = self.member.directory();
+        let mut domains: BTreeMap<Rc<str>, Vec<Seat>> = BTreeMap::new();
+        for (vm, member) in &directory.members {
+            if member.state != State::Leaving {
+                let dead_until = self.member.dead_since(*vm).map(|at| at + REMEMBERED);
+                let seat = Seat { vm: vm.0, addr: member.addr, dead_until };
+                domains.entry(domain(member.place.domain.0).into()).or_default().push(seat);
+            }
+        }
+        let own = Id::named(&format!("vm-{}", self.number)).0;
+        self.core.fleet.set_roster(Roster::new(own, domains));
+    }
+}
+
+fn entry() -> Entry {
+    Entry {
+        id: UPSTREAM.into(),
+        started: 0,
+        service: SERVICE.into(),
+        addr: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+        domain: domain(0).into(),
+        slots: 4,
+        draining: false,
+        warmup: FOREVER,
+    }
+}
--- a/crates/tgw-bench/tests/members.rs
+++ b/crates/tgw-bench/tests/members.rs
@@ -4,6 +4,7 @@
 
 mod leaving;
 mod starts;
+mod warmup;
 
 use test_case::test_case;
 use tgw_bench::members::World;
--- a/crates/tgw-forward/src/core.rs
+++ b/crates/tgw-forward/src/core.rs
@@ -3,6 +3,7 @@
     fleet::{Key, Place},
     plan::{Need, Why},
     upstream::Distance,
+    warmup::Excess,
 };
 use std::{collections::HashMap, rc::Rc};
 use tgw_clock::Millis;
@@ -99,6 +100,7 @@
     pub fn configure(&mut self, config: &Config) {
         self.connections =
             config.services.iter().map(|(name, s)| (name.clone(), s.connections)).collect();
+        self.fleet.set_warmups(config);
         let bound = config.routes.iter().filter(|route| !route.residency.is_free());
         self.residencies = bound.map(|r| (r.name.clone(), r.residency.clone())).collect();
         self.windows.retain(|name, _| config.services.contains_key(name));
@@ -116,6 +118,11 @@
         self.budget = budget;
     }
 
+    /// Sets what cold upstreams may get beyond what they state.
+    pub fn set_excess(&mut self, excess: Excess) {
+        self.fleet.set_excess(excess);
+    }
+
     /// Sets the live VMs that share the connections and the budgets.
     pub fn set_vms(&mut self, vms: Vms) {
         let near = vms.near.max(1);
--- a/crates/tgw-forward/src/fleet.rs
+++ b/crates/tgw-forward/src/fleet.rs
@@ -2,8 +2,10 @@
 
 use crate::{
     Policy, Scope,
+    cold::Warmups,
     core::Most,
     upstream::{Distance, Entry, Sign, Upstream, Word},
+    warmup::Roster,
 };
 use derive_more::Display;
 use smallvec::SmallVec;
@@ -23,7 +25,7 @@
 pub struct Ticket {
     /// The upstream.
     pub upstream: Key,
-    number: u64,
+    pub(crate) number: u64,
 }
 
 /// The way of a send to its upstream.
@@ -81,6 +83,9 @@
 /// it must not take for usual.
 const RISE_MS: f64 = 20_000.0;
 
+/// What a cold upstream that bears few requests costs in ms: more than any warm one that answers.
+const LIMITED_COST_MS: f64 = 1_000.0;
+
 /// The time of work that is usual for a service, in ms.
 #[derive(Copy, Clone, Debug)]
 struct Level {
@@ -101,9 +106,9 @@
 /// All upstreams that this VM knows.
 #[derive(Debug, Default)]
 pub struct Fleet {
-    place: Place,
-    policy: Policy,
-    upstreams: HashMap<Key, Upstream>,
+    pub(crate) place: Place,
+    pub(crate) policy: Policy,
+    pub(crate) upstreams: HashMap<Key, Upstream>,
     keys: HashMap<Rc<str>, Key>,
     services: HashMap<Rc<str>, SmallVec<[Key; 4]>>,
     levels: HashMap<Rc<str>, Level>,
@@ -111,6 +116,8 @@
     manned: BTreeSet<String>,
     /// Failure domains whose upstreams are to get nothing more.
     evacuated: BTreeSet<Rc<str>>,
+    pub(crate) warmups: Warmups,
+    pub(crate) roster: Roster,
     next_key: u64,
     next_send: u64,
 }
@@ -126,9 +133,12 @@
         self.manned = regions;
     }
 
-    /// Sets the failure domains whose upstreams are to get nothing more. What they are at work on they may finish.
-    pub fn set_evacuated(&mut self, domains: BTreeSet<Rc<str>>) {
-        self.evacuated = domains;
+    /// Sets the failure domains whose upstreams are to get nothing more. What they are at work on they may finish; those
+    /// of domains that are taken back may be cold.
+    pub fn set_evacuated(&mut self, now: Millis, domains: BTreeSet<Rc<str>>) {
+        let before = std::mem::replace(&mut self.evacuated, domains);
+        let back: BTreeSet<Rc<str>> = before.difference(&self.evacuated).cloned().collect();
+        self.doubt(now, &back);
     }
 
     /// Whether the upstreams of a failure domain are to get nothing more.
@@ -201,9 +211,9 @@
         self.upstreams.is_empty()
     }
 
-    /// Where this VM is.
-    pub(crate) fn place(&self) -> &Place {
-        &self.place
+    /// The number of the next send.
+    pub(crate) fn next_send(&self) -> u64 {
+        self.next_send
     }
 
     /// The upstreams of a service.
@@ -224,22 +234,32 @@
         let untried = self.of(service).iter().filter(|key| !tried.contains(key));
         let usable = untried.filter_map(|key| {
             let upstream = self.upstreams.get(key).filter(|u| self.is_open(u, scope))?;
-            let hop = self.hop(upstream, most);
-            let open = match (hop, upstream.distance) {
-                (Hop::Peer, _) => upstream.free(most.peer),
-                (Hop::Direct, Distance::Far) => upstream.open(now, most.far),
-                (Hop::Direct, _) => upstream.open(now, most.near),
-            };
-            open.then(|| (Choice { key: *key, hop }, upstream.cost(now, hop)))
+            let hop = self.reach_any(now, upstream, most)?;
+            // Cold ones come last but for those that fail: what they bear is little.
+            let limited = self.limit(now, upstream).map_or(0.0, |_| LIMITED_COST_MS);
+            Some((Choice { key: *key, hop }, upstream.cost(now, hop) + limited))
         });
         usable.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(choice, _)| choice)
     }
 
-    fn hop(&self, upstream: &Upstream, most: Most) -> Hop {
-        let region = self.place.regions.get(&*upstream.entry.domain);
+    /// How one more send gets to an upstream, if there is room for it and it bears one more.
+    pub(crate) fn reach_any(&self, now: Millis, upstream: &Upstream, most: Most) -> Option<Hop> {
+        match self.limit(now, upstream) {
+            Some(limit) => self.reach_cold(now, upstream, most, limit),
+            None => self.reach(now, upstream, most),
+        }
+    }
+
+    fn reach(&self, now: Millis, upstream: &Upstream, most: Most) -> Option<Hop> {
+        let region = self.place.region(&upstream.entry.domain);
         let manned = region.is_some_and(|r| self.manned.contains(r));
         let through = most.peer > 0 && manned && upstream.distance == Distance::Far;
-        if through { Hop::Peer } else { Hop::Direct }
+        let open = match (through, upstream.distance) {
+            (true, _) => upstream.free(most.peer),
+            (false, Distance::Far) => upstream.open(now, most.far),
+            (false, _) => upstream.open(now, most.near),
+        };
+        open.then_some(if through { Hop::Peer } else { Hop::Direct })
     }
 
     /// Counts a send.
--- a/crates/tgw-forward/src/hosting.rs
+++ b/crates/tgw-forward/src/hosting.rs
@@ -1,6 +1,10 @@
 //! Sends that other VMs ask this one to make.
 
-use crate::{Core, core::Way, fleet::Ticket};
+use crate::{
+    Core,
+    core::{Most, Way},
+    fleet::Ticket,
+};
 use tgw_clock::Millis;
 use tgw_route::Route;
 
@@ -35,11 +39,12 @@
         let key = self.fleet.key(upstream).ok_or(Refusal::Unknown)?;
         let known = self.fleet.get(key).ok_or(Refusal::Unknown)?;
         let service = known.entry.service.clone();
-        let most = self.most(&service, Way::Peers);
+        // On a connection of this VM, or not at all.
+        let most = Most { peer: 0, ..self.most(&service, Way::Peers) };
         let doubted = !insist && known.doubtful(now);
         // One of the two VMs has not heard yet that the upstream has started again.
         let other = known.entry.started != started;
-        let full = !known.open(now, most.near);
+        let full = self.fleet.reach_any(now, known, most).is_none();
         if doubted || other || full || !self.permits(route, key) {
             return Err(Refusal::Busy);
         }
--- a/crates/tgw-forward/src/lib.rs
+++ b/crates/tgw-forward/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod catalog;
 /// Requests under which upstreams may end.
 mod caution;
+/// Sends to upstreams that bear few requests while they are cold.
+mod cold;
 /// When a request is answered, and by what.
 mod conclude;
 /// What one VM knows.
@@ -32,6 +34,8 @@
 mod scope;
 /// One upstream: what the store says of it and what its replies told.
 pub mod upstream;
+/// Upstreams that bear few requests while they are cold.
+pub mod warmup;
 /// Sliding budgets for extra sends.
 mod window;
 
--- a/crates/tgw-forward/src/policy.rs
+++ b/crates/tgw-forward/src/policy.rs
@@ -52,6 +52,8 @@
     /// Sends through other VMs that may run at one upstream: its slots today. What would wait there is better
     /// sent elsewhere; twice as many differ by less than two runs of a day do.
     pub peer_most: f64,
+    /// VMs that hold the right to send to a cold upstream at a time, each a part of what it bears.
+    pub warm_holders: f64,
     /// What a failure costs, in ms: the second send that it takes. Half and twice of it differ by less than two
     /// runs of a day do.
     pub failure_cost: f64,
@@ -101,6 +103,7 @@
             lends: true,
             quarantine: true,
             peer_most: 4.0,
+            warm_holders: 1.0,
             failure_cost: 120.0,
             failure_weight: 0.1,
             shed_avoid: 37.0,
@@ -134,7 +137,7 @@
 }
 
 impl Policy {
-    fn slots(&mut self) -> [(&'static str, Slot<'_>); 27] {
+    fn slots(&mut self) -> [(&'static str, Slot<'_>); 28] {
         use Slot::{Switch, Weight};
         [
             ("hedges", Switch(&mut self.hedges)),
@@ -155,6 +158,7 @@
             ("lends", Switch(&mut self.lends)),
             ("quarantine", Switch(&mut self.quarantine)),
             ("peer_most", Weight(&mut self.peer_most)),
+            ("warm_holders", Weight(&mut self.warm_holders)),
             ("failure_cost", Weight(&mut self.failure_cost)),
             ("failure_weight", Weight(&mut self.failure_weight)),
             ("shed_avoid", Weight(&mut self.shed_avoid)),
--- a/crates/tgw-forward/src/scope.rs
+++ b/crates/tgw-forward/src/scope.rs
@@ -1,6 +1,10 @@
 //! Where a request may be sent.
 
-use crate::{Core, Fleet, Upstream, fleet::Key};
+use crate::{
+    Core, Fleet, Upstream,
+    fleet::{Key, Ticket},
+};
+use tgw_clock::Millis;
 use tgw_route::{Residency, Route};
 
 /// The regions in which a request may be served.
@@ -34,6 +38,13 @@
     }
 }
 
+impl Core {
+    /// A send's request is about to be written; false if it may not be, or not now.
+    pub fn clear(&mut self, now: Millis, route: Option<&Route>, ticket: Ticket) -> bool {
+        self.permits(route, ticket.upstream) && self.fleet.write(now, ticket)
+    }
+}
+
 /// All ways by which a request leaves a VM ask one of these.
 impl Fleet {
     /// Whether an upstream is there, takes new work, and lies where the request may be sent.
@@ -49,6 +60,6 @@
     pub(crate) fn is_open(&self, upstream: &Upstream, scope: Scope<'_>) -> bool {
         let domain = &*upstream.entry.domain;
         let taken = !upstream.entry.draining && !self.is_evacuated(domain);
-        taken && scope.admits(self.place().region(domain))
+        taken && scope.admits(self.place.region(domain))
     }
 }
--- a/crates/tgw-forward/src/upstream.rs
+++ b/crates/tgw-forward/src/upstream.rs
@@ -1,6 +1,10 @@
 //! One upstream.
 
-use crate::{Policy, fleet::Hop};
+use crate::{
+    Policy,
+    fleet::Hop,
+    warmup::{Allowance, Written},
+};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use std::{net::SocketAddr, rc::Rc};
@@ -130,6 +134,11 @@
 const AVOID_MS: u64 = 150;
 /// Longest time in ms for which it is passed over.
 const AVOID_MOST_MS: u64 = 2_400;
+/// Time in ms after a send that found nobody for which an upstream may come back cold without a word: its entry is gone
+/// after that, or says so.
+const LAPSE: Millis = Millis::new(6_000);
+/// Age in ms of a send from which on its upstream may be cut off: above a pause of 200 ms.
+const DARK: Millis = Millis::new(500);
 /// Connections to one upstream that are being made at once.
 const CONNECTING: u32 = 2;
 /// What making a connection costs in ms: the upstream's part, without the way there.
@@ -160,6 +169,15 @@
     pub expected: f64,
 }
 
+/// A send that has not ended.
+#[derive(Copy, Clone, Debug)]
+struct Send {
+    number: u64,
+    at: Millis,
+    /// The request was written to the upstream.
+    written: bool,
+}
+
 /// One upstream with what its replies told.
 #[derive(Clone, Debug)]
 pub struct Upstream {
@@ -169,7 +187,10 @@
     pub distance: Distance,
     policy: Policy,
     warm_at: Millis,
-    running: SmallVec<[(u64, Millis); 4]>,
+    running: SmallVec<[Send; 4]>,
+    /// Until when it may have become cold without a word.
+    unsure_until: Millis,
+    written: Written,
     latency: f64,
     /// What is expected of an upstream there of which nothing is known, in ms.
     prior: f64,
@@ -195,6 +216,8 @@
             policy,
             warm_at,
             running: SmallVec::new(),
+            unsure_until: Millis::ZERO,
+            written: Written::default(),
             latency: WORK_MS + distance.way(),
             prior: WORK_MS + distance.way(),
             sampled: None,
@@ -259,13 +282,44 @@
 
     /// Counts a send.
     pub fn sent(&mut self, now: Millis, number: u64) {
-        self.running.push((number, now));
+        self.running.push(Send { number, at: now, written: false });
+    }
+
+    /// Whether it may be cold. Where it states what it bears until it is warm, a doubt is enough.
+    pub fn is_cold(&self, now: Millis) -> bool {
+        let oldest = self.running.iter().map(|send| send.at).min();
+        now < self.warm_at.max(self.unsure_until) || oldest.is_some_and(|at| now - at >= DARK)
+    }
+
+    /// It may have become cold, and is warm by `until`.
+    pub(crate) fn doubt(&mut self, until: Millis) {
+        self.unsure_until = self.unsure_until.max(until);
+    }
+
+    /// Whether it bears one more request from a VM that may send it so many.
+    pub(crate) fn bears(&self, now: Millis, allowance: Allowance) -> bool {
+        let pending = self.running.iter().filter(|send| !send.written).count();
+        self.written.allows(now, pending, allowance)
+    }
+
+    /// A send's request is about to be written; false if that is more than the upstream bears.
+    pub(crate) fn write(&mut self, now: Millis, number: u64, allowance: Option<Allowance>) -> bool {
+        if let Some(allowance) = allowance {
+            if !self.written.allows(now, 0, allowance) {
+                return false;
+            }
+            self.written.add(now, allowance);
+        }
+        if let Some(send) = self.running.iter_mut().find(|send| send.number == number) {
+            send.written = true;
+        }
+        true
     }
 
     /// Counts the end of a send.
     pub fn ended(&mut self, now: Millis, number: u64, sign: Sign) {
-        let Some(at) = self.running.iter().position(|(n, _)| *n == number) else { return };
-        let (_, sent) = self.running.remove(at);
+        let Some(at) = self.running.iter().position(|send| send.number == number) else { return };
+        let Send { at: sent, .. } = self.running.remove(at);
         match sign {
             Sign::Reply => {
                 self.sample(now, (now - sent).as_f64());
@@ -285,6 +339,7 @@
             Sign::Unreachable | Sign::Silent => {
                 self.fail(1.0);
                 self.strike(now);
+                self.doubt(now + LAPSE);
             }
             Sign::Crowded => {
                 let span = (CROWDED_MS << self.crowded.min(8)).min(CROWDED_MOST_MS);
@@ -353,7 +408,7 @@
 
     /// Whether its oldest send is overdue: it is paused, dark or far slower than known.
     pub fn overdue(&self, now: Millis) -> Option<Millis> {
-        let oldest = self.running.iter().map(|(_, sent)| *sent).min()?;
+        let oldest = self.running.iter().map(|send| send.at).min()?;
         let age = now - oldest;
         (age.as_f64() > self.expected(now) * LATE_FACTOR + LATE_MS).then_some(age)
     }
--- a/crates/tgw-forward/tests/evacuation/mod.rs
+++ b/crates/tgw-forward/tests/evacuation/mod.rs
@@ -13,7 +13,10 @@
 use tgw_route::Safety;
 
 fn evacuate(world: &mut World, domains: &[&str]) {
-    world.core.fleet.set_evacuated(domains.iter().map(|domain| (*domain).into()).collect());
+    world
+        .core
+        .fleet
+        .set_evacuated(world.now, domains.iter().map(|domain| (*domain).into()).collect());
 }
 
 // A domain is evacuated; requests go elsewhere at once, and back once it is taken back.
--- a/crates/tgw-forward/tests/forward.rs
+++ b/crates/tgw-forward/tests/forward.rs
@@ -11,6 +11,7 @@
 mod peers;
 mod residency;
 mod restart;
+mod warmup;
 mod window;
 mod words;
 mod world;
@@ -24,7 +25,7 @@
     plan::{Answer, Cause, Ended, Why},
     upstream::Sign,
 };
-use tgw_route::{Config, Safety, Service, Target};
+use tgw_route::{Config, Safety, Service, Target, Warmup};
 use world::{FAR, NEAR, World, answered, entry, record, route, shards};
 
 fn one() -> Target {
@@ -308,7 +309,9 @@
 fn all_vms_together_keep_no_more_than_an_upstream_accepts(all: u32, near: u32, accepted: u32) {
     let mut world = World::new(1);
     let mut config = Config::default();
-    config.services.insert("s0".into(), Service { connections: accepted });
+    config
+        .services
+        .insert("s0".into(), Service { connections: accepted, warmup: Warmup::default() });
     world.core.configure(&config);
     world.core.set_vms(Vms { all, near });
     let keep = |id: &str| world.core.keep(world.core.fleet.key(id).unwrap()) as u32;
--- a/crates/tgw-forward/tests/residency/mod.rs
+++ b/crates/tgw-forward/tests/residency/mod.rs
@@ -15,7 +15,7 @@
     plan::{Answer, Cause, Ended},
     upstream::Sign,
 };
-use tgw_route::{Config, Residency, Route, Safety, Service, Target, config::Shards};
+use tgw_route::{Config, Residency, Route, Safety, Service, Target, Warmup, config::Shards};
 
 /// The regions of [`NEAR`] and [`FAR`].
 const REGIONS: [&str; 2] = ["r1", "r2"];
@@ -31,7 +31,10 @@
 fn configure(world: &mut World, services: usize, route: &Rc<Route>) {
     let mut config = Config { routes: vec![route.clone()], ..Config::default() };
     for service in 0..services {
-        config.services.insert(format!("s{service}").into(), Service { connections: 32 });
+        config.services.insert(
+            format!("s{service}").into(),
+            Service { connections: 32, warmup: Warmup::default() },
+        );
     }
     world.core.configure(&config);
 }
--- a/crates/tgw-forward/tests/world/mod.rs
+++ b/crates/tgw-forward/tests/world/mod.rs
@@ -15,7 +15,7 @@
     upstream::{Entry, Sign},
 };
 use tgw_quarantine::Fingerprint;
-use tgw_route::{Config, Residency, Route, Safety, Service, Target, config::Shards};
+use tgw_route::{Config, Residency, Route, Safety, Service, Target, Warmup, config::Shards};
 
 pub(crate) const NEAR: &str = "near";
 pub(crate) const FAR: &str = "far";
@@ -83,7 +83,10 @@
         let mut config = Config::default();
         for index in 0..services {
             let service = format!("s{index}");
-            config.services.insert(service.as_str().into(), Service { connections: 32 });
+            config.services.insert(
+                service.as_str().into(),
+                Service { connections: 32, warmup: Warmup::default() },
+            );
             for domain in [NEAR, FAR] {
                 let id = format!("{service}-{domain}");
                 core.fleet.put(Millis::ZERO, entry(&id, &service, domain));
--- a/crates/tgw-gateway/src/exchange.rs
+++ b/crates/tgw-gateway/src/exchange.rs
@@ -75,6 +75,8 @@
 enum Fault {
     /// No connection, or it ended before anything was sent.
     Unsent,
+    /// The request may not go there, or not now.
+    Barred,
     /// The upstream reset a new connection before anything was sent.
     Crowded,
     /// The connection broke, or the reply was cut.
@@ -139,6 +141,7 @@
     match attempt(sent).await {
         Ok(response) => classify(&sent.shared, sent.ticket, response),
         Err(Fault::Unsent) => (Sign::Unreachable, Ended::Unsent),
+        Err(Fault::Barred) => (Sign::Busy, Ended::Busy),
         Err(Fault::Crowded) => (Sign::Crowded, Ended::Unsent),
         Err(Fault::Spoiled) => (Sign::Broken, Ended::Broken),
         Err(Fault::Broken) => (Sign::Broken, broken(sent).await),
@@ -166,10 +169,11 @@
             }
             return Err(Fault::Crowded);
         }
-        // A connection may take seconds to be made, and the upstream may have left meanwhile, or the request's home
-        // regions may have changed: it would reach it long after. Nothing was sent, so that it can go elsewhere.
-        if !shared.core.borrow().permits(request.route.as_deref(), ticket.upstream) {
-            return Err(Fault::Unsent);
+        // A connection may take seconds to be made, and the upstream may have left meanwhile, have become cold, or the
+        // request's home regions may have changed: it would reach it long after. Nothing was sent, so that it can go
+        // elsewhere.
+        if !shared.core.borrow_mut().clear(shared.now(), request.route.as_deref(), *ticket) {
+            return Err(Fault::Barred);
         }
         let message = message(shared, request, &expected).map_err(|_| Fault::Unsent)?;
         match connection.sender.try_send_request(message).await {
--- a/crates/tgw-gateway/src/hop.rs
+++ b/crates/tgw-gateway/src/hop.rs
@@ -151,7 +151,8 @@
     let Sent { shared, request, entry, .. } = sent;
     let now = shared.now();
     let place = &shared.settings.place;
-    let host = shared.hops.host(now, &entry.domain, place);
+    let holder = shared.core.borrow().fleet.through(now, sent.ticket.upstream).map(|s| s.addr);
+    let host = holder.or_else(|| shared.hops.host(now, &entry.domain, place));
     let Some((host, message)) = host.zip(pack(sent)) else {
         return unhosted(sent).await;
     };
@@ -267,14 +268,13 @@
     match exchange::run(shared.clone(), way, Rc::new(outgoing)).await {
         Ended::Answered(response) => answered(*response, cut),
         Ended::Declined => Outcome::Declined,
-        Ended::Unsent => {
+        ended @ (Ended::Unsent | Ended::Busy) => {
             // What reached no upstream is no extra send.
             if let Some(service) = &service {
                 shared.core.borrow_mut().refund(service);
             }
-            Outcome::Unsent
+            if matches!(ended, Ended::Busy) { Outcome::Busy } else { Outcome::Unsent }
         }
-        Ended::Busy => Outcome::Busy,
         Ended::Broken => Outcome::Broken,
         Ended::Gone => Outcome::Gone,
         Ended::Silent => Outcome::Silent,
--- a/crates/tgw-gateway/src/peers.rs
+++ b/crates/tgw-gateway/src/peers.rs
@@ -9,14 +9,19 @@
 use rand::seq::SliceRandom;
 use std::{
     cell::{Cell, RefCell},
+    collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, SystemTime},
 };
 use tgw_clock::Millis;
-use tgw_forward::{core::Vms, upstream::Word};
+use tgw_forward::{
+    core::Vms,
+    upstream::Word,
+    warmup::{REMEMBERED, Roster, Seat},
+};
 use tgw_member::{Action, Event, Member};
-use tgw_owner::Directory;
+use tgw_owner::{Directory, State};
 use tgw_spread::{
     Message,
     message::{Datagram, Late, Versions},
@@ -203,7 +208,10 @@
 
     fn packet(self: &Rc<Self>, packet: Result<Datagram, Error>, from: SocketAddr) {
         match packet {
-            Ok(Datagram::Member(packet)) => self.on(Event::Packet(from, packet)),
+            Ok(Datagram::Member(packet)) => {
+                self.shared.core.borrow_mut().fleet.heard(self.shared.now());
+                self.on(Event::Packet(from, packet));
+            }
             Ok(Datagram::Late(upstreams)) => {
                 let now = self.shared.now();
                 let mut core = self.shared.core.borrow_mut();
@@ -306,12 +314,33 @@
             return;
         }
         let mut core = self.shared.core.borrow_mut();
+        if self.settled() {
+            core.fleet.set_roster(self.roster(&directory));
+        }
         if core.vms() != vms {
             tracing::info!(vms = vms.all, near = vms.near, before = core.vms().all, "VMs counted");
             core.set_vms(vms);
         }
     }
 
+    /// The VMs among which rights to send to cold upstreams are held. One that leaves gives its rights up by itself.
+    fn roster(&self, directory: &Directory) -> Roster {
+        let member = self.member.borrow();
+        let mut domains: BTreeMap<Rc<str>, Vec<Seat>> = BTreeMap::new();
+        for (vm, entry) in &directory.members {
+            let Some(domain) = self.shared.settings.place.numbered(entry.place.domain.0) else {
+                continue;
+            };
+            if entry.state == State::Leaving {
+                continue;
+            }
+            let dead_until = member.dead_since(*vm).map(|at| at + REMEMBERED);
+            let seat = Seat { vm: vm.0, addr: entry.addr, dead_until };
+            domains.entry(domain.into()).or_default().push(seat);
+        }
+        Roster::new(Vm::named(&self.shared.settings.vm).0, domains)
+    }
+
     /// Takes over where the live VMs of other regions are.
     fn reach(&self, directory: &Directory) {
         let place = &self.shared.settings.place;
--- a/crates/tgw-gateway/src/settings.rs
+++ b/crates/tgw-gateway/src/settings.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 use tgw_clock::Millis;
-use tgw_forward::{core::Budget, fleet::Place};
+use tgw_forward::{core::Budget, fleet::Place, warmup::Excess};
 use tgw_spread::start::Waits;
 use tgw_topology::Place as Numbered;
 
@@ -17,6 +17,8 @@
     pub ready: SocketAddr,
     /// Extra sends that all VMs together may make.
     pub budget: Budget,
+    /// What cold upstreams may get beyond what they state, from all VMs together.
+    pub excess: Excess,
     /// Memory for bodies of requests and replies that are held, in bytes.
     pub bodies: usize,
     /// The whole fleet starts for the first time.
--- a/crates/tgw-gateway/src/shared.rs
+++ b/crates/tgw-gateway/src/shared.rs
@@ -134,7 +134,8 @@
             },
         );
         let world = World::new(settings.heartbeat);
-        let core = Core::new(settings.place.clone(), settings.budget, policy);
+        let mut core = Core::new(settings.place.clone(), settings.budget, policy);
+        core.set_excess(settings.excess);
         Ok(Rc::new(Self {
             core: RefCell::new(core),
             settings,
@@ -229,7 +230,7 @@
         for unknown in domains.iter().filter(|d| self.settings.place.region(d).is_none()) {
             tracing::warn!(domain = &**unknown, "an evacuated failure domain is not known here");
         }
-        self.core.borrow_mut().fleet.set_evacuated(domains.clone());
+        self.core.borrow_mut().fleet.set_evacuated(self.now(), domains.clone());
         self.news.notify_one();
     }
 
--- a/crates/tgw-member/src/member.rs
+++ b/crates/tgw-member/src/member.rs
@@ -205,6 +205,11 @@
         Directory { members, cut: self.relay.cut() }
     }
 
+    /// Since when a VM is taken for dead, or said that it leaves.
+    pub fn dead_since(&self, vm: Vm) -> Option<Millis> {
+        self.dead_since.get(&vm).copied()
+    }
+
     /// Where a VM is reached.
     pub fn directory_addr(&self, vm: Vm) -> Option<SocketAddr> {
         self.addr(vm)
--- a/crates/tgw-route/src/config.rs
+++ b/crates/tgw-route/src/config.rs
@@ -82,6 +82,17 @@
 pub struct Service {
     /// Connections that one of its upstreams accepts from all callers together.
     pub connections: u32,
+    /// What its upstreams bear until they are warm.
+    pub warmup: Warmup,
+}
+
+/// What an upstream bears while it is cold.
+#[derive(Copy, Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Warmup {
+    /// How long it is cold after its start.
+    pub span: Millis,
+    /// Requests a second that it bears meanwhile; zero where it states none.
+    pub rate: f64,
 }
 
 /// What callers may send.
--- a/crates/tgw-route/src/lib.rs
+++ b/crates/tgw-route/src/lib.rs
@@ -12,7 +12,7 @@
 /// Finding the route of a request.
 mod table;
 
-pub use config::{Config, Limits, Route, Safety, Service, Target};
+pub use config::{Config, Limits, Route, Safety, Service, Target, Warmup};
 pub use residency::Residency;
 pub use share::Share;
 pub use table::Table;
--- a/crates/tgw-spread/src/follow.rs
+++ b/crates/tgw-spread/src/follow.rs
@@ -16,8 +16,9 @@
     /// A kind that changes often.
     pub const OFTEN: Self = Self { wait: WAIT, gather: GATHER };
     /// A kind that changes a few times a day, each time alone. That its connection went silent shows by probes of the
-    /// connection; a store that says nothing, by the watches of the other kinds.
-    pub const SELDOM: Self = Self { wait: Millis::new(20_000), gather: Millis::ZERO };
+    /// connection; a store that says nothing, by the watches of the other kinds. Below the time for which the platform keeps
+    /// its history: a watch that begins before it costs a list besides.
+    pub const SELDOM: Self = Self { wait: Millis::new(15_000), gather: Millis::ZERO };
 }
 
 /// How long one watch waits, in ms. Each end costs a call. A connection that says nothing any more, while new ones are
