feat(forward): the pace that an upstream tells with its reply counts half, the latency seen the other half

Replies carried the load header unread.

Change: the header is read once in the adapter (four whole numbers, or it counts for nothing), and goes back with replies through peers; what is told moves the expected time at once, decays as that does, and is told to the region by the words that there were. Absurd loads count for nothing.

`--set load_weight=0` is the way that was in force.

--- a/crates/tgw-bench/src/forward.rs
+++ b/crates/tgw-bench/src/forward.rs
@@ -126,6 +126,7 @@
                 status: StatusCode::OK,
                 headers: HeaderMap::new(),
                 seal: Some(seals[order.part].clone()),
+                load: None,
                 body: bodies[order.part].clone(),
             };
             let ended = Ended::Answered(Box::new(response));
@@ -174,6 +175,7 @@
     let outcome = Outcome::Answered {
         status: 200,
         seal: Some(b"3e1b.07.5a2.600.0.c9f2a4d1".to_vec()),
+        load: None,
         body: part(1).to_vec(),
     };
     let reply = Datagram::HopEnded(Box::new(Reply { number: 7, outcome }));
--- a/crates/tgw-bench/src/overload/run.rs
+++ b/crates/tgw-bench/src/overload/run.rs
@@ -398,7 +398,7 @@
             Fate::Done(end) if end <= deadline => {
                 let seal = HeaderValue::from_str(&format!("{part}.{}", running.query.seed)).ok();
                 let (status, headers, body) = (StatusCode::OK, HeaderMap::new(), Bytes::new());
-                let response = Response { status, headers, seal, body };
+                let response = Response { status, headers, seal, load: None, body };
                 (end, Sign::Reply, Ended::Answered(Box::new(response)))
             }
             Fate::Lost(end) if end <= deadline => (end, Sign::Broken, Ended::Broken),
--- a/crates/tgw-forward/src/lib.rs
+++ b/crates/tgw-forward/src/lib.rs
@@ -18,6 +18,8 @@
 pub mod fleet;
 /// Sends that other VMs ask this one to make.
 pub mod hosting;
+/// What upstreams tell of their load.
+pub mod load;
 /// How long before its aim an answer leaves.
 mod margin;
 /// The greatest records of several parts.
--- a/crates/tgw-forward/src/message.rs
+++ b/crates/tgw-forward/src/message.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     fleet::{Hop, Key, Ticket},
+    load::Load,
     merge::Cut,
 };
 use bytes::Bytes;
@@ -19,6 +20,8 @@
     pub headers: HeaderMap,
     /// The upstream's signature, if it bears one.
     pub seal: Option<HeaderValue>,
+    /// The load that the upstream told with it.
+    pub load: Option<Load>,
     /// Its whole body.
     pub body: Bytes,
 }
--- a/crates/tgw-forward/src/upstream.rs
+++ b/crates/tgw-forward/src/upstream.rs
@@ -3,6 +3,7 @@
 use crate::{
     Policy,
     fleet::Hop,
+    load::Load,
     warmup::{Allowance, Written},
 };
 use serde::{Deserialize, Serialize};
@@ -195,6 +196,8 @@
     /// What is expected of an upstream there of which nothing is known, in ms.
     prior: f64,
     sampled: Option<Millis>,
+    /// The load that its latest reply told, and when.
+    load: Option<(Millis, Load)>,
     failing: f64,
     avoid_until: Millis,
     strikes: u32,
@@ -221,6 +224,7 @@
             latency: WORK_MS + distance.way(),
             prior: WORK_MS + distance.way(),
             sampled: None,
+            load: None,
             failing: 0.0,
             avoid_until: Millis::ZERO,
             strikes: 0,
@@ -323,6 +327,7 @@
         match sign {
             Sign::Reply => {
                 self.sample(now, (now - sent).as_f64());
+                self.pace(sent);
                 self.fail(0.0);
                 self.strikes = 0;
                 self.avoid_until = Millis::ZERO;
@@ -380,6 +385,16 @@
         self.sampled = Some(now);
     }
 
+    /// Takes in how long work takes there by the upstream's own word, if it told so since `sent`: one reply says as much
+    /// as many latencies, of which each holds a request's own work and queues on its way.
+    fn pace(&mut self, sent: Millis) {
+        let Some((_, load)) = self.load.filter(|(at, _)| *at >= sent) else { return };
+        let usual = (self.prior - self.distance.way()).max(WORK_LEAST_MS);
+        let queue = load.queue() * self.policy.load_queue;
+        let told = self.distance.way() + usual * load.pace * (1.0 + queue);
+        self.latency += self.policy.load_weight * (told - self.latency);
+    }
+
     /// The expected time in ms from a send to its reply with nothing else running.
     pub fn expected(&self, now: Millis) -> f64 {
         let prior = self.prior;
@@ -395,6 +410,11 @@
         }
     }
 
+    /// A reply told its load.
+    pub(crate) fn loaded(&mut self, now: Millis, load: Load) {
+        self.load = Some((now, load));
+    }
+
     /// The time of its work alone, in ms, if a reply was seen lately.
     pub fn work(&self, now: Millis) -> Option<f64> {
         let lately = |at: &Millis| now - *at < Millis::new(LEVEL_FOR_MS);
--- a/crates/tgw-forward/tests/forward.rs
+++ b/crates/tgw-forward/tests/forward.rs
@@ -6,6 +6,7 @@
 mod catalog;
 mod caution;
 mod evacuation;
+mod load;
 mod margin;
 mod merge;
 mod peers;
--- a/crates/tgw-forward/tests/world/mod.rs
+++ b/crates/tgw-forward/tests/world/mod.rs
@@ -173,6 +173,7 @@
         status: StatusCode::from_u16(status).unwrap(),
         headers: HeaderMap::new(),
         seal: seal.map(|s| HeaderValue::from_str(s).unwrap()),
+        load: None,
         body: Bytes::copy_from_slice(body),
     }))
 }
--- a/crates/tgw-gateway/src/dialect.rs
+++ b/crates/tgw-gateway/src/dialect.rs
@@ -1,9 +1,9 @@
 //! What the platform calls things: the border to the adapter.
 
-use http::HeaderName;
+use http::{HeaderName, HeaderValue};
 use serde_json::Value;
 use std::fmt;
-use tgw_forward::upstream::Entry;
+use tgw_forward::{load::Load, upstream::Entry};
 use tgw_route::Config;
 
 /// Header names of the protocol towards callers and upstreams.
@@ -17,6 +17,8 @@
     pub expected: HeaderName,
     /// The signature of an upstream's reply.
     pub seal: HeaderName,
+    /// The load that an upstream tells with a reply.
+    pub load: HeaderName,
     /// Present where an upstream states that it did not run a request.
     pub declined: HeaderName,
     /// The signatures of the parts of an answer.
@@ -72,6 +74,8 @@
     fn kinds(&self) -> &Kinds;
     /// The path that the balancer asks for readiness.
     fn ready_path(&self) -> &str;
+    /// Decodes the load that an upstream tells; `None` if it is none.
+    fn load(&self, value: &HeaderValue) -> Option<Load>;
     /// Decodes a configuration. Errors: it has no version or no routes.
     fn config(&self, value: &Value) -> Result<Decoded<Config>, Vec<Finding>>;
     /// Decodes an upstream's entry. Errors: a field that the product needs is missing.
--- a/crates/tgw-gateway/src/exchange.rs
+++ b/crates/tgw-gateway/src/exchange.rs
@@ -131,6 +131,11 @@
         Hop::Peer => timeout(left, hop::ask(&sent)).await,
     };
     let (sign, ended) = result.unwrap_or((Sign::Silent, Ended::Silent));
+    if let Ended::Answered(response) = &ended
+        && let Some(load) = response.load
+    {
+        shared.core.borrow_mut().fleet.loaded(shared.now(), ticket.upstream, load);
+    }
     sent.sign = sign;
     ended
 }
@@ -259,12 +264,13 @@
         }
         return (Sign::Shed, Ended::Declined);
     }
+    let load = head.headers.remove(&names.load).and_then(|value| shared.dialect.load(&value));
     if head.headers.contains_key(&names.declined) {
         return (Sign::Shed, Ended::Declined);
     }
     let seal = head.headers.get(&names.seal).cloned();
     headers::strip(&mut head.headers);
-    judge(plan::Response { status: head.status, headers: head.headers, seal, body })
+    judge(plan::Response { status: head.status, headers: head.headers, seal, load, body })
 }
 
 /// What a complete reply tells of its upstream.
--- a/crates/tgw-gateway/src/hop.rs
+++ b/crates/tgw-gateway/src/hop.rs
@@ -208,13 +208,13 @@
 
 fn outcome_of(outcome: Outcome) -> (Sign, Ended) {
     match outcome {
-        Outcome::Answered { status, seal, body } => {
+        Outcome::Answered { status, seal, load, body } => {
             let Ok(status) = StatusCode::from_u16(status) else {
                 return (Sign::Broken, Ended::Broken);
             };
             let seal = seal.and_then(|s| HeaderValue::from_bytes(&s).ok());
             let (headers, body) = (HeaderMap::new(), Bytes::from(body));
-            exchange::judge(Response { status, headers, seal, body })
+            exchange::judge(Response { status, headers, seal, load, body })
         }
         Outcome::Busy | Outcome::Full => (Sign::Busy, Ended::Busy),
         Outcome::Unsent => (Sign::Unreachable, Ended::Unsent),
@@ -293,6 +293,7 @@
     Outcome::Answered {
         status: response.status.as_u16(),
         seal: response.seal.map(|s| s.as_bytes().to_vec()),
+        load: response.load,
         body,
     }
 }
--- a/crates/tgw-spread/src/hop.rs
+++ b/crates/tgw-spread/src/hop.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use std::rc::Rc;
+use tgw_forward::load::Load;
 use tgw_quarantine::{Fingerprint, message::Seen};
 
 /// Asks a VM to send a request to one upstream.
@@ -55,6 +56,8 @@
         status: u16,
         /// The upstream's signature, if it bears one.
         seal: Option<Vec<u8>>,
+        /// The load that the upstream told with it.
+        load: Option<Load>,
         /// Its whole body.
         body: Vec<u8>,
     },
--- a/crates/tgw-spread/tests/spread.rs
+++ b/crates/tgw-spread/tests/spread.rs
@@ -184,8 +184,12 @@
         print: Fingerprint { content: 7, caller: 8 },
         seen: Seen { all: 1, service: 2 },
     };
-    let outcome =
-        hop::Outcome::Answered { status: 200, seal: Some(b"s".to_vec()), body: vec![3; 32] };
+    let outcome = hop::Outcome::Answered {
+        status: 200,
+        seal: Some(b"s".to_vec()),
+        load: None,
+        body: vec![3; 32],
+    };
     let late = Late { upstream: "u".into(), started: 3, overdue: true, expected: 12.0 };
     let (print, seen) = (request.print, request.seen);
     let ends = vec![End { print, service: 3, upstream: 4, seen }];
