--- a/crates/tgw-bench/src/faults.rs
+++ b/crates/tgw-bench/src/faults.rs
@@ -45,6 +45,7 @@
                     }
                 }
             }
+            Fault::Draining => self.upstreams[0].draining = true,
             Fault::Mangled => self.mangled = true,
             Fault::Kill => self.kill(1),
             Fault::Pause(time) => {
--- a/crates/tgw-bench/src/setup.rs
+++ b/crates/tgw-bench/src/setup.rs
@@ -19,6 +19,8 @@
     Repartition(Millis),
     /// A third of the upstreams are restarted cold.
     Cold,
+    /// An upstream says with each reply that it leaves, and nothing else does.
+    Draining,
     /// VM 1 is killed.
     Kill,
     /// VM 1 is paused for this time.
--- a/crates/tgw-bench/tests/pairs.rs
+++ b/crates/tgw-bench/tests/pairs.rs
@@ -148,3 +148,13 @@
     assert_eq!((figures.mixed, figures.doubled, figures.lost), (0, 0, 0), "{figures:?}");
     assert_eq!(figures.whole, figures.queries, "{figures:?}");
 }
+
+// An upstream leaves and says so with its replies alone. Its shard has others: no search lacks a part for it.
+#[test_case(User::Coimbra)]
+#[test_case(User::Aspen)]
+fn a_draining_upstream_leaves_nothing_out(user: User) {
+    let figures = figures_of(user, 3, &[(ms(500), Fault::Draining)]);
+    assert!(figures.queries > 50, "too few queries to tell");
+    assert_eq!((figures.mixed, figures.doubled, figures.lost), (0, 0, 0), "{figures:?}");
+    assert_eq!(figures.whole, figures.queries, "{figures:?}");
+}
