fix(forward): nothing goes through a VM of another region to a cold upstream; refusals name homes and cold upstreams

Cause, found by writing docs/design/residency.md: where no VM is known in a cold upstream's region, the right to send to it falls to a VM elsewhere, and parts would have gone through that one, with their bodies, whatever their homes say. And a request refused for want of a cold upstream that bears one more looked like one whose upstreams are full.

Change: others send through a holder only where it lives in the upstream's region; the holder elsewhere sends what its own callers ask. Withheld sends and refusals name *no upstream in its home regions* and *cold upstreams bear no more*; the second is told to come back in 0.25 to 0.75 s, as such upstreams take a few requests a second.

Test: `nothing_goes_through_a_vm_of_another_region` (the VM without the right chose a peer before).

--- a/crates/tgw-forward/src/cold.rs
+++ b/crates/tgw-forward/src/cold.rs
@@ -1,9 +1,10 @@
 //! Sends to upstreams that bear few requests while they are cold.
 
 use crate::{
-    Fleet, Upstream,
+    Fleet, Scope, Upstream,
     core::Most,
     fleet::{Hop, Key, Ticket},
+    message::Reason,
     upstream::Distance,
     warmup::{Allowance, Excess, Roster, Seat},
 };
@@ -67,6 +68,25 @@
         upstream.is_cold(now).then_some(allowance)
     }
 
+    /// Why no upstream of a service has room for a request.
+    pub(crate) fn missing(&self, now: Millis, service: &str, scope: Scope<'_>) -> Reason {
+        if !self.serves(service, scope) && self.serves(service, Scope::default()) {
+            Reason::Residency
+        } else if self.bears_no_more(now, service, scope) {
+            Reason::Cold
+        } else {
+            Reason::Upstream
+        }
+    }
+
+    /// Whether all upstreams of a service that a request may go to may be cold, and state what they bear.
+    pub(crate) fn bears_no_more(&self, now: Millis, service: &str, scope: Scope<'_>) -> bool {
+        let open = |key: &&Key| self.takes(**key, scope);
+        let mut open = self.of(service).iter().filter(open).peekable();
+        let limited = |key: &Key| self.get(*key).is_some_and(|u| self.limit(now, u).is_some());
+        open.peek().is_some() && open.all(limited)
+    }
+
     /// VMs that hold the right to send to an upstream at a time.
     fn count(&self, allowance: Allowance) -> usize {
         (self.policy.warm_holders as usize).clamp(1, allowance.most())
@@ -97,7 +117,12 @@
         (upstream.bears(now, right) && upstream.open(now, most)).then_some(Hop::Direct)
     }
 
+    /// The VM that holds the right to send to an upstream, if it is another one in the upstream's region: elsewhere a
+    /// request may not be sent that has its home there.
     fn holder<'a>(&'a self, now: Millis, upstream: &Upstream) -> Option<&'a Seat> {
+        if !self.roster.is_manned(&upstream.entry.domain, &self.place) {
+            return None;
+        }
         let allowance = self.limit(now, upstream)?;
         let holders = self.roster.holders(now, &upstream.entry, &self.place, self.count(allowance));
         let turn = usize::try_from(self.next_send()).unwrap_or_default() % holders.len().max(1);
--- a/crates/tgw-forward/src/conclude.rs
+++ b/crates/tgw-forward/src/conclude.rs
@@ -11,6 +11,8 @@
 /// What a refused caller is told to wait, in ms; spread over one to three times this, so that those
 /// refused together do not return together.
 const RETRY_AFTER: Millis = Millis::new(60);
+/// The same where all upstreams are cold: they bear a few requests a second.
+const RETRY_COLD: Millis = Millis::new(250);
 /// The same where nothing in the request's home regions serves it: a region that is cut off or evacuated is back after
 /// seconds.
 const RETRY_HOME: Millis = Millis::new(500);
@@ -32,7 +34,7 @@
         };
         answer.map_or_else(
             || (now >= self.deadline).then_some(Answer::TimedOut),
-            |end| Some(end.unwrap_or_else(|| self.lost(core))),
+            |end| Some(end.unwrap_or_else(|| self.lost(now, core))),
         )
     }
 
@@ -76,7 +78,7 @@
         Some(Cut::of(self.in_parts().map(|(_, body)| body), shards.limit))
     }
 
-    fn lost(&self, core: &Core) -> Answer {
+    fn lost(&self, now: Millis, core: &Core) -> Answer {
         if self.ran && (self.held.is_some() || core.quarantine.holds(self.print)) {
             return Answer::Failed(Cause::Quarantined);
         }
@@ -91,15 +93,19 @@
         if let Some(retry_after) = self.held {
             return Answer::Refused { retry_after, cause: Cause::Quarantined };
         }
-        let (cause, retry_after) = self.unserved(core);
+        let (cause, retry_after) = self.unserved(now, core);
         let spread = 1.0 + 2.0 * f64::from(self.spread % 64) / 64.0;
         Answer::Refused { retry_after: retry_after.scale(spread), cause }
     }
 
     /// Why a request that reached no upstream did not, and when to come back at the earliest.
-    fn unserved(&self, core: &Core) -> (Cause, Millis) {
+    fn unserved(&self, now: Millis, core: &Core) -> (Cause, Millis) {
         let served = |scope| self.parts.iter().all(|p| core.fleet.serves(&p.service, scope));
-        if served(core.scope(&self.route)) {
+        let scope = core.scope(&self.route);
+        let cold = |part: &Part| core.fleet.bears_no_more(now, &part.service, scope);
+        if served(scope) && self.parts.iter().any(cold) {
+            (Cause::Cold, RETRY_COLD)
+        } else if served(scope) {
             (Cause::Full, RETRY_AFTER)
         } else if served(Scope::default()) {
             (Cause::Residency, RETRY_HOME)
--- a/crates/tgw-forward/src/message.rs
+++ b/crates/tgw-forward/src/message.rs
@@ -148,6 +148,8 @@
 pub enum Cause {
     /// No upstream of a service is known that is not leaving.
     NoUpstream,
+    /// All upstreams of a service may be cold, and bear no more now.
+    Cold,
     /// Upstreams that would serve it lie outside of its home regions.
     Residency,
     /// All upstreams hold as many sends as this VM may make, or turned it away.
@@ -165,6 +167,7 @@
     pub fn text(self) -> &'static str {
         match self {
             Self::NoUpstream => "no upstream",
+            Self::Cold => "cold upstreams bear no more",
             Self::Residency => "no upstream in its home regions",
             Self::Full => "all upstreams full",
             Self::Upstreams => "upstreams failed",
@@ -194,6 +197,12 @@
     /// No upstream that was not tried has room for it.
     #[display("no upstream with room")]
     Upstream,
+    /// None lies in the request's home regions.
+    #[display("no upstream in its home regions")]
+    Residency,
+    /// All may be cold, and bear no more now from this VM.
+    #[display("cold upstreams bear no more")]
+    Cold,
     /// The budget for extra sends is used up.
     #[display("budget used up")]
     Budget,
--- a/crates/tgw-forward/src/part.rs
+++ b/crates/tgw-forward/src/part.rs
@@ -161,7 +161,8 @@
         let fresh = pick(&passed);
         let insist = fresh.is_none() && core.policy().insists;
         let again = || pick(&self.tried);
-        let choice = fresh.or_else(again).ok_or(Reason::Upstream)?;
+        let missing = || core.fleet.missing(now, &self.service, core.scope(route));
+        let choice = fresh.or_else(again).ok_or_else(missing)?;
         let allowed = self.sends == 0 || core.spend(now, &self.service, why, need);
         let lendable = choice.hop == Hop::Peer && need == Need::Least && why == Why::Retry;
         match (allowed, lendable) {
--- a/crates/tgw-forward/src/warmup.rs
+++ b/crates/tgw-forward/src/warmup.rs
@@ -138,6 +138,14 @@
         if near.is_empty() { self.domains.values().flatten().collect() } else { near }
     }
 
+    /// Whether VMs are known in the region of a failure domain.
+    pub(crate) fn is_manned(&self, domain: &str, place: &Place) -> bool {
+        let region = place.region(domain);
+        let near =
+            |other: &str| other == domain || (region.is_some() && place.region(other) == region);
+        self.domains.iter().any(|(other, seats)| near(other) && !seats.is_empty())
+    }
+
     /// The VMs that hold the right to send to an upstream, the first `count` by rendezvous hashing.
     pub(crate) fn holders<'a>(
         &'a self,
--- a/crates/tgw-forward/tests/warmup/mod.rs
+++ b/crates/tgw-forward/tests/warmup/mod.rs
@@ -219,11 +219,24 @@
         assert_eq!(world.orders[0].hop == Hop::Direct, holds);
         world.end(0, Ended::Busy, Sign::Busy);
         let answer = world.start(&route(one(), Safety::Once));
-        let refused = matches!(answer, Some(Answer::Refused { cause: Cause::Full, .. }));
+        let refused = matches!(answer, Some(Answer::Refused { cause: Cause::Cold, .. }));
         assert_eq!(refused, !holds, "{answer:?}");
     }
 }
 
+// No VM is left in the region of a cold upstream: the one elsewhere that holds the right sends what callers ask of it, and is
+// sent nothing by others, as requests may have their home where the upstream is.
+#[test]
+fn nothing_goes_through_a_vm_of_another_region() {
+    for own in [1, 9] {
+        let mut world = limited(4.0, own, &[]);
+        let domains = [(FAR.into(), vec![seat(9)])].into();
+        world.core.fleet.set_roster(Roster::new(own, domains));
+        cold(&mut world);
+        assert_eq!(pick(&world).map(|choice| choice.hop), (own == 9).then_some(Hop::Direct));
+    }
+}
+
 // Warm upstreams elsewhere have room: a cold one gets nothing that it need not have.
 #[test]
 fn a_cold_upstream_comes_last() {
--- a/crates/tgw-soak/src/check.rs
+++ b/crates/tgw-soak/src/check.rs
@@ -237,7 +237,7 @@
 }
 
 /// What ran in the upstreams' processes of some failure domains.
-fn runs_in<'a>(world: &'a World, domain: impl Fn(&str) -> bool) -> impl Iterator<Item = &'a Run> {
+fn runs_in(world: &World, domain: impl Fn(&str) -> bool) -> impl Iterator<Item = &Run> {
     let lives = world.lives.iter().filter(move |life| domain(life.domain));
     let ids: BTreeSet<&String> = lives.map(|life| &life.id).collect();
     ids.into_iter().flat_map(|id| world.runs.get(id).into_iter().flatten())
