--- a/crates/tgw-operate/src/story.rs
+++ b/crates/tgw-operate/src/story.rs
@@ -180,7 +180,19 @@
     let reason = match end.text("cause") {
         "no route" => format!("no route takes it in configuration {}", end.number("config")),
         "no configuration" => "the VM knew no configuration: the store had not answered".into(),
-        "no upstream" => "a service of the route had no upstream that was not leaving".into(),
+        "no upstream" => {
+            "a service of the route had no upstream that was not leaving or evacuated".into()
+        }
+        "no upstream in its home regions" => {
+            "it may be served in its route's home regions only, and no upstream there took new work: \
+             see the lines \"evacuations in force\" and \"upstream changed\""
+                .into()
+        }
+        "cold upstreams bear no more" => {
+            "all upstreams of a service may be cold, and bear no more requests in this second, or \
+             another VM holds the right to send to them"
+                .into()
+        }
         "no identity" => "it bore no identity".into(),
         "no memory for the body" => "bodies of other requests took the memory set aside".into(),
         "body too long" => "its body is longer than the operators allow".into(),
--- a/crates/tgw-operate/tests/operate/story.rs
+++ b/crates/tgw-operate/tests/operate/story.rs
@@ -17,6 +17,8 @@
 {"timestamp":"T09","message":"send","request":"cut","why":"hedge","upstream":"i-1"}
 {"timestamp":"T09","message":"upstream ended under a send","upstream":"i-4","service":"s","requests":"other ends","prints":"0b 0a"}
 {"timestamp":"T09","message":"upstream ended under a send","upstream":"i-5","service":"t","requests":"earlier","prints":"0a"}
+{"timestamp":"T08","message":"request","request":"away","outcome":"refused","cause":"no upstream in its home regions","age_ms":0}
+{"timestamp":"T08","message":"request","request":"cold","outcome":"refused","cause":"cold upstreams bear no more","age_ms":0}
 {"timestamp":"T09","message":"request","request":"ends","print":"0a","outcome":"failed","cause":"too few parts","age_ms":30}
 {"timestamp":"T10","message":"request","request":"partial","outcome":"merged","cause":"","got":8,"parts":10,"age_ms":140}
 "#;
@@ -32,6 +34,8 @@
 }
 
 #[test_case("lost", "failed after 9 ms: i-1 of s broken after 4 ms; no retry to s: budget used up"; "a lost reply and no budget")]
+#[test_case("away", "refused after 0 ms: it may be served in its route's home regions only, and no upstream there took new work: see the lines \"evacuations in force\" and \"upstream changed\""; "homes")]
+#[test_case("cold", "refused after 0 ms: all upstreams of a service may be cold, and bear no more requests in this second, or another VM holds the right to send to them"; "cold upstreams")]
 #[test_case("unknown-route", "refused after 0 ms: no route takes it in configuration 5"; "no route")]
 #[test_case("cut", "no VM logged an answer: the VM ended while the request ran"; "a VM that ended")]
 #[test_case("partial", "merged after 140 ms, 2 of 10 parts left out: nothing went wrong at upstreams"; "a partial answer")]
