--- a/justfile
+++ b/justfile
@@ -20,6 +20,14 @@
 leaving *ARGS:
     cargo run --release -p tanagergw -- bench leaving {{ARGS}}
 
+# Failure domains that are evacuated, beside the same faults.
+evacuations *ARGS:
+    cargo run --release -p tanagergw -- bench evacuations {{ARGS}}
+
+# What a cold upstream gets from all VMs together.
+warmup *ARGS:
+    cargo run --release -p tanagergw -- bench warmup {{ARGS}}
+
 # What units of state and work cost, for docs/CAPACITY.md.
 slopes:
     cargo run --release -p tanagergw -- bench slopes
