--- a/crates/tgw-forward/src/lib.rs
+++ b/crates/tgw-forward/src/lib.rs
@@ -34,6 +34,8 @@
 pub mod policy;
 /// Where a request may be sent.
 mod scope;
+/// Which sends a request makes.
+mod sends;
 /// One upstream: what the store says of it and what its replies told.
 pub mod upstream;
 /// Upstreams that bear few requests while they are cold.
--- a/crates/tgw-forward/src/upstream.rs
+++ b/crates/tgw-forward/src/upstream/mod.rs
@@ -1,114 +1,25 @@
 //! One upstream.
 
+/// What the store says of an upstream, and how far it is.
+mod entry;
+/// How a send ended.
+mod sign;
+
+pub use entry::{Distance, Entry};
+pub use sign::Sign;
+
 use crate::{
     Policy,
     fleet::Hop,
     load::Load,
     warmup::{Allowance, Written},
 };
-use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
-use std::{net::SocketAddr, rc::Rc};
 use tgw_clock::Millis;
 
-/// What the store says of an upstream's incarnation.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Entry {
-    /// Its identity; a process that starts again may bear it too.
-    pub id: Rc<str>,
-    /// When the process started, in ms of Unix time; zero where the entry does not say. With `id` it names
-    /// the incarnation.
-    pub started: u64,
-    /// The service it belongs to.
-    pub service: Rc<str>,
-    /// Where it listens.
-    pub addr: SocketAddr,
-    /// Its failure domain.
-    pub domain: Rc<str>,
-    /// Requests that it works on at once.
-    pub slots: u32,
-    /// It is leaving and takes nothing new.
-    pub draining: bool,
-    /// How much longer it is slow after its start, as of the entry's writing.
-    pub warmup: Millis,
-}
-
-impl Entry {
-    /// Whether it tells of an earlier process than `other`, which bears the same identity.
-    ///
-    /// An earlier process may have written its last heartbeat after the later one's first, and peers may
-    /// tell of the two in any order.
-    pub fn precedes(&self, other: &Self) -> bool {
-        self.id == other.id && self.started < other.started
-    }
-}
-
-/// How far an upstream is from this VM.
-#[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Distance {
-    /// In the same failure domain.
-    Domain = 0,
-    /// In another failure domain of the region.
-    Region = 1,
-    /// In another region.
-    Far = 2,
-}
-
 /// The time of a reply's work in ms that is assumed of a service before one was seen.
 const WORK_MS: f64 = 10.0;
 
-impl Distance {
-    /// The way there and back in ms that is assumed, as on the users' networks (0.1, 0.5 to 1.4 and 8 to
-    /// 20 ms one way): it only orders upstreams of which nothing is known.
-    fn way(self) -> f64 {
-        match self {
-            Self::Domain => 0.0,
-            Self::Region => 4.0,
-            Self::Far => 35.0,
-        }
-    }
-}
-
-/// How one send ended, as far as the upstream's state goes.
-#[derive(Copy, Clone, Debug, PartialEq, Eq)]
-pub enum Sign {
-    /// A complete reply.
-    Reply,
-    /// A complete reply that reports a failure of the upstream.
-    Failure,
-    /// It turned the request away unexecuted.
-    Shed,
-    /// The reply was cut, spoiled or reset.
-    Broken,
-    /// No connection could be made: the address does not answer or refuses.
-    Unreachable,
-    /// The upstream reset a new connection: it holds as many as it accepts.
-    Crowded,
-    /// No reply in time.
-    Silent,
-    /// The VM that was asked to send had no room, or doubts the upstream; nothing was sent.
-    Busy,
-    /// Given up on this side; tells nothing.
-    Dropped,
-}
-
-impl Sign {
-    /// Its name in logs and metrics.
-    pub fn text(self) -> &'static str {
-        match self {
-            Self::Reply => "reply",
-            Self::Failure => "failure",
-            Self::Shed => "shed",
-            Self::Broken => "broken",
-            Self::Unreachable => "unreachable",
-            Self::Crowded => "crowded",
-            Self::Silent => "silent",
-            Self::Busy => "busy",
-            Self::Dropped => "dropped",
-        }
-    }
-}
-
 /// A time constant in ms after which an old average counts for a third: a straggler that recovered
 /// is tried again within seconds.
 const FORGET_MS: f64 = 4_000.0;
