--- a/crates/tgw-bench/src/overload/death.rs
+++ b/crates/tgw-bench/src/overload/death.rs
@@ -65,7 +65,7 @@
             if let Some(Event::Hosted { vm, ticket, .. }) =
                 hosted.and_then(|h| self.events.remove(&h))
             {
-                self.at(at + looked, Event::Hosted { vm, ticket, sign });
+                self.at(at + looked, Event::Hosted { vm, ticket, sign, load: None });
             }
             if let Some(Event::Ended { vm, query, part, ticket, .. }) = self.events.remove(&ended) {
                 let way = self.world.way(self.vms[vm].region, upstream % REGIONS);
--- a/crates/tgw-bench/src/overload/run.rs
+++ b/crates/tgw-bench/src/overload/run.rs
@@ -23,6 +23,7 @@
     Plan, Policy,
     fleet::{Hop, Key, Ticket},
     hosting,
+    load::Load,
     plan::{self, Answer, Ended, Order, Response},
     upstream::Sign,
 };
@@ -37,6 +38,8 @@
 /// Time in ms after an answer at which its caller's next request arrives: four ways of 3 ms, the answer's, two of a
 /// new connection, and the request's.
 const RETURN: Millis = Millis::new(12);
+/// Tells the draws of what a reply says from those of what becomes of it.
+const NOISE: usize = 1 << 16;
 /// Who chooses.
 #[derive(Copy, Clone, Debug, Display, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "lowercase")]
@@ -101,6 +104,7 @@
         vm: usize,
         ticket: Ticket,
         sign: Sign,
+        load: Option<Load>,
     },
     Restart,
     /// An upstream ends in one of its lives.
@@ -132,6 +136,14 @@
     },
 }
 
+/// The load that a send's reply told.
+fn told(ended: &Ended) -> Option<Load> {
+    match ended {
+        Ended::Answered(response) => response.load,
+        _ => None,
+    }
+}
+
 /// The upstreams and what of them is common to all choices.
 pub(super) struct World {
     pub(super) upstreams: Vec<Upstream>,
@@ -231,11 +243,14 @@
                 Some(Event::Arrive(query)) => self.arrive(now, query),
                 Some(Event::Wake(query)) => self.wake(now, query),
                 Some(Event::Ended { vm, query, part, ticket, sign, ended }) => {
+                    let load = told(&ended);
+                    self.hear_load(now, vm, ticket, load);
                     self.close(now, vm, ticket, sign);
                     let upstream = ticket.upstream;
                     self.step(now, query, plan::Event::Ended { part, upstream, ended });
                 }
-                Some(Event::Hosted { vm, ticket, sign }) => {
+                Some(Event::Hosted { vm, ticket, sign, load }) => {
+                    self.hear_load(now, vm, ticket, load);
                     self.close(now, vm, ticket, sign);
                 }
                 Some(Event::Restart) => self.restart(),
@@ -326,7 +341,7 @@
             Some(None) => (now + way, Sign::Busy, Ended::Busy),
             _ => {
                 let fate = self.fate(now + way, upstream, (number, part), running);
-                self.outcome(now + way, fate, running, part)
+                self.outcome(now + way, fate, running, (part, upstream))
             }
         };
         let hosted = host.flatten();
@@ -335,7 +350,9 @@
         let looks = sign == Sign::Broken && self.policy.quarantine;
         let look = self.world.way(self.vms[from].region, region).scale(2.0);
         let at = if looks { at + look } else { at };
-        let hosted = hosted.map(|(vm, ticket)| self.at(at, Event::Hosted { vm, ticket, sign }));
+        let load = told(&ended);
+        let hosted =
+            hosted.map(|(vm, ticket)| self.at(at, Event::Hosted { vm, ticket, sign, load }));
         let ended =
             self.at(at + way, Event::Ended { vm, query: number, part, ticket, sign, ended });
         let arrives = now + way;
@@ -391,14 +408,16 @@
         at: Millis,
         fate: Fate,
         running: &Running,
-        part: usize,
+        (part, upstream): (usize, usize),
     ) -> (Millis, Sign, Ended) {
         let deadline = running.plan.deadline().max(at);
         match fate {
             Fate::Done(end) if end <= deadline => {
                 let seal = HeaderValue::from_str(&format!("{part}.{}", running.query.seed)).ok();
                 let (status, headers, body) = (StatusCode::OK, HeaderMap::new(), Bytes::new());
-                let response = Response { status, headers, seal, load: None, body };
+                let draw = running.query.draw(part, running.sends, upstream + NOISE);
+                let load = Some(self.world.upstreams[upstream].load(end, draw));
+                let response = Response { status, headers, seal, load, body };
                 (end, Sign::Reply, Ended::Answered(Box::new(response)))
             }
             Fate::Lost(end) if end <= deadline => (end, Sign::Broken, Ended::Broken),
@@ -411,6 +430,12 @@
         }
     }
 
+    fn hear_load(&mut self, now: Millis, vm: usize, ticket: Ticket, load: Option<Load>) {
+        if let Some(load) = load {
+            self.vms[vm].core.fleet.loaded(now, ticket.upstream, load);
+        }
+    }
+
     /// A send ended, whether or not its query still waits.
     fn close(&mut self, now: Millis, vm: usize, ticket: Ticket, sign: Sign) {
         self.vms[vm].core.fleet.end(now, ticket, sign);
--- a/crates/tgw-bench/src/overload/upstream.rs
+++ b/crates/tgw-bench/src/overload/upstream.rs
@@ -1,6 +1,7 @@
 use super::scenario::Scenario;
 use rand::{Rng, rngs::SmallRng};
 use tgw_clock::Millis;
+use tgw_forward::load::Load;
 
 /// Requests that it works on at once, as the users' upstreams do.
 pub(super) const SLOTS: usize = 3;
@@ -13,6 +14,9 @@
 const SLOWER: f64 = 10.0;
 const SHED: f64 = 0.6;
 const LOST: f64 = 0.4;
+/// The part of its replies that tell a pace of other work on its machine, and how much slower that is.
+const BUSY: f64 = 0.03;
+const BUSY_X: f64 = 4.0;
 /// Time in ms into a deadly query after which its upstream ends, and for which it is gone and then slow, as on the
 /// users' sites, and how much slower.
 const ENDS_MS: f64 = 5.0;
@@ -103,6 +107,21 @@
         if lost { Fate::Lost(end) } else { Fate::Done(end) }
     }
 
+    /// What it tells of its load with a reply at `at`; `draw` from 0 to 1 is the noise of other work on its machine.
+    pub(super) fn load(&self, at: Millis, draw: f64) -> Load {
+        let at = at.as_f64();
+        let held = self.ends.iter().filter(|end| **end > at).count();
+        let running = held.min(SLOTS);
+        let noise = if draw < BUSY { BUSY_X } else { 1.0 };
+        let slower = if self.trouble(at) == Some(Scenario::SlowAcross) { SLOWER } else { 1.0 };
+        Load {
+            running: running as u32,
+            waiting: (held - running) as u32,
+            slots: SLOTS as u32,
+            pace: slower * noise,
+        }
+    }
+
     /// Takes in a query under which it ends.
     pub(super) fn arrive_deadly(&mut self, at: Millis) -> Fate {
         match self.fate(at, ENDS_MS, 1.0) {
