fix(forward): a limit of less than one request a second spreads both holders; an experiment without effect is taken out

Found by reading: where half of what operators allow is less than one a second, a holder spaced its requests by the stated rate and not by that half.

Test: `what_is_less_than_one_a_second_is_spread`.

--- a/crates/tgw-forward/src/load.rs
+++ b/crates/tgw-forward/src/load.rs
@@ -31,13 +31,6 @@
             && self.pace > 0.0
             && self.pace <= PACE_MOST
     }
-
-    /// How long one more request waits there before it is worked on, as many times its work.
-    pub fn queue(&self) -> f64 {
-        let before = f64::from(self.running) + f64::from(self.waiting) + 1.0;
-        let slots = f64::from(self.slots);
-        (before - slots).max(0.0) / slots
-    }
 }
 
 impl Fleet {
--- a/crates/tgw-forward/src/policy.rs
+++ b/crates/tgw-forward/src/policy.rs
@@ -54,8 +54,6 @@
     pub peer_most: f64,
     /// Weight of the pace that an upstream tells against the latency that was seen of it.
     pub load_weight: f64,
-    /// Weight of the queue that an upstream tells: it is another one when the next request comes.
-    pub load_queue: f64,
     /// VMs that hold the right to send to a cold upstream at a time, each a part of what it bears.
     pub warm_holders: f64,
     /// What a failure costs, in ms: the second send that it takes. Half and twice of it differ by less than two
@@ -109,7 +107,6 @@
             peer_most: 4.0,
             warm_holders: 1.0,
             load_weight: 0.5,
-            load_queue: 0.0,
             failure_cost: 120.0,
             failure_weight: 0.1,
             shed_avoid: 37.0,
@@ -143,7 +140,7 @@
 }
 
 impl Policy {
-    fn slots(&mut self) -> [(&'static str, Slot<'_>); 30] {
+    fn slots(&mut self) -> [(&'static str, Slot<'_>); 29] {
         use Slot::{Switch, Weight};
         [
             ("hedges", Switch(&mut self.hedges)),
@@ -165,7 +162,6 @@
             ("quarantine", Switch(&mut self.quarantine)),
             ("peer_most", Weight(&mut self.peer_most)),
             ("load_weight", Weight(&mut self.load_weight)),
-            ("load_queue", Weight(&mut self.load_queue)),
             ("warm_holders", Weight(&mut self.warm_holders)),
             ("failure_cost", Weight(&mut self.failure_cost)),
             ("failure_weight", Weight(&mut self.failure_weight)),
--- a/crates/tgw-forward/src/scope.rs
+++ b/crates/tgw-forward/src/scope.rs
@@ -36,9 +36,7 @@
         let scope = route.map(|route| self.scope(route)).unwrap_or_default();
         self.fleet.takes(upstream, scope)
     }
-}
 
-impl Core {
     /// A send's request is about to be written; false if it may not be, or not now.
     pub fn clear(&mut self, now: Millis, route: Option<&Route>, ticket: Ticket) -> bool {
         self.permits(route, ticket.upstream) && self.fleet.write(now, ticket)
--- a/crates/tgw-forward/src/upstream/mod.rs
+++ b/crates/tgw-forward/src/upstream/mod.rs
@@ -301,8 +301,7 @@
     fn pace(&mut self, sent: Millis) {
         let Some((_, load)) = self.load.filter(|(at, _)| *at >= sent) else { return };
         let usual = (self.prior - self.distance.way()).max(WORK_LEAST_MS);
-        let queue = load.queue() * self.policy.load_queue;
-        let told = self.distance.way() + usual * load.pace * (1.0 + queue);
+        let told = self.distance.way() + usual * load.pace;
         self.latency += self.policy.load_weight * (told - self.latency);
     }
 
--- a/crates/tgw-forward/src/warmup.rs
+++ b/crates/tgw-forward/src/warmup.rs
@@ -56,7 +56,7 @@
         let most = rate.min(limit / HOLDERS_MOST);
         Some(match most >= 1.0 {
             true => Self { most: most as usize, span: SECOND },
-            false => Self { most: 1, span: Millis::from_f64(SECOND.as_f64() / rate.min(1.0)) },
+            false => Self { most: 1, span: Millis::from_f64(SECOND.as_f64() / most) },
         })
     }
 
--- a/crates/tgw-forward/tests/warmup/mod.rs
+++ b/crates/tgw-forward/tests/warmup/mod.rs
@@ -87,6 +87,17 @@
     assert_eq!(Allowance::new(rate, EXCESS).map(Allowance::most), most);
 }
 
+// Operators allow less than one request a second: both that may hold the right send seldom.
+#[test]
+fn what_is_less_than_one_a_second_is_spread() {
+    let mut world = limited(0.25, 1, &[seat(1)]);
+    cold(&mut world);
+    assert_eq!(writes(&mut world), 1);
+    world.pass(2_900);
+    world.core.fleet.heard(world.now);
+    assert_eq!(writes(&mut world), 0);
+}
+
 // Three VMs know of a cold upstream. One of them sends, the others send through it.
 #[test]
 fn one_vm_holds_the_right_and_the_others_send_through_it() {
