--- a/crates/tgw-forward/src/warmup.rs
+++ b/crates/tgw-forward/src/warmup.rs
@@ -14,7 +14,7 @@
 /// Each VM is probed each 300 ms or oftener.
 const CONTACT: Millis = Millis::new(1_000);
 /// Time in ms for which a VM that is taken for dead keeps others from its rights: it was silent for 1.5 s before, so
-/// that it has given them up unless it stood still, and then gives them up within [`CONTACT`] of going on.
+/// that it has given them up unless it stood still, and then gives them up within a second of going on.
 pub const REMEMBERED: Millis = Millis::new(1_500);
 /// Time in ms for which it counts besides as one of those of which most have to live: an island of VMs must not hold
 /// rights that the others hold, for as long as a cut is likely to last.
