--- a/crates/tgw-bench/tests/leaving/mod.rs
+++ b/crates/tgw-bench/tests/leaving/mod.rs
@@ -87,14 +87,30 @@
     }
 }
 
-// The same while the store turns VMs away, or says nothing to them, and while VMs stand still, die or are cut off.
-#[test]
-fn no_trouble_beside_holds_an_evacuation_up() {
+/// The trouble that has a test of its own.
+const HANG: &str = "all watches hang";
+
+fn evacuated_in_time(beside: impl Fn(&str) -> bool) {
     for seed in 1..=3 {
         for (name, setup) in setups(Subject::Evacuations, 9, seed) {
+            if !beside(&name) {
+                continue;
+            }
             let outcome = play(setup);
             let kept = outcome.never == 0 && outcome.after_ms[2] <= EVACUATED_MOST_MS;
             assert!(kept, "{name}, seed {seed}: {outcome:?}");
         }
     }
 }
+
+// The same while the store turns VMs away, or says nothing to them, and while VMs stand still, die or are cut off.
+#[test]
+fn no_trouble_beside_holds_an_evacuation_up() {
+    evacuated_in_time(|name| name != HANG);
+}
+
+// The connections of all VMs that follow the store go silent at the same moment, right before an evacuation.
+#[test]
+fn watches_that_all_hang_hold_no_evacuation_up() {
+    evacuated_in_time(|name| name == HANG);
+}
