refactor(soak): the platform's name for a cold upstream's time is written by the stand-in's documents

Cause: the soak wrote `warmup_left_ms` into entries itself; only platform/ knows the platform's names. Ruled out: leaving it as a test's own affair, as the soak is no test file and a change of the name would miss it.

--- a/crates/tgw-soak/src/world.rs
+++ b/crates/tgw-soak/src/world.rs
@@ -63,9 +63,7 @@
         let (service, addr) = (self.leaf.service(), self.proxy.addr());
         let mut entry = files::entry(service, addr, self.domain, self.left.is_some());
         entry["born"] = self.started.into();
-        let cold = self.cold_until.saturating_duration_since(Instant::now());
-        entry["warmup_left_ms"] = u64::try_from(cold.as_millis()).unwrap_or_default().into();
-        entry
+        files::cold(entry, self.cold_until.saturating_duration_since(Instant::now()))
     }
 
     /// Writes its entry.
