feat(gateway, operate): logs tell a request written late from one written in time and read late

Cause: in the users' record two requests reach an upstream too late, and no line of any VM names them: a first send that is answered well, or given up, leaves no line, nor does what was open when a VM heard of the leaving; an entry that goes back from draining to ready looks like any other change.

--- a/crates/tgw-forward/src/fleet.rs
+++ b/crates/tgw-forward/src/fleet.rs
@@ -4,6 +4,7 @@
     Policy, Scope,
     cold::ColdLimits,
     core::SendLimits,
+    transition::{Transition, Transitions},
     upstream::{Distance, Entry, PeerReport, SendOutcome, Upstream},
     warmup::Candidates,
 };
@@ -123,6 +124,7 @@
     evacuated: BTreeSet<Rc<str>>,
     pub(crate) cold_limits: ColdLimits,
     pub(crate) candidates: Candidates,
+    transitions: Transitions,
     next_key: u64,
     next_send_number: u64,
 }
@@ -167,6 +169,7 @@
             let known = &upstream.entry;
             let same = (known.started, &known.service, known.addr);
             if same == (entry.started, &entry.service, entry.addr) {
+                self.transitions.record_update(upstream, &entry);
                 upstream.update_entry(now, entry);
                 return;
             }
@@ -186,9 +189,9 @@
     /// Removes an upstream; its sends in flight may still end.
     pub fn remove(&mut self, id: &str) -> Option<Key> {
         let key = self.keys_by_id.remove(id)?;
-        if let Some(upstream) = self.upstreams.remove(&key)
-            && let Some(keys) = self.keys_by_service.get_mut(&upstream.entry.service)
-        {
+        let upstream = self.upstreams.remove(&key)?;
+        self.transitions.record_removal(&upstream);
+        if let Some(keys) = self.keys_by_service.get_mut(&upstream.entry.service) {
             keys.retain(|k| *k != key);
             if keys.is_empty() {
                 self.keys_by_service.remove(&upstream.entry.service);
@@ -198,6 +201,11 @@
         Some(key)
     }
 
+    /// Takes the upstreams that went out of service or came back since the last call.
+    pub fn take_transitions(&mut self) -> SmallVec<[Transition; 4]> {
+        self.transitions.take()
+    }
+
     /// The upstream with a key, unless it was removed.
     pub fn get(&self, key: Key) -> Option<&Upstream> {
         self.upstreams.get(&key)
--- a/crates/tgw-forward/src/lib.rs
+++ b/crates/tgw-forward/src/lib.rs
@@ -37,6 +37,8 @@
 mod scope;
 /// First sends, hedges and retries of a request.
 mod sends;
+/// Upstreams that go out of service or come back.
+pub mod transition;
 /// One upstream: its entry in the store, and its state as observed.
 pub mod upstream;
 /// Leases to send to cold upstreams.
--- a/crates/tgw-forward/src/upstream/mod.rs
+++ b/crates/tgw-forward/src/upstream/mod.rs
@@ -12,6 +12,7 @@
     Policy,
     fleet::Hop,
     load::Load,
+    transition::Departure,
     warmup::{LeaseTerms, WriteLog},
 };
 use smallvec::SmallVec;
@@ -105,6 +106,7 @@
     /// Until when it may be cold although its entry does not say so.
     possibly_cold_until: Millis,
     writes: WriteLog,
+    last_write: Option<Millis>,
     latency_ms: f64,
     /// Latency in ms expected of an upstream at this distance without samples.
     prior_latency_ms: f64,
@@ -134,6 +136,7 @@
             in_flight: SmallVec::new(),
             possibly_cold_until: Millis::ZERO,
             writes: WriteLog::default(),
+            last_write: None,
             latency_ms: DEFAULT_SERVICE_TIME_MS + distance.assumed_round_trip_ms(),
             prior_latency_ms: DEFAULT_SERVICE_TIME_MS + distance.assumed_round_trip_ms(),
             sampled_at: None,
@@ -160,6 +163,15 @@
         u32::try_from(self.in_flight.len()).unwrap_or(u32::MAX)
     }
 
+    /// What was sent to it, for the log when it leaves.
+    pub(crate) fn departure(&self) -> Departure {
+        Departure {
+            last_write: self.last_write,
+            oldest_send: self.in_flight.iter().map(|send| send.sent_at).reduce(Millis::min),
+            in_flight: self.in_flight(),
+        }
+    }
+
     /// Counts a connection that was made.
     pub fn connection_opened(&mut self) {
         self.connections += 1;
@@ -235,6 +247,7 @@
             }
             self.writes.record(now, terms);
         }
+        self.last_write = Some(now);
         if let Some(send) = self.in_flight.iter_mut().find(|send| send.number == number) {
             send.written = true;
         }
--- a/crates/tgw-forward/tests/forward.rs
+++ b/crates/tgw-forward/tests/forward.rs
@@ -14,6 +14,7 @@
 mod reports;
 mod residency;
 mod restart;
+mod transition;
 mod warmup;
 mod window;
 mod world;
--- a/crates/tgw-gateway/src/exchange.rs
+++ b/crates/tgw-gateway/src/exchange.rs
@@ -9,7 +9,7 @@
 use http::{HeaderValue, Method, Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use std::{io, rc::Rc, time::Duration};
+use std::{cell::Cell, io, rc::Rc, time::Duration};
 use tgw_clock::Millis;
 use tgw_forward::{
     fleet::{Hop, Ticket},
@@ -51,6 +51,8 @@
     /// send.
     pub(crate) entry: Entry,
     pub(crate) started_at: Millis,
+    /// When the request was written; `None` before, or if another VM writes it.
+    pub(crate) written_at: Cell<Option<Millis>>,
     pub(crate) hop: Hop,
     /// A fallback send: made even if the upstream is suspected.
     pub(crate) fallback: bool,
@@ -125,6 +127,7 @@
         ticket,
         entry,
         started_at: shared.now(),
+        written_at: Cell::new(None),
         hop,
         fallback,
         host_charged,
@@ -194,6 +197,7 @@
         ) {
             return Err(Failure::Disallowed);
         }
+        send.written_at.set(Some(shared.now()));
         let message = build_message(shared, request, &expected).map_err(|_| Failure::Unsent)?;
         match connection.sender.try_send_request(message).await {
             Ok(response) => return read_reply(send, connection, response).await,
@@ -285,6 +289,8 @@
         if let Some(id) = id {
             core.fleet.remove(&id);
             tracing::info!(upstream = %id, cause = "another incarnation answered", "upstream removed");
+            drop(core);
+            telemetry::upstream_changes(shared);
         }
         return (SendOutcome::Shed, SendResult::Declined);
     }
--- a/crates/tgw-gateway/src/peers.rs
+++ b/crates/tgw-gateway/src/peers.rs
@@ -171,7 +171,7 @@
             .drop_expired(self.shared.now(), &mut core.fleet);
         drop(core);
         if removed {
-            telemetry::retention_changes(&self.shared);
+            telemetry::upstream_changes(&self.shared);
         }
     }
 
--- a/crates/tgw-gateway/src/state_exchange.rs
+++ b/crates/tgw-gateway/src/state_exchange.rs
@@ -132,7 +132,7 @@
         }
         if let Some(update) = update.upstreams {
             self.apply_upstreams(from, update);
-            telemetry::retention_changes(&self.shared);
+            telemetry::upstream_changes(&self.shared);
         }
         self.shared.record_versions();
         self.shared.update_ready.notify_one();
--- a/crates/tgw-gateway/src/telemetry.rs
+++ b/crates/tgw-gateway/src/telemetry.rs
@@ -10,8 +10,9 @@
 use tgw_clock::Millis;
 use tgw_forward::{
     Plan,
-    catalog::{Change, Transition},
+    catalog::{self, Change},
     plan::{Answer, SendOrder, Trigger, Withheld},
+    transition::{Departure, Kind, Transition},
     upstream::{Distance, Entry, SendOutcome},
 };
 use tgw_route::Route;
@@ -68,7 +69,7 @@
     );
 }
 
-/// Logs a send that ended without a good reply.
+/// Logs a send that ended without a good reply, or after its upstream had left.
 pub(crate) fn send_ended(
     shared: &Shared,
     request: &OutgoingRequest,
@@ -76,14 +77,27 @@
     outcome: SendOutcome,
 ) {
     let now = shared.now();
-    let not_logged = matches!(outcome, SendOutcome::Reply | SendOutcome::Abandoned);
-    if not_logged || !shared.log_limiter.allows(now, Category::Detail) {
-        return;
-    }
     let core = shared.core.borrow();
     let upstream = core.fleet.get(send.ticket.upstream);
+    let is_routine = matches!(outcome, SendOutcome::Reply | SendOutcome::Abandoned);
+    let has_left = upstream.is_none_or(|u| u.entry.draining);
+    if (is_routine && !has_left) || !shared.log_limiter.allows(now, Category::Detail) {
+        return;
+    }
+    let request = identity(request);
+    let written_ms = send.written_at.get().map(|at| (now - at).as_whole_ms());
+    if is_routine {
+        tracing::info!(
+            request,
+            upstream = &*send.entry.id,
+            result = outcome.text(),
+            written_ms,
+            "send ended after its upstream had left"
+        );
+        return;
+    }
     tracing::info!(
-        request = identity(request),
+        request,
         upstream = &*send.entry.id,
         service = &*send.entry.service,
         addr = %send.entry.addr,
@@ -93,6 +107,7 @@
         running = upstream.map_or(0, |u| u.in_flight().saturating_sub(1)),
         expected_ms = upstream.map_or(0.0, |u| u.expected_latency_ms(now).round()),
         took_ms = (now - send.started_at).as_whole_ms(),
+        written_ms,
         "send ended"
     );
 }
@@ -116,23 +131,25 @@
     );
 }
 
-/// Logs the changes among upstreams that are kept although their entries are missing.
-pub(crate) fn retention_changes(shared: &Shared) {
+/// Logs the upstreams that went out of service or came back, or are retained although their entries
+/// are missing.
+pub(crate) fn upstream_changes(shared: &Shared) {
+    transitions(shared);
     let changes = shared.world.borrow_mut().upstreams.take_changes();
     let now = shared.now();
     for Change { id, transition, retention } in changes {
         let kept_ms = (now - retention.since).as_whole_ms();
         match transition {
-            Transition::Retained => tracing::info!(
+            catalog::Transition::Retained => tracing::info!(
                 upstream = &*id,
                 why = "its entry is missing, and the store was away",
                 left_ms = (retention.until - now).as_whole_ms(),
                 "upstream doubted"
             ),
-            Transition::Back
-            | Transition::GivenUp
-            | Transition::Removed
-            | Transition::Unreadable => tracing::info!(
+            catalog::Transition::Back
+            | catalog::Transition::GivenUp
+            | catalog::Transition::Removed
+            | catalog::Transition::Unreadable => tracing::info!(
                 upstream = &*id,
                 result = %transition,
                 kept_ms,
@@ -143,6 +160,26 @@
     }
 }
 
+/// A request that reaches an upstream late was either written late, by a VM that did not know, or
+/// written in time and read late: these lines tell which.
+fn transitions(shared: &Shared) {
+    let transitions = shared.core.borrow_mut().fleet.take_transitions();
+    let now = shared.now();
+    let age_ms = |at: Option<Millis>| at.map(|at| (now - at).as_whole_ms());
+    for Transition { id, kind } in transitions {
+        match kind {
+            Kind::Left(Departure { last_write, oldest_send, in_flight }) => tracing::info!(
+                upstream = &*id,
+                last_write_ms = age_ms(last_write),
+                in_flight,
+                oldest_ms = age_ms(oldest_send),
+                "upstream out of service"
+            ),
+            Kind::Returned => tracing::warn!(upstream = &*id, "upstream back in service"),
+        }
+    }
+}
+
 /// Logs a send to an upstream that is kept although its entry is missing.
 pub(crate) fn send_to_retained(shared: &Shared, send: &ActiveSend) {
     let Some(retention) = shared.world.borrow().upstreams.retention(&send.entry.id) else { return };
--- a/crates/tgw-gateway/src/watch/upstreams.rs
+++ b/crates/tgw-gateway/src/watch/upstreams.rs
@@ -73,7 +73,7 @@
         let mut world = self.shared.world.borrow_mut();
         world.upstreams.apply_list(now, version, entries, &unreadable, &mut core.fleet);
         drop((core, world));
-        telemetry::retention_changes(&self.shared);
+        telemetry::upstream_changes(&self.shared);
         self.shared.upstreams_known.set(true);
         self.shared.upstreams_stale.set(false);
         self.shared.update_ready.notify_one();
@@ -107,7 +107,7 @@
             }
         }
         drop((core, world));
-        telemetry::retention_changes(&self.shared);
+        telemetry::upstream_changes(&self.shared);
     }
 
     fn store_lost(&mut self) {
--- a/crates/tgw-operate/src/leaving.rs
+++ b/crates/tgw-operate/src/leaving.rs
@@ -18,6 +18,13 @@
 /// used it.
 const RETAINED_SEND_MESSAGE: &str = "send to a doubted upstream";
 
+/// Message of a VM that gives an upstream no new requests any more.
+const OUT_OF_SERVICE_MESSAGE: &str = "upstream out of service";
+/// Message of a VM whose upstream accepts requests again after it had drained.
+const BACK_MESSAGE: &str = "upstream back in service";
+/// Messages of a send that ended: without a good reply, and with any after its upstream had left.
+const SEND_ENDED_MESSAGES: [&str; 2] = ["send ended", "send ended after its upstream had left"];
+
 /// When one VM learned that the upstream leaves, and what it sent there afterwards.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Observation {
@@ -37,6 +44,15 @@
     /// Requests sent to the retained upstream, each with the ms since the VM learned that it leaves.
     #[serde(rename = "sent")]
     pub sends: Vec<(String, u64)>,
+    /// How long before the VM learned of it a request was last written, in ms; `None` if the logs do not
+    /// say.
+    pub last_write_ms: Option<u64>,
+    /// The number of sends in flight at that time.
+    pub in_flight: u64,
+    /// Sends that ended later: the request, and for how long it had been written, in ms.
+    pub ended_later: Vec<(String, u64)>,
+    /// When the upstream came back into service, as RFC 3339 times.
+    pub returns: Vec<String>,
 }
 
 /// When the VMs learned that an upstream leaves.
@@ -70,6 +86,18 @@
             RETAINED_SEND_MESSAGE => {
                 observation.sends.push((line.text("request").into(), line.number("known_ms")));
             }
+            OUT_OF_SERVICE_MESSAGE => {
+                observation.last_write_ms = line.optional_number("last_write_ms");
+                observation.in_flight = line.number("in_flight");
+            }
+            message
+                if SEND_ENDED_MESSAGES.contains(&message)
+                    && line.optional_number("written_ms").is_some() =>
+            {
+                let ended = (line.text("request").into(), line.number("written_ms"));
+                observation.ended_later.push(ended);
+            }
+            BACK_MESSAGE => observation.returns.push(line.timestamp().into()),
             _ => {}
         }
         report.vms.insert(line.vm.clone(), observation);
@@ -111,7 +139,9 @@
 impl Display for Report {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         for (vm, observation) in &self.vms {
-            let Observation { learned_at, from, after_ms, retained_until, late_ms, sends } =
+            let Observation { learned_at, from, after_ms, retained_until, late_ms, .. } =
+                observation;
+            let Observation { sends, last_write_ms, in_flight, ended_later, returns, .. } =
                 observation;
             writeln!(f, "{vm:<24} heard {learned_at} from {from}, {after_ms} ms after the first")?;
             match retained_until.as_deref() {
@@ -119,6 +149,16 @@
                 Some("") => writeln!(f, "{:<24} keeps it though its entry is missing", "")?,
                 Some(at) => writeln!(f, "{:<24} kept it until {at}, {late_ms} ms too long", "")?,
             }
+            if let Some(before) = last_write_ms {
+                let open = format!("{in_flight} sends in flight");
+                writeln!(f, "{:<24} wrote there last {before} ms before, {open}", "")?;
+            }
+            for (request, written_ms) in ended_later {
+                writeln!(f, "{:<24} {request} ended, written {written_ms} ms before", "")?;
+            }
+            for at in returns {
+                writeln!(f, "{:<24} took it back into service at {at}", "")?;
+            }
             for (request, known_ms) in sends {
                 writeln!(f, "{:<24} sent {request} there, {known_ms} ms after it had heard", "")?;
             }
--- a/crates/tgw-operate/src/log.rs
+++ b/crates/tgw-operate/src/log.rs
@@ -28,6 +28,11 @@
         self.fields.get(name).and_then(Value::as_u64).unwrap_or_default()
     }
 
+    /// The number of a field, if the line has it.
+    pub(crate) fn optional_number(&self, name: &str) -> Option<u64> {
+        self.fields.get(name).and_then(Value::as_u64)
+    }
+
     pub(crate) fn flag(&self, name: &str) -> bool {
         self.fields.get(name).and_then(Value::as_bool).unwrap_or_default()
     }
