fix(spread): a VM that has read the list claims its version, not that of its newest entry

What callers saw: on real machines requests reach an upstream after it left, from one VM. Cause: a VM claims the version of the newest value that it holds. One that reads the list for the first time after an upstream was removed never held it, records no removal, and claims less than the list's version: as much as a VM that still has the upstream. Nobody asks, and that VM sends there until some other entry changes. Evidence: a_vm_that_never_knew_an_upstream_tells_others_of_its_removal and the drawn steps, both red on (left [n0, n1], right [n0]). Mend: the list's version is claimed; all that is not in the list is known to be gone up to it. Others at an older version ask, and get all values or the removals. It costs an update without changes where only other kinds of objects changed, once a list.

--- a/crates/tgw-spread/src/versioned_map.rs
+++ b/crates/tgw-spread/src/versioned_map.rs
@@ -65,7 +65,7 @@
 }
 
 impl<T: Clone + PartialEq> VersionedMap<T> {
-    /// The version of the last change.
+    /// The version up to which all changes are known, from the store or from other VMs.
     pub fn version(&self) -> u64 {
         self.version
     }
@@ -90,7 +90,8 @@
         self.values.get(name).map_or(0, |(version, _)| *version)
     }
 
-    /// Replaces all values by those of the store as of `store_version`, each with its version.
+    /// Replaces all values by those of the store as of `store_version`, each with its own version, which
+    /// is not above that.
     pub fn replace(&mut self, store_version: u64, values: Vec<(Rc<str>, u64, T)>) {
         let names: BTreeSet<Rc<str>> = values.iter().map(|v| v.0.clone()).collect();
         let missing = self.values.keys().filter(|n| !names.contains(*n));
@@ -107,6 +108,9 @@
             self.put(version, name, value);
         }
         self.store_version = self.store_version.max(store_version);
+        // With the version of the newest value alone, this VM would count as being as far as one that
+        // still holds a value removed since, which this VM may never have held.
+        self.version = self.version.max(store_version);
     }
 
     /// Marks a version range in which values may have been written and removed without being seen here.
