fix(spread, platform): a removal that is reported late does not undo a later write

A service would lack an upstream that lives, at one VM and then at all. Cause: a removal older than what a VM holds was taken as one of the whole reply's version, for stores that give a removal the revision of the last write. Heard from a peer before the own watch, an upstream that was removed and written again was removed for good; an unreadable entry likewise. The core takes what is told at that revision and nothing else.

--- a/crates/tgw-bench/src/leaving/view.rs
+++ b/crates/tgw-bench/src/leaving/view.rs
@@ -80,7 +80,7 @@
         match self {
             Self::Upstreams(view) => match entry {
                 Some(entry) => view.0.apply_write(now, revision, entry, &mut view.1),
-                None => view.0.apply_removal(version, revision, &id, &mut view.1),
+                None => view.0.apply_removal(revision, &id, &mut view.1),
             },
             Self::Evacuations(view) => {
                 view.apply_change(version, &id, entry.is_some());
--- a/crates/tgw-gateway/src/watch/upstreams.rs
+++ b/crates/tgw-gateway/src/watch/upstreams.rs
@@ -79,7 +79,7 @@
         self.shared.update_ready.notify_one();
     }
 
-    fn apply_change(&mut self, version: Version, object: Object) {
+    fn apply_change(&mut self, _version: Version, object: Object) {
         let now = self.shared.now();
         let removed = object.value.is_null();
         if removed {
@@ -95,15 +95,15 @@
                     revision = object.version, "upstream changed");
                 world.upstreams.apply_write(now, object.version, entry, &mut core.fleet);
             }
-            Some(Err(id)) => world.upstreams.apply_unreadable(version, &id, &mut core.fleet),
+            Some(Err(id)) => world.upstreams.apply_unreadable(object.version, &id, &mut core.fleet),
             None => {
                 tracing::info!(
                     upstream = object.name,
                     revision = object.version,
                     "upstream removed"
                 );
-                let id: Rc<str> = object.name.into();
-                world.upstreams.apply_removal(version, object.version, &id, &mut core.fleet);
+                let id: Rc<str> = object.name.as_str().into();
+                world.upstreams.apply_removal(object.version, &id, &mut core.fleet);
             }
         }
         drop((core, world));
--- a/crates/tgw-spread/src/upstreams.rs
+++ b/crates/tgw-spread/src/upstreams.rs
@@ -137,19 +137,19 @@
         }
     }
 
-    /// Applies a removal at `revision`, which the store reports as of `version`.
-    pub fn apply_removal(&mut self, version: u64, revision: u64, id: &Rc<str>, fleet: &mut Fleet) {
-        // The entry may have been written again after the removal, before `version`.
-        let newer = revision > self.entries.written_version(id);
-        if self.entries.remove(if newer { revision } else { version }, id) {
+    /// Applies a removal at `revision`, as the store reports it.
+    pub fn apply_removal(&mut self, revision: u64, id: &Rc<str>, fleet: &mut Fleet) {
+        if self.entries.remove(revision, id) {
             self.catalog.apply_removal(id, fleet);
         }
     }
 
-    /// Applies the store's report that an entry has become unreadable, as of `version`.
-    pub fn apply_unreadable(&mut self, version: u64, id: &Rc<str>, fleet: &mut Fleet) {
-        self.entries.remove(version, id);
-        self.catalog.apply_unreadable(id, fleet);
+    /// Applies the store's report that an entry has become unreadable at `revision`.
+    pub fn apply_unreadable(&mut self, revision: u64, id: &Rc<str>, fleet: &mut Fleet) {
+        if self.entries.written_version(id) <= revision {
+            self.entries.remove(revision, id);
+            self.catalog.apply_unreadable(id, fleet);
+        }
     }
 
     /// Applies another VM's update; returns the changes that took effect. If a copy of the store was used until now
--- a/crates/tgw-spread/tests/agreement/mod.rs
+++ b/crates/tgw-spread/tests/agreement/mod.rs
@@ -66,18 +66,18 @@
             }
             Some(from) => {
                 for (revision, id, entry) in store.history.iter().filter(|c| c.0 > from) {
-                    self.apply(*revision, id, entry.clone(), store.revision);
+                    self.apply(*revision, id, entry.clone());
                 }
             }
         }
     }
 
-    fn apply(&mut self, revision: u64, id: &Rc<str>, entry: Option<Entry>, version: u64) {
+    fn apply(&mut self, revision: u64, id: &Rc<str>, entry: Option<Entry>) {
         match entry {
             Some(entry) => {
                 self.list.apply_write(Millis::ZERO, revision, entry, &mut self.fleet);
             }
-            None => self.list.apply_removal(version, revision, id, &mut self.fleet),
+            None => self.list.apply_removal(revision, id, &mut self.fleet),
         }
     }
 
--- a/crates/tgw-spread/tests/upstreams/mod.rs
+++ b/crates/tgw-spread/tests/upstreams/mod.rs
@@ -101,7 +101,7 @@
 fn removed_upstream_is_not_restored_by_a_vm_that_retains_it() {
     let (mut retaining, mut ahead) =
         (Vm::with_upstreams(&["a", "left"]), Vm::with_upstreams(&["a", "left"]));
-    ahead.list.apply_removal(20, 20, &"left".into(), &mut ahead.fleet);
+    ahead.list.apply_removal(20, &"left".into(), &mut ahead.fleet);
     retaining.list.record_store_failure(Millis::new(9_900));
     let back = Millis::new(10_000);
     retaining.list.apply_list(back, 24, vec![(24, named("a"))], &[], &mut retaining.fleet);
@@ -117,7 +117,7 @@
 fn older_store_report_does_not_restore_an_upstream() {
     let (mut reading, mut ahead) =
         (Vm::with_upstreams(&["a", "left"]), Vm::with_upstreams(&["a", "left"]));
-    ahead.list.apply_removal(20, 20, &"left".into(), &mut ahead.fleet);
+    ahead.list.apply_removal(20, &"left".into(), &mut ahead.fleet);
     let now = Millis::new(5_000);
     reading.update_from(now, &ahead);
     assert!(!reading.uses("left"));
@@ -127,12 +127,12 @@
     assert!(!reading.uses("left") && reading.uses("a"));
 }
 
-// An upstream's entry is removed and written again before the VM's next watch. The removal is reported as of the later
-// revision; applied at that revision, it would undo the write.
+// An upstream's entry is removed and written again before the VM's next watch, which reports both.
+// The write must hold.
 #[test]
 fn entry_rewritten_right_after_its_removal_is_used() {
     let mut vm = Vm::with_upstreams(&["a"]);
-    vm.list.apply_removal(23, 21, &"a".into(), &mut vm.fleet);
+    vm.list.apply_removal(21, &"a".into(), &mut vm.fleet);
     vm.list.apply_write(Millis::new(5_000), 22, named("a"), &mut vm.fleet);
     assert!(vm.uses("a"));
 }
