fix(platform): a dead connection to the store is found within two seconds

Cause: two unanswered probes of a connection, a second apart, after one second idle: up to 3 s. Mend: one probe. The emulator's constant is the kernel's upper bound, 2 s. A lost probe ends a watch that waits, which costs a list.

--- a/crates/tgw-bench/src/leaving/platform.rs
+++ b/crates/tgw-bench/src/leaving/platform.rs
@@ -14,7 +14,7 @@
 const SLOW_STORE_REPLY_MS: Millis = Millis::new(212);
 /// Time after which keep-alive probes find an unresponsive connection dead, as in the store's
 /// adapter.
-const KEEPALIVE_TIMEOUT_MS: Millis = Millis::new(3_000);
+const KEEPALIVE_TIMEOUT_MS: Millis = Millis::new(2_000);
 /// Upstreams whose entries are rewritten repeatedly, and the range of the interval between two writes.
 /// They are not among those that leave: through their rewrites VMs receive other changes too.
 const REWRITTEN_ENTRIES: usize = 6;
