fix(forward): a late heartbeat does not bring a draining upstream back

Requests would reach an upstream long after it said that it leaves. Cause: the store writes what arrives. Mend: entries of one process are ordered by the number of their heartbeats, as those of two processes are by their starts. One that is more than 16 behind is of a process that started anew without saying when, and holds. An entry written anew by a late heartbeat after its removal is still taken for an upstream that is back (open).

--- a/crates/tgw-bench/src/forward.rs
+++ b/crates/tgw-bench/src/forward.rs
@@ -86,6 +86,7 @@
             let entry = Entry {
                 id: format!("i-{shard}-{domain}").into(),
                 started: 0,
+                heartbeats: 0,
                 service: service.clone(),
                 addr: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
                 domain: domain.into(),
--- a/crates/tgw-bench/src/leaving/simulation.rs
+++ b/crates/tgw-bench/src/leaving/simulation.rs
@@ -110,7 +110,7 @@
 pub(super) fn entry(id: Rc<str>, draining: bool, warmup: Millis) -> Entry {
     let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
     let (service, domain) = ("s".into(), "d".into());
-    Entry { id, started: 0, service, addr, domain, slots: 1, draining, warmup }
+    Entry { id, started: 0, heartbeats: 0, service, addr, domain, slots: 1, draining, warmup }
 }
 
 impl Simulation {
--- a/crates/tgw-bench/src/overload/vms.rs
+++ b/crates/tgw-bench/src/overload/vms.rs
@@ -114,6 +114,7 @@
     let entry = Entry {
         id: name(upstream, generation).into(),
         started: 0,
+        heartbeats: 0,
         service: format!("s{shard}").into(),
         addr: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
         domain: domain(region).into(),
--- a/crates/tgw-bench/src/warmup/vm.rs
+++ b/crates/tgw-bench/src/warmup/vm.rs
@@ -118,6 +118,7 @@
     Entry {
         id: UPSTREAM.into(),
         started: 0,
+        heartbeats: 0,
         service: SERVICE.into(),
         addr: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
         domain: domain(0).into(),
--- a/crates/tgw-forward/src/upstream/entry.rs
+++ b/crates/tgw-forward/src/upstream/entry.rs
@@ -2,6 +2,10 @@
 use std::{net::SocketAddr, rc::Rc};
 use tgw_clock::Millis;
 
+/// Heartbeats by which a delayed one may be behind: writes are delayed by seconds. An entry that is
+/// further behind is of a process that started anew without saying when.
+const MAX_LATE_HEARTBEATS: u64 = 16;
+
 /// The store's entry for one incarnation of an upstream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
@@ -10,6 +14,8 @@
     /// When the process started, in ms of Unix time; zero if the entry does not contain it.
     /// Together with `id` it identifies the incarnation.
     pub started: u64,
+    /// The number of heartbeats that the process had written, including this one.
+    pub heartbeats: u64,
     /// The service it belongs to.
     pub service: Rc<str>,
     /// The address it listens on.
@@ -25,12 +31,23 @@
 }
 
 impl Entry {
-    /// Whether this entry is of an earlier process than `other`, with the same identity.
+    /// Whether this entry is older than `other`, with the same identity: of an earlier process, or an
+    /// earlier heartbeat of the same one.
     ///
-    /// An earlier process may have written its last heartbeat after the later one's first, and
-    /// peers may report the two in any order.
+    /// A process's heartbeat may take effect after a later one, or after the first of the process that
+    /// follows it, and peers may report them in any order. An upstream that drains would otherwise get
+    /// requests again.
     pub fn precedes(&self, other: &Self) -> bool {
-        self.id == other.id && self.started < other.started
+        self.id == other.id
+            && (self.started < other.started || self.is_earlier_heartbeat_than(other))
+    }
+
+    fn is_earlier_heartbeat_than(&self, other: &Self) -> bool {
+        let same_process = self.started == other.started
+            && self.service == other.service
+            && self.addr == other.addr;
+        let behind = other.heartbeats.saturating_sub(self.heartbeats);
+        same_process && (1..=MAX_LATE_HEARTBEATS).contains(&behind)
     }
 }
 
--- a/crates/tgw-forward/tests/world/mod.rs
+++ b/crates/tgw-forward/tests/world/mod.rs
@@ -24,6 +24,7 @@
     Entry {
         id: id.into(),
         started: 0,
+        heartbeats: 0,
         service: service.into(),
         addr: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
         domain: domain.into(),
--- a/crates/tgw-spread/tests/spread.rs
+++ b/crates/tgw-spread/tests/spread.rs
@@ -154,6 +154,7 @@
     Entry {
         id: "u".into(),
         started,
+        heartbeats: 0,
         service: "s".into(),
         addr: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
         domain: "d".into(),
--- a/crates/tgw-spread/tests/upstreams/mod.rs
+++ b/crates/tgw-spread/tests/upstreams/mod.rs
@@ -1,6 +1,7 @@
 //! Upstreams that leave or whose entries expire, and the updates that VMs send about them.
 
 use crate::upstream;
+use test_case::test_case;
 use tgw_clock::Millis;
 use tgw_forward::{Fleet, catalog::MISSING_ENTRY_RETENTION_MS, upstream::Entry};
 use tgw_spread::{
@@ -137,6 +138,28 @@
     assert!(vm.uses("a"));
 }
 
+fn heartbeat(number: u64, draining: bool) -> Entry {
+    Entry { heartbeats: number, draining, ..named("a") }
+}
+
+// A heartbeat takes effect seconds after it was sent, and after the one that says that its upstream drains. The upstream
+// must not get requests again.
+#[test_case(7, false; "delayed by one heartbeat")]
+#[test_case(9, true; "a later heartbeat says that it is ready")]
+#[test_case(0, true; "a process that started anew without saying when")]
+fn a_late_heartbeat_does_not_bring_a_draining_upstream_back(number: u64, used: bool) {
+    let (mut watching, mut listing) = (Vm::with_upstreams(&["a"]), Vm::with_upstreams(&["a"]));
+    let now = Millis::new(1_000);
+    let draining = if number == 0 { 100 } else { 8 };
+    for vm in [&mut watching, &mut listing] {
+        vm.list.apply_write(now, 12, heartbeat(draining, true), &mut vm.fleet);
+    }
+    let late = heartbeat(number, false);
+    watching.list.apply_write(now, 14, late.clone(), &mut watching.fleet);
+    listing.list.apply_list(now, 14, vec![(14, late)], &[], &mut listing.fleet);
+    assert_eq!([watching.uses("a"), listing.uses("a")], [used; 2]);
+}
+
 // The store rejects a VM, whose two watches fail one after the other. If the results shared one flag, the VM would
 // alternate between unreachable and reachable, and the VM that took over would give the watch back.
 #[test]
