fix(gateway): a send that is given up is reset, so that nothing of it is delivered later

What callers saw: on real machines two requests reach an upstream at one moment, long after it said that it leaves. Cause: a send that was given up (its caller left, its deadline passed, another was faster) closed its connection, and the system goes on delivering what a closed connection still holds, with longer and longer pauses, for up to TCP_USER_TIMEOUT of 2.5 s. Mend: a connection that is dropped between the write of a request and the end of its reply is reset, and not shut down before. An upstream that stands still after its system took the request reads it when it goes on; no sender can help that (open, as it must be).

--- a/crates/tgw-gateway/src/exchange.rs
+++ b/crates/tgw-gateway/src/exchange.rs
@@ -199,6 +199,7 @@
         }
         send.written_at.set(Some(shared.now()));
         let message = build_message(shared, request, &expected).map_err(|_| Failure::Unsent)?;
+        connection.exchange.begin();
         match connection.sender.try_send_request(message).await {
             Ok(response) => return read_reply(send, connection, response).await,
             // Hyper returns the message only if no byte of it was written, so it can be sent on a
@@ -266,6 +267,7 @@
     }
     let limited = Limited::new(body, MAX_REPLY_BYTES).collect().await;
     let body = limited.map_err(|_| Failure::Broken)?.to_bytes();
+    connection.exchange.end();
     if head.headers.contains_key(header::CONTENT_ENCODING) {
         return Err(Failure::InvalidReply);
     }
--- a/crates/tgw-gateway/src/lib.rs
+++ b/crates/tgw-gateway/src/lib.rs
@@ -57,6 +57,8 @@
 mod telemetry;
 /// Entries of upstreams that cannot be decoded.
 mod unreadable;
+/// Connections to upstreams, reset where a send is given up.
+mod upstream_stream;
 /// Watches of the platform's store.
 mod watch;
 
--- a/crates/tgw-gateway/src/pool.rs
+++ b/crates/tgw-gateway/src/pool.rs
@@ -1,4 +1,8 @@
-use crate::{shared::Shared, socket};
+use crate::{
+    shared::Shared,
+    socket,
+    upstream_stream::{Exchange, UpstreamStream},
+};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -28,6 +32,7 @@
     pub(crate) sender: SendRequest<Full<Bytes>>,
     /// The connection has carried a request before.
     pub(crate) used: bool,
+    pub(crate) exchange: Exchange,
 }
 
 struct Idle {
@@ -141,8 +146,9 @@
     let stream = timeout(limit, TcpStream::connect(addr)).await??;
     socket::configure(&stream)?;
     detect_reset(&stream).await?;
-    let (sender, driver) =
-        http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+    let exchange = Exchange::default();
+    let stream = TokioIo::new(UpstreamStream::new(stream, exchange.clone()));
+    let (sender, driver) = http1::handshake(stream).await.map_err(io::Error::other)?;
     let open = OpenConnection::new(shared, key);
     tokio::task::spawn_local(async move {
         let _open = open;
@@ -150,5 +156,5 @@
             tracing::debug!(%addr, %error, "connection to an upstream ended");
         }
     });
-    Ok(Connection { sender, used: false })
+    Ok(Connection { sender, used: false, exchange })
 }
--- a/crates/tgw-gateway/src/socket.rs
+++ b/crates/tgw-gateway/src/socket.rs
@@ -13,6 +13,11 @@
 /// Unanswered keepalive probes after which a connection counts as dead.
 const KEEPALIVE_PROBES: u32 = 2;
 
+/// Has a connection reset when it is closed, which discards what was not delivered yet.
+pub(crate) fn reset_on_close(stream: &TcpStream) -> io::Result<()> {
+    SockRef::from(stream).set_linger(Some(Duration::ZERO))
+}
+
 /// Sets TCP options that detect an unresponsive peer. A partition or the loss of a machine sends no
 /// reset; without these options every request on such a connection would wait until its deadline.
 pub(crate) fn configure(stream: &TcpStream) -> io::Result<()> {
