feat(spread, gateway): VMs compare digests of their lists, and read again what differs

Cause, as a class: changes spread by versions alone. A VM that has missed one but counts as being as far as the others asks nobody and is told nothing; the mistake lasts until the same entry changes again, however it came about. Mend: each VM sends the digests of its lists of upstreams and of evacuations to another VM twice a second. Where versions are equal and digests are not, both read the list again, and what they pass on then is whole, so that others which missed the same are corrected too. Not more often than each 2 s, doubling to 64 s while a difference lasts. A gauge says when a VM last agreed with another. Budget: 500 ms to the comparison, as much again for a lost packet, 120 ms for a list. 120 bytes/s a VM sent and as much received. The drawn steps now also show that VMs of one version never differ by themselves (4,000 cases). Not compared: the configuration, whose routes get their versions from what a VM saw before (open).

--- a/crates/tgw-gateway/src/lib.rs
+++ b/crates/tgw-gateway/src/lib.rs
@@ -5,6 +5,8 @@
 //! threads. The platform's names and protocols are hidden behind [`Codec`] and
 //! [`tgw_platform::Store`].
 
+/// Comparison of this VM's lists with those of other VMs.
+mod agreement;
 /// Sends whose connection broke, and whether their upstream has ended.
 mod broken;
 /// Connections from callers.
--- a/crates/tgw-gateway/src/metrics.rs
+++ b/crates/tgw-gateway/src/metrics.rs
@@ -31,6 +31,8 @@
     pub(crate) config_since: AtomicU64,
     /// Upstreams known.
     pub(crate) upstreams: AtomicU64,
+    /// When another VM last held the same list of upstreams, in ms since the start.
+    pub(crate) upstreams_agreed: AtomicU64,
     /// Live VMs that share connections and budgets.
     pub(crate) vms: AtomicU64,
     /// Callers' requests in progress.
@@ -56,10 +58,15 @@
 
 type Gauge = (&'static str, &'static str, fn(&Gauges) -> &AtomicU64);
 
-const GAUGES: [Gauge; 14] = [
+const GAUGES: [Gauge; 15] = [
     ("tgw_config_version", "version of the configuration in force", |g| &g.config),
     ("tgw_config_since_ms", "when it came into force, in ms since the start", |g| &g.config_since),
     ("tgw_upstreams", "upstreams known", |g| &g.upstreams),
+    (
+        "tgw_upstreams_agreed_ms",
+        "when another VM last held the same list of upstreams, in ms since the start",
+        |g| &g.upstreams_agreed,
+    ),
     ("tgw_vms", "live VMs that share connections and budgets", |g| &g.vms),
     ("tgw_requests_running", "requests that run", |g| &g.running),
     ("tgw_connections_idle", "idle connections to upstreams", |g| &g.idle_connections),
--- a/crates/tgw-gateway/src/peers.rs
+++ b/crates/tgw-gateway/src/peers.rs
@@ -152,6 +152,7 @@
                     self.update_relay();
                     self.forward_updates();
                     self.send_quarantine_round();
+                    self.compare_lists();
                 }
             }
             self.recount_if_due();
@@ -251,6 +252,7 @@
             Ok(Datagram::Quarantine(update)) => {
                 quarantine::apply_update(&self.shared, from, &update);
             }
+            Ok(Datagram::Digests { digests, is_reply }) => self.on_digests(from, digests, is_reply),
             Ok(Datagram::VersionReply(state)) => {
                 self.on_start_event(start::Event::VersionReply(from, state));
             }
--- a/crates/tgw-gateway/src/shared.rs
+++ b/crates/tgw-gateway/src/shared.rs
@@ -1,6 +1,7 @@
 use crate::{
-    Codec, Settings, broken::Sends, headers, hop::Hops, log::DropCounter, log_limiter::Limiter,
-    memory::Budget, metrics::Metrics, packets::Packets, pool::Pools, request_heads::RequestHeads,
+    Codec, Settings, agreement::Agreement, broken::Sends, headers, hop::Hops, log::DropCounter,
+    log_limiter::Limiter, memory::Budget, metrics::Metrics, packets::Packets, pool::Pools,
+    request_heads::RequestHeads,
 };
 use http::{HeaderMap, Uri};
 use std::{
@@ -97,6 +98,8 @@
     pub(crate) start: RefCell<Bootstrap>,
     /// What this VM currently reads from the store.
     pub(crate) store_reads: StoreReads,
+    /// Comparison of this VM's lists with those of other VMs.
+    pub(crate) agreement: Agreement,
     /// Whether this VM can reach the store.
     pub(crate) reachability: RefCell<Reachability>,
     /// Number of VMs of this domain that cannot reach the store.
@@ -157,6 +160,7 @@
             relay: watch::Sender::new(None),
             start: RefCell::new(start),
             store_reads: StoreReads::default(),
+            agreement: Agreement::default(),
             reachability: RefCell::default(),
             peers_without_store: Cell::new(0),
             pending_reports: RefCell::default(),
@@ -273,6 +277,7 @@
         set(&gauges.upstreams, core.fleet.len() as u64);
         set(&gauges.vms, u64::from(core.vms().all));
         set(&gauges.running, u64::from(self.running.get()));
+        set(&gauges.upstreams_agreed, self.agreement.upstreams.agreed_at().as_whole_ms());
         set(&gauges.idle_connections, self.pools.len() as u64);
         set(&gauges.lines_left_out, self.log_limiter.left_out());
         set(&gauges.lines_dropped, self.dropped_lines.as_ref().map_or(0, DropCounter::count));
--- a/crates/tgw-gateway/src/watch/mod.rs
+++ b/crates/tgw-gateway/src/watch/mod.rs
@@ -48,6 +48,8 @@
     fn is_known(&self) -> bool;
     /// Records whether this VM reads this kind from the store without errors.
     fn set_reading(&self, reading: bool);
+    /// Records that the list is read again because another VM's differs.
+    fn mark_disputed(&self) {}
 }
 
 /// Watches the configuration for as long as the process runs.
@@ -72,6 +74,7 @@
 async fn follow(shared: &Shared, store: &dyn Store, topic: &mut dyn Topic) {
     let mut relay = shared.relay.subscribe();
     let mut schedule = Schedule::new(rand::random(), topic.timing());
+    let mode = topic.read_mode();
     loop {
         let rank = ReadRank {
             relay: *relay.borrow_and_update(),
@@ -83,6 +86,7 @@
                 // Cannot fail: the sender lives as long as the process.
                 _ = relay.changed() => {}
                 () = sleep(time.into()) => {}
+                () = reread_due(shared, mode) => reread(shared, store, topic, &mut schedule).await,
             },
             Step::Backoff(time) => sleep(time.into()).await,
             Step::List => list(shared, store, topic, &mut schedule).await,
@@ -97,12 +101,39 @@
                         );
                         end_watch(shared, topic, &mut schedule);
                     }
+                    () = reread_due(shared, mode) => {
+                        reread(shared, store, topic, &mut schedule).await;
+                    }
                 }
             }
         }
     }
 }
 
+/// Waits until a list is to be read again, as another VM's differs; never for a kind that is not
+/// compared.
+async fn reread_due(shared: &Shared, mode: ReadMode) {
+    match mode {
+        ReadMode::Upstreams => shared.agreement.upstreams.reread_due.notified().await,
+        ReadMode::Evacuations => shared.agreement.evacuations.reread_due.notified().await,
+        ReadMode::Configuration | ReadMode::Probe => std::future::pending().await,
+    }
+}
+
+/// Reads a list again that differs from another VM's, whether or not this VM is a relay.
+async fn reread(
+    shared: &Shared,
+    store: &dyn Store,
+    topic: &mut dyn Topic,
+    schedule: &mut Schedule,
+) {
+    topic.mark_disputed();
+    list(shared, store, topic, schedule).await;
+    if *shared.relay.borrow() == Some(false) {
+        end_watch(shared, topic, schedule);
+    }
+}
+
 async fn list(shared: &Shared, store: &dyn Store, topic: &mut dyn Topic, schedule: &mut Schedule) {
     if schedule.failures() == 0 {
         topic.set_reading(true);
--- a/crates/tgw-gateway/src/watch/upstreams.rs
+++ b/crates/tgw-gateway/src/watch/upstreams.rs
@@ -110,6 +110,10 @@
         telemetry::upstream_changes(&self.shared);
     }
 
+    fn mark_disputed(&self) {
+        self.shared.world.borrow_mut().upstreams.mark_disputed();
+    }
+
     fn store_lost(&mut self) {
         self.shared.world.borrow_mut().upstreams.record_store_failure(self.shared.now());
     }
--- a/crates/tgw-spread/src/evacuations.rs
+++ b/crates/tgw-spread/src/evacuations.rs
@@ -1,7 +1,9 @@
 //! Evacuated failure domains, whose upstreams receive no further requests.
 
+use crate::agreement::Digest;
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeSet, rc::Rc};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// The evacuated failure domains as this VM knows them, from the store and from other VMs.
 ///
@@ -27,6 +29,12 @@
         self.version
     }
 
+    /// The digest of the list.
+    pub fn digest(&self) -> Digest {
+        let hash = self.domains.iter().fold(0, |hash, domain| hash ^ xxh3_64(domain.as_bytes()));
+        Digest { version: self.version, hash }
+    }
+
     /// The evacuated failure domains.
     pub fn domains(&self) -> &BTreeSet<Rc<str>> {
         &self.domains
--- a/crates/tgw-spread/src/lib.rs
+++ b/crates/tgw-spread/src/lib.rs
@@ -4,6 +4,8 @@
 //! A [`VersionedMap`] keeps values with the version of their last change and computes the changes since a
 //! version. No I/O.
 
+/// Comparison of lists between VMs.
+pub mod agreement;
 /// Evacuated failure domains, whose upstreams receive no further requests.
 pub mod evacuations;
 /// Sends that one VM asks another to make.
--- a/crates/tgw-spread/src/message.rs
+++ b/crates/tgw-spread/src/message.rs
@@ -1,6 +1,6 @@
 //! Messages between VMs, over TCP and in packets.
 
-use crate::{Delta, evacuations, hop, start::PeerState, upstreams};
+use crate::{Delta, agreement::Digests, evacuations, hop, start::PeerState, upstreams};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use tgw_member::Record;
@@ -71,6 +71,13 @@
     VersionReply(PeerState),
     /// Upstreams that ended under requests, and quarantined requests.
     Quarantine(quarantine::Update),
+    /// Digests of the lists that the sender holds.
+    Digests {
+        /// The digests.
+        digests: Digests,
+        /// They answer the receiver's digests, with which they do not agree.
+        is_reply: bool,
+    },
 }
 
 /// A report on an overdue or slow upstream.
--- a/crates/tgw-spread/src/upstreams.rs
+++ b/crates/tgw-spread/src/upstreams.rs
@@ -1,4 +1,4 @@
-use crate::{Delta, VersionedMap, versioned_map::Applied};
+use crate::{Delta, VersionedMap, agreement::Digest, versioned_map::Applied};
 use serde::{Deserialize, Serialize};
 use std::{collections::HashSet, rc::Rc};
 use tgw_clock::Millis;
@@ -18,6 +18,8 @@
     catalog: Catalog,
     /// The last entries of retained upstreams.
     retained: Vec<Entry>,
+    /// Another VM held a different list of the same version.
+    disputed: bool,
 }
 
 /// A retained upstream: its entry is missing, and may have expired while the store was down.
@@ -50,6 +52,17 @@
         self.entries.version()
     }
 
+    /// The digest of the list.
+    pub fn digest(&self) -> Digest {
+        self.entries.digest()
+    }
+
+    /// Records that another VM holds a different list of the same version. VMs that ask this one receive the whole next
+    /// list that it reads, as they may have missed what this VM or the other did.
+    pub fn mark_disputed(&mut self) {
+        self.disputed = true;
+    }
+
     /// The entry of an identity.
     pub fn get(&self, id: &str) -> Option<&Entry> {
         self.entries.get(id)
@@ -115,6 +128,9 @@
     ) {
         let values = entries.into_iter().map(|(v, e)| (e.id.clone(), v, self.latest(e))).collect();
         self.entries.replace(version, values);
+        if std::mem::take(&mut self.disputed) {
+            self.entries.start_history_at(version);
+        }
         let entries = self.entries.values().map(|(_, entry)| entry.clone()).collect();
         self.catalog.apply_list(now, entries, unreadable, fleet);
         self.refresh_retained(fleet);
--- a/crates/tgw-spread/src/versioned_map.rs
+++ b/crates/tgw-spread/src/versioned_map.rs
@@ -1,8 +1,10 @@
+use crate::agreement::Digest;
 use serde::{Deserialize, Serialize};
 use std::{
     collections::{BTreeMap, BTreeSet},
     rc::Rc,
 };
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Most removals that are remembered; a VM that is further behind receives all values.
 const MAX_REMOVALS: usize = 4_096;
@@ -25,6 +27,12 @@
     gaps: Vec<(u64, u64)>,
     values: BTreeMap<Rc<str>, (u64, T)>,
     removed: BTreeMap<Rc<str>, u64>,
+    /// Exclusive or of the hashes of all names and their versions.
+    digest: u64,
+}
+
+fn hash(name: &str, version: u64) -> u64 {
+    xxh3_64_with_seed(name.as_bytes(), version)
 }
 
 /// The changes after a version.
@@ -60,7 +68,8 @@
 impl<T> Default for VersionedMap<T> {
     fn default() -> Self {
         let (values, removed) = (BTreeMap::new(), BTreeMap::new());
-        Self { version: 0, store_version: 0, history_start: 0, gaps: Vec::new(), values, removed }
+        let (gaps, digest) = (Vec::new(), 0);
+        Self { version: 0, store_version: 0, history_start: 0, gaps, values, removed, digest }
     }
 }
 
@@ -70,6 +79,11 @@
         self.version
     }
 
+    /// Digest of the values: their names, and the version of each.
+    pub fn digest(&self) -> Digest {
+        Digest { version: self.version, hash: self.digest }
+    }
+
     /// All values.
     pub fn values(&self) -> impl Iterator<Item = (&Rc<str>, &T)> {
         self.values.iter().map(|(name, (_, value))| (name, value))
@@ -140,6 +154,8 @@
             return false;
         }
         self.removed.remove(&name);
+        self.forget_value(&name);
+        self.digest ^= hash(&name, version);
         self.values.insert(name, (version, value));
         self.version = self.version.max(version);
         true
@@ -154,12 +170,19 @@
         }
         // Recorded even for a name that this VM never held: VMs that did may ask this one.
         self.removed.insert(name.clone(), version);
-        let held = self.values.remove(name).is_some();
+        let held = self.forget_value(name);
         self.version = self.version.max(version);
         self.trim();
         held
     }
 
+    /// Removes a value; returns whether there was one.
+    fn forget_value(&mut self, name: &Rc<str>) -> bool {
+        let Some((version, _)) = self.values.remove(name) else { return false };
+        self.digest ^= hash(name, version);
+        true
+    }
+
     fn trim(&mut self) {
         while self.removed.len() > MAX_REMOVALS {
             let oldest = self.removed.iter().min_by_key(|(_, v)| **v);
--- a/crates/tgw-spread/src/world.rs
+++ b/crates/tgw-spread/src/world.rs
@@ -1,5 +1,6 @@
 use crate::{
     Evacuations, Upstreams, VersionedMap,
+    agreement::Digests,
     message::{ConfigUpdate, Versions},
 };
 use std::{collections::BTreeMap, rc::Rc};
@@ -34,6 +35,11 @@
         }
     }
 
+    /// The digests of the lists that this VM holds.
+    pub fn digests(&self) -> Digests {
+        Digests { upstreams: self.upstreams.digest(), evacuations: self.evacuations.digest() }
+    }
+
     /// The version of the configuration; zero before the first.
     pub fn config_version(&self) -> u64 {
         self.config
--- a/crates/tgw-spread/tests/agreement/mod.rs
+++ b/crates/tgw-spread/tests/agreement/mod.rs
@@ -5,7 +5,10 @@
 use std::{collections::BTreeMap, rc::Rc};
 use tgw_clock::Millis;
 use tgw_forward::{Fleet, upstream::Entry};
-use tgw_spread::Upstreams;
+use tgw_spread::{
+    Upstreams,
+    agreement::{Comparison, Reread},
+};
 
 const VM_COUNT: usize = 4;
 /// Rounds in which each VM asks each other one: more than an update needs to pass through all.
@@ -81,6 +84,10 @@
         }
     }
 
+    fn compare(&self, other: &Self) -> Comparison {
+        self.list.digest().compare(other.list.digest())
+    }
+
     fn states(&self) -> Vec<(Rc<str>, bool)> {
         let entry = |id: &Rc<str>| self.fleet.get(self.fleet.key(id)?).map(|u| u.entry.draining);
         let mut states: Vec<_> =
@@ -130,6 +137,47 @@
     assert_eq!(vms[0].states(), store.states());
 }
 
+// Two VMs missed that an upstream left, for whatever cause, and learned of a later change. They count as being as far as
+// one that has read the list since. The digests must tell, and one VM that then reads the list must correct the other,
+// which asks it: both would go on sending to the upstream.
+#[test]
+fn vms_that_missed_a_change_differ_and_are_corrected() {
+    let mut store = Store::default();
+    (0..3).for_each(|name| store.write(name, false));
+    let mut vms: Vec<Vm> = (0..3).map(|_| Vm::default()).collect();
+    vms[..2].iter_mut().for_each(|vm| vm.read(&store));
+    store.write(1, true);
+    vms[..2].iter_mut().for_each(|vm| vm.watches_from = Some(store.revision));
+    store.write(2, true);
+    vms.iter_mut().for_each(|vm| vm.read(&store));
+    assert_eq!(vms[0].compare(&vms[1]), Comparison::Equal);
+    assert_eq!(vms[0].compare(&vms[2]), Comparison::Different);
+    store.write(0, true);
+    vms[0].watches_from = None;
+    vms[0].list.mark_disputed();
+    vms[0].read(&store);
+    ask(&mut vms, 1, 0);
+    assert_eq!(vms[1].states(), store.states());
+    ask(&mut vms, 2, 0);
+    assert_eq!(vms[0].compare(&vms[2]), Comparison::Equal);
+}
+
+// A VM of another release holds what nobody else does. The others must not read the store all the time for it.
+#[test]
+fn a_lasting_difference_is_read_for_less_and_less_often() {
+    let mut reread = Reread::default();
+    let times = (0..600).map(|second| Millis::new(second * 1_000));
+    let reads: Vec<u64> = times
+        .filter(|now| reread.record(*now, Comparison::Different))
+        .map(|now| now.as_whole_ms() / 1_000)
+        .collect();
+    assert_eq!(reads[..7], [0, 2, 6, 14, 30, 62, 126]);
+    assert!(reads.len() <= 15, "{reads:?}");
+    assert!(!reread.record(Millis::new(600_000), Comparison::Equal));
+    assert!(reread.record(Millis::new(700_000), Comparison::Different));
+    assert!(reread.record(Millis::new(702_000), Comparison::Different), "the first interval again");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 4_000,
@@ -157,6 +205,9 @@
                 4 => vms[vm].watches_from = None,
                 _ => ask(&mut vms, vm, name % VM_COUNT),
             }
+            for (one, other) in vms.iter().zip(&vms[1..]) {
+                prop_assert_ne!(one.compare(other), Comparison::Different);
+            }
         }
         vms[0].read(&store);
         for _ in 0..ROUNDS {
