--- a/crates/tgw-bench/src/forward.rs
+++ b/crates/tgw-bench/src/forward.rs
@@ -21,6 +21,7 @@
 use tgw_quarantine::{Fingerprint, message::Rounds};
 use tgw_route::{Config, Residency, Route, Safety, Service, Target, Warmup, config::Shards};
 use tgw_spread::{
+    agreement::{Digest, Digests},
     hop::{Outcome, Reply, Request},
     message::Datagram,
 };
@@ -159,7 +160,14 @@
     took.as_secs_f64() * 1e6 / (queries * shards) as f64
 }
 
-/// Bytes and microseconds of the two packets of a send through a peer.
+/// Digests of the lists that a VM holds.
+fn digests() -> Datagram {
+    let digest = Digest { version: 40_000, hash: 0x9c41_d07b_e2a3_5f68 };
+    let digests = Digests { upstreams: digest, evacuations: digest };
+    Datagram::Digests { digests, is_reply: false }
+}
+
+/// Bytes and microseconds of the packet that compares lists, and of the two of a send through a peer.
 fn costs_of_frames() -> Vec<Cost> {
     let headers = ["host", "x-request", "x-deadline", "accept"];
     let request = Datagram::Hop(Box::new(Request {
@@ -185,15 +193,23 @@
         body: part(1).to_vec(),
     };
     let reply = Datagram::HopEnded(Box::new(Reply { number: 7, outcome }));
-    let both = [("request", request), ("reply", reply)];
+    let packets = [("digests", digests()), ("request", request), ("reply", reply)];
     let measured: Vec<(&str, (f64, f64))> =
-        both.iter().map(|(n, d)| (*n, cost_of_frame(d))).collect();
+        packets.iter().map(|(n, d)| (*n, cost_of_frame(d))).collect();
     let values = |of: fn(&(f64, f64)) -> f64| {
         measured.iter().map(|(name, cost)| ((*name).into(), of(cost))).collect()
     };
     vec![
-        Cost { what: "send through a peer, packet", unit: "bytes", values: values(|c| c.0) },
-        Cost { what: "send through a peer, made and read", unit: "us", values: values(|c| c.1) },
+        Cost {
+            what: "digests, send through a peer: packet",
+            unit: "bytes",
+            values: values(|c| c.0),
+        },
+        Cost {
+            what: "digests, send through a peer: made and read",
+            unit: "us",
+            values: values(|c| c.1),
+        },
     ]
 }
 
