--- a/crates/tgw-soak/src/check.rs
+++ b/crates/tgw-soak/src/check.rs
@@ -4,11 +4,13 @@
         Environment, HOME, MAX_WARMUP_REQUESTS, MIN_SHARD_SHARE, RESULT_LIMIT, SINGLE_SERVICE,
         WARMUP_TIME, shards,
     },
+    leaving::{self, Leavings},
 };
 use http::StatusCode;
 use std::{
     collections::{BTreeMap, BTreeSet},
     fmt,
+    ops::Range,
     time::Duration,
 };
 use tgw_site_standin::leaf::{Run, header_names, records, signature};
@@ -29,6 +31,8 @@
 /// Time after the end of an evacuation by which its upstreams count as warm unless they report
 /// otherwise.
 const REWARM_TIMEOUT: Duration = Duration::from_millis(5_000);
+/// Time after a send without an answer during which its upstream may be back cold as far as a VM knows.
+const UNANSWERED_COLD_TIMEOUT: Duration = Duration::from_millis(6_000);
 /// Window in which the requests to a cold upstream are counted.
 const RATE_WINDOW: Duration = Duration::from_millis(1_000);
 /// Maximum number of times that a quarantined query may still reach upstreams.
@@ -40,27 +44,36 @@
     pub(crate) served: usize,
     pub(crate) refused: usize,
     pub(crate) runs: usize,
+    pub(crate) leavings: Leavings,
     pub(crate) broken: Vec<String>,
 }
 
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { asked, served, refused, runs, broken } = self;
+        let Self { asked, served, refused, runs, leavings, broken } = self;
         let broken = broken.len();
-        write!(f, "{asked} asked, {served} served, {refused} refused, {runs} ran, {broken} broken")
+        write!(f, "{asked} asked, {served} served, {refused} refused, {runs} ran, ")?;
+        write!(f, "{leavings}, {broken} broken")
     }
 }
 
 /// Times at which each VM was disturbed by a fault; failures near these times are tolerated.
 pub(crate) type Disturbances = BTreeMap<usize, Vec<Instant>>;
 
+/// What callers and upstreams observed, and what was done to the VMs.
+pub(crate) struct Observed<'a> {
+    pub(crate) exchanges: &'a [Exchange],
+    pub(crate) environment: &'a Environment,
+    pub(crate) disturbances: &'a Disturbances,
+    /// When each VM was disturbed in a way for which operators do not hold it to the bound on leavings.
+    pub(crate) out_of_contact: &'a Disturbances,
+    /// When nearly all requests must be served again.
+    pub(crate) recovery: Range<Instant>,
+}
+
 /// Checks all guarantees against what callers and upstreams observed.
-pub(crate) fn check(
-    exchanges: &[Exchange],
-    environment: &Environment,
-    disturbances: &Disturbances,
-    recovered: Instant,
-) -> Report {
+pub(crate) fn check(observed: &Observed<'_>) -> Report {
+    let Observed { exchanges, environment, disturbances, .. } = *observed;
     let mut broken = Vec::new();
     let runs = runs_by_request(environment);
     for exchange in exchanges {
@@ -80,10 +93,11 @@
             broken.push(format!("{}: no answer in {:?}", exchange.request_id, exchange.elapsed));
         }
     }
-    check_recovery(exchanges, environment, recovered, &mut broken);
+    check_recovery(exchanges, environment, &observed.recovery, &mut broken);
     check_quarantine(exchanges, &runs, (environment, disturbances), &mut broken);
     check_unknown_requests(exchanges, &runs, &mut broken);
     check_drained(environment, &mut broken);
+    let leavings = leaving::check(observed, &mut broken);
     check_home_region(environment, &mut broken);
     check_evacuated(environment, &mut broken);
     check_cold(environment, &mut broken);
@@ -96,6 +110,7 @@
         served: status(StatusCode::OK),
         refused: status(StatusCode::SERVICE_UNAVAILABLE),
         runs: runs.values().map(Vec::len).sum(),
+        leavings,
         broken,
     }
 }
@@ -187,16 +202,18 @@
 fn check_recovery(
     exchanges: &[Exchange],
     environment: &Environment,
-    since: Instant,
+    phase: &Range<Instant>,
     broken: &mut Vec<String>,
 ) {
     // The only upstream in the home region takes few requests until the VMs can know that it is warm.
     let is_cold = |e: &&Exchange| {
         let home = environment.evacuations.iter().filter(|(domain, ..)| *domain == HOME.0);
         e.kind == Kind::HomeRegion
-            && home.clone().any(|(_, _, until)| e.sent_at < *until + REWARM_TIMEOUT)
+            && (home.clone().any(|(_, _, until)| e.sent_at < *until + REWARM_TIMEOUT)
+                || is_unanswered_at_home(environment, e.sent_at))
     };
-    let is_counted = |e: &&Exchange| e.sent_at >= since && e.kind != Kind::Deadly && !is_cold(e);
+    let is_counted =
+        |e: &&Exchange| phase.contains(&e.sent_at) && e.kind != Kind::Deadly && !is_cold(e);
     let recent = exchanges.iter().filter(is_counted);
     let recent: Vec<&Exchange> = recent.collect();
     let served = recent
@@ -208,6 +225,20 @@
     }
 }
 
+/// Whether the link to an upstream of the home region was disturbed a short time before `at`. It may
+/// have restarted meanwhile, and gets few requests until VMs can know that it did not.
+fn is_unanswered_at_home(environment: &Environment, at: Instant) -> bool {
+    let mut at_home = environment
+        .incarnations
+        .iter()
+        .filter(|i| i.domain == HOME.0 && i.service == SINGLE_SERVICE);
+    at_home.any(|incarnation| {
+        environment.link_faults.iter().any(|(id, fault)| {
+            *id == incarnation.id && *fault <= at && at < *fault + UNANSWERED_COLD_TIMEOUT
+        })
+    })
+}
+
 /// Checks that all running and reachable VMs quarantine a query soon after it has ended three
 /// upstreams.
 fn check_quarantine(
--- a/crates/tgw-soak/src/environment.rs
+++ b/crates/tgw-soak/src/environment.rs
@@ -27,6 +27,11 @@
 /// Time an upstream takes for a request.
 const SERVICE_TIME: Duration = Duration::from_millis(6);
 
+/// Objects on a page of the store's lists: few enough that the list of upstreams takes several.
+const PAGE_OBJECTS: usize = 6;
+/// Time in which the store answers.
+const STORE_REPLY_DELAY: Duration = Duration::from_millis(4);
+
 /// Time after which the entry of an ended upstream expires and a replacement starts.
 const ENTRY_EXPIRY: Duration = Duration::from_millis(1_500);
 
@@ -34,7 +39,11 @@
 pub(crate) struct Upstream {
     pub(crate) leaf: Leaf,
     pub(crate) proxy: Proxy,
-    domain: &'static str,
+    pub(crate) domain: &'static str,
+    /// Heartbeats written.
+    heartbeats: u64,
+    /// A heartbeat from before it began to drain, which has not taken effect yet.
+    delayed: Option<Value>,
     /// Number of the process, written into the entry as its start.
     generation: u64,
     /// When it began to leave.
@@ -53,24 +62,36 @@
 #[derive(Debug)]
 pub(crate) struct Incarnation {
     pub(crate) id: String,
+    pub(crate) service: String,
     pub(crate) domain: &'static str,
     /// When it started, if callers were already sending.
     pub(crate) cold_from: Option<Instant>,
 }
 
+/// An upstream that began to leave.
+#[derive(Debug)]
+pub(crate) struct Departure {
+    pub(crate) id: String,
+    pub(crate) domain: &'static str,
+    /// When the store acknowledged it.
+    pub(crate) at: Instant,
+}
+
 impl Upstream {
     fn entry(&self) -> Value {
         let (service, addr) = (self.leaf.service(), self.proxy.addr());
         let mut entry = files::entry(service, addr, self.domain, self.left_at.is_some());
         entry["born"] = self.generation.into();
+        entry["sequence"] = self.heartbeats.into();
         files::with_warmup_left(entry, self.cold_until.saturating_duration_since(Instant::now()))
     }
 
     /// Writes the entry, unless it was removed without notice.
-    fn write_entry(&self, store: &Store) {
+    fn write_entry(&mut self, store: &Store) {
         if self.entry_removed {
             return;
         }
+        self.heartbeats += 1;
         store.put("servers", self.leaf.id(), &self.entry());
     }
 }
@@ -85,6 +106,8 @@
     pub(crate) runs: BTreeMap<String, Vec<Run>>,
     /// Start and end of the store's outages for all VMs.
     pub(crate) outages: Vec<(Instant, Instant)>,
+    /// All upstreams that began to leave.
+    pub(crate) departures: Vec<Departure>,
     /// When a query ended an upstream's process.
     pub(crate) deadly_ends: Vec<Instant>,
     /// Evacuated failure domains, each with start and end.
@@ -105,6 +128,8 @@
 impl Environment {
     pub(crate) async fn new() -> anyhow::Result<Self> {
         let store = Store::bind().await?;
+        store.set_page_objects(PAGE_OBJECTS);
+        store.set_reply_delay(STORE_REPLY_DELAY);
         let (upstreams, runs) = (Vec::new(), BTreeMap::new());
         let mut environment = Self {
             store,
@@ -113,6 +138,7 @@
             last_number: 0,
             runs,
             outages: Vec::new(),
+            departures: Vec::new(),
             deadly_ends: Vec::new(),
             evacuations: Vec::new(),
             incarnations: Vec::new(),
@@ -130,10 +156,11 @@
     }
 
     /// Records the start of an upstream's process and returns the end of its warm-up.
-    fn record_start(&mut self, id: &str, domain: &'static str) -> Instant {
+    fn record_start(&mut self, id: &str, service: &str, domain: &'static str) -> Instant {
         let now = Instant::now();
         let cold_from = self.has_traffic.then_some(now);
-        self.incarnations.push(Incarnation { id: id.into(), domain, cold_from });
+        let (id, service) = (id.into(), service.into());
+        self.incarnations.push(Incarnation { id, service, domain, cold_from });
         if self.has_traffic { now + WARMUP_TIME } else { now }
     }
 
@@ -172,13 +199,15 @@
         let (leaf, proxy) = start_upstream(service, &id).await?;
         let generation = u64::from(self.last_number);
         let (left_at, ended_at) = (None, None);
-        let cold_until = self.record_start(&id, domain);
+        let cold_until = self.record_start(&id, service, domain);
         let reported_warm = !self.has_traffic;
         let entry_removed = false;
-        let upstream = Upstream {
+        let mut upstream = Upstream {
             leaf,
             proxy,
             domain,
+            heartbeats: 0,
+            delayed: None,
             generation,
             left_at,
             entry_removed,
@@ -206,7 +235,7 @@
         (upstream.leaf, upstream.proxy) = start_upstream(&service, &id).await?;
         upstream.generation = u64::from(self.last_number);
         let domain = upstream.domain;
-        let cold_until = self.record_start(&id, domain);
+        let cold_until = self.record_start(&id, &service, domain);
         let upstream = &mut self.upstreams[index];
         (upstream.cold_until, upstream.reported_warm) = (cold_until, false);
         upstream.write_entry(&self.store);
@@ -225,12 +254,21 @@
     }
 
     /// Writes an upstream's entry again.
-    pub(crate) fn write_entry(&self, id: &str) {
-        if let Some(upstream) = self.upstreams.iter().find(|u| u.leaf.id() == id) {
+    pub(crate) fn write_entry(&mut self, id: &str) {
+        if let Some(upstream) = self.upstreams.iter_mut().find(|u| u.leaf.id() == id) {
             upstream.write_entry(&self.store);
         }
     }
 
+    /// Has the delayed heartbeat of a draining upstream take effect, and returns the upstream's id.
+    pub(crate) fn write_delayed(&mut self, index: usize) -> Option<String> {
+        let upstream = self.upstreams.get_mut(index)?;
+        let delayed = upstream.delayed.take()?;
+        let id = upstream.leaf.id().to_owned();
+        self.store.put("servers", &id, &delayed);
+        Some(id)
+    }
+
     /// Writes a new version of the configuration.
     pub(crate) fn write_config(&mut self) {
         self.config_version += 3;
@@ -267,13 +305,18 @@
         let is_live = |u: &&mut Upstream| u.left_at.is_none() && !u.leaf.has_exited();
         let Some(upstream) = self.upstreams.get_mut(index).filter(is_live) else { return Ok(()) };
         let (service, domain) = (upstream.leaf.service().to_owned(), upstream.domain);
-        upstream.left_at = Some(Instant::now());
         if announced {
+            upstream.heartbeats += 1;
+            upstream.delayed = Some(upstream.entry());
+            upstream.left_at = Some(Instant::now());
             upstream.write_entry(&self.store);
         } else {
+            upstream.left_at = Some(Instant::now());
             upstream.entry_removed = true;
             self.store.remove("servers", upstream.leaf.id());
         }
+        let (id, at) = (upstream.leaf.id().to_owned(), Instant::now());
+        self.departures.push(Departure { id, domain, at });
         self.add_upstream(&service, domain).await
     }
 
--- a/crates/tgw-soak/src/main.rs
+++ b/crates/tgw-soak/src/main.rs
@@ -13,6 +13,8 @@
 mod environment;
 /// VMs, each a process of the program.
 mod fleet;
+/// The bound on requests to upstreams that leave.
+mod leaving;
 /// TCP proxy that injects network faults.
 mod proxy;
 /// Runs one seed.
--- a/crates/tgw-soak/src/proxy.rs
+++ b/crates/tgw-soak/src/proxy.rs
@@ -1,6 +1,6 @@
 use std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::AsyncWriteExt,
     net::{
         TcpListener, TcpStream,
         tcp::{OwnedReadHalf, OwnedWriteHalf},
@@ -25,8 +25,14 @@
     DropReplies,
     /// Drops everything on old and new connections; connections stay open.
     DropAll,
+    /// Reads nothing until the mode changes, like a process that stands still: what was sent
+    /// meanwhile is forwarded then, also from connections that have been closed.
+    Hold,
 }
 
+/// Interval at which a connection checks whether it is still held.
+const HOLD_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
 struct State {
     mode: Cell<Mode>,
     /// Number of resets; each change resets all open connections.
@@ -105,9 +111,24 @@
 }
 
 /// Copies bytes in one direction until either side closes.
-async fn copy(state: Rc<State>, mut from: OwnedReadHalf, mut to: OwnedWriteHalf, is_reply: bool) {
+async fn copy(state: Rc<State>, from: OwnedReadHalf, mut to: OwnedWriteHalf, is_reply: bool) {
     let mut buffer = vec![0; CHUNK_BYTES];
-    while let Ok(length) = from.read(&mut buffer).await {
+    loop {
+        while state.mode.get() == Mode::Hold {
+            sleep(HOLD_POLL_INTERVAL).await;
+        }
+        if from.readable().await.is_err() {
+            return;
+        }
+        // The mode may have changed meanwhile: what arrived then is held, too.
+        if state.mode.get() == Mode::Hold {
+            continue;
+        }
+        let length = match from.try_read(&mut buffer) {
+            Ok(length) => length,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => continue,
+            Err(_) => return,
+        };
         let mode = state.mode.get();
         if let Mode::Delay(delay) = mode {
             sleep(delay).await;
--- a/crates/tgw-soak/src/run.rs
+++ b/crates/tgw-soak/src/run.rs
@@ -4,7 +4,7 @@
     environment::Environment,
     fleet::{DOMAINS, Fleet},
     proxy::{Mode, Proxy},
-    schedule::{self, Fault},
+    schedule::{self, CALM_TIME, Fault},
 };
 use nix::sys::signal::Signal;
 use std::{
@@ -24,6 +24,13 @@
 const STARTUP_TIME: Duration = Duration::from_millis(2_500);
 /// Length of the phase after the last fault; requests of its second half must be served.
 const RECOVERY_TIME: Duration = Duration::from_millis(4_000);
+/// Time from the end of that phase to the calm phase, so that the store has been undisturbed for long enough
+/// when its upstreams leave.
+const CALM_DELAY: Duration = Duration::from_millis(4_000);
+/// Length of the phase after the calm phase, in which its upstreams still serve.
+const CALM_END_TIME: Duration = Duration::from_millis(1_500);
+/// Interval of an upstream's heartbeats.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Time after which the process and entry of a leaving upstream are removed.
 const DEPARTURE_TIME: Duration = Duration::from_millis(8_000);
 /// Interval of the check for exited processes and expired faults.
@@ -47,6 +54,8 @@
     fleet: Rc<RefCell<Fleet>>,
     store_proxies: Vec<Proxy>,
     disturbances: Disturbances,
+    /// When each VM was disturbed in a way for which operators do not hold it to the bound on leavings.
+    out_of_contact: Disturbances,
     /// Faults to undo, each with its end time.
     undo: Vec<(Instant, Undo)>,
     unexpected_exits: Vec<String>,
@@ -96,6 +105,7 @@
         fleet,
         store_proxies,
         disturbances,
+        out_of_contact: Disturbances::new(),
         undo,
         unexpected_exits,
         exchanges,
@@ -106,21 +116,36 @@
         run.advance_until(start + step.at).await?;
         run.inject(step.fault).await?;
     }
-    run.advance_until(start + span + RECOVERY_TIME).await?;
+    let calm_from = start + span + RECOVERY_TIME;
+    run.advance_until(calm_from + CALM_DELAY).await?;
+    let calm_steps = schedule::draw_calm(options.seed, upstreams);
+    for step in &calm_steps {
+        run.advance_until(calm_from + CALM_DELAY + step.at).await?;
+        run.inject(step.fault).await?;
+    }
+    run.advance_until(calm_from + CALM_DELAY + CALM_TIME + CALM_END_TIME).await?;
     // A request aborted here would count as run but never sent, so callers finish first.
     stop.set(true);
     while callers.join_next().await.is_some() {}
     run.environment.collect_runs();
     let exchanges = run.exchanges.take();
     let recovered = start + span + RECOVERY_TIME / 2;
-    let mut report = check::check(&exchanges, &run.environment, &run.disturbances, recovered);
+    let observed = check::Observed {
+        exchanges: &exchanges,
+        environment: &run.environment,
+        disturbances: &run.disturbances,
+        out_of_contact: &run.out_of_contact,
+        recovery: recovered..calm_from,
+    };
+    let mut report = check::check(&observed);
     report.broken.append(&mut run.unexpected_exits);
     if report.broken.is_empty() && !options.keep {
         drop(run);
         // Only the logs of failed seeds are kept.
         let _ = fs::remove_dir_all(&options.logs);
     } else {
-        let text: Vec<String> = steps.iter().map(|s| format!("{:?} {:?}", s.at, s.fault)).collect();
+        let text: Vec<String> =
+            steps.iter().chain(&calm_steps).map(|s| format!("{:?} {:?}", s.at, s.fault)).collect();
         fs::write(options.logs.join("faults.txt"), text.join("\n"))?;
     }
     Ok(report)
@@ -191,6 +216,7 @@
                     self.record_disturbance(vm);
                 }
                 Undo::StoreLink(vm) => {
+                    self.record_lost_contact(vm);
                     self.store_proxies[vm].set_mode(Mode::Forward);
                     self.store_proxies[vm].reset_connections();
                 }
@@ -222,18 +248,26 @@
             }
             process.start()?;
             self.disturbances.entry(vm).or_default().push(Instant::now());
+            self.out_of_contact.entry(vm).or_default().push(Instant::now());
         }
         Ok(())
     }
 
     fn record_disturbance(&mut self, vm: usize) {
         self.disturbances.entry(vm).or_default().push(Instant::now());
+        self.record_lost_contact(vm);
+    }
+
+    fn record_lost_contact(&mut self, vm: usize) {
+        self.out_of_contact.entry(vm).or_default().push(Instant::now());
     }
 
     fn signal(&mut self, vm: usize, signal: Signal) {
         self.fleet.borrow_mut().processes[vm].signal(signal);
         if signal != Signal::SIGTERM && signal != Signal::SIGHUP {
             self.record_disturbance(vm);
+        } else if signal == Signal::SIGTERM {
+            self.record_lost_contact(vm);
         }
     }
 
@@ -256,6 +290,7 @@
             }
             Fault::Hangup(vm) => self.signal(vm, Signal::SIGHUP),
             Fault::StoreCut(vm, span) => {
+                self.record_lost_contact(vm);
                 self.store_proxies[vm].set_mode(Mode::DropAll);
                 self.undo.push((now + span, Undo::StoreLink(vm)));
             }
@@ -290,6 +325,11 @@
                     upstream.proxy.reset_connections();
                 }
             }
+            Fault::Hold(index, span) => self.set_link(index, Mode::Hold, now + span),
+            Fault::LateHeartbeat(index) => {
+                let id = self.environment.write_delayed(index);
+                self.undo.extend(id.map(|id| (now + HEARTBEAT_INTERVAL, Undo::Entry(id))));
+            }
             Fault::Silence(index, span) => self.set_link(index, Mode::DropAll, now + span),
             Fault::LoseReplies(index, span) => self.set_link(index, Mode::DropReplies, now + span),
             Fault::Slow(index, span) => {
--- a/crates/tgw-soak/src/schedule.rs
+++ b/crates/tgw-soak/src/schedule.rs
@@ -46,6 +46,11 @@
     Evacuate(usize, Duration),
     /// A caller sends the query of death to a VM.
     Deadly(usize),
+    /// An upstream reads nothing for a while, and then what was sent meanwhile.
+    Hold(usize, Duration),
+    /// The delayed heartbeat of an upstream that has begun to drain takes effect: it says that the
+    /// upstream is ready. The next one follows after a heartbeat interval.
+    LateHeartbeat(usize),
 }
 
 /// A fault and its time since the start of the run.
@@ -72,6 +77,24 @@
 /// Own random sequence, as for `ENTRY_SEED`.
 const VANISH_SEED: u64 = 0x7661_6e69;
 
+/// Typical interval of upstreams that read nothing for a while.
+const HOLD_INTERVAL_MS: u64 = 2_500;
+/// Own random sequence, as for `ENTRY_SEED`.
+const HOLD_SEED: u64 = 0x686f_6c64;
+
+/// Own random sequence, as for `ENTRY_SEED`.
+const CALM_SEED: u64 = 0x6361_6c6d;
+/// Groups of upstreams that leave in the calm phase, the number in each, and the time between two groups:
+/// all VMs must know of one group before the next, and an upstream serves for some time after it left.
+const CALM_GROUPS: u32 = 2;
+const CALM_GROUP_SIZE: u32 = 5;
+const CALM_GROUP_INTERVAL: Duration = Duration::from_millis(4_500);
+/// Upper bound on the time between two upstreams of a group.
+const CALM_GROUP_GAP_MS: u64 = 12;
+
+/// Length of the calm phase.
+pub(crate) const CALM_TIME: Duration = CALM_GROUP_INTERVAL.saturating_mul(CALM_GROUPS);
+
 /// Own random sequence, as for `ENTRY_SEED`.
 const EVACUATION_SEED: u64 = 0x6576_6163;
 
@@ -93,6 +116,10 @@
     steps.extend(draw_repeated(seed ^ VANISH_SEED, VANISH_INTERVAL_MS, span, |rng| {
         Fault::Vanish(rng.random_range(0..upstreams))
     }));
+    steps.extend(draw_repeated(seed ^ HOLD_SEED, HOLD_INTERVAL_MS, span, |rng| {
+        let span = Duration::from_millis(rng.random_range(300..2_500));
+        Fault::Hold(rng.random_range(0..upstreams), span)
+    }));
     if seed.is_multiple_of(2) {
         // Every other seed repeats a query of death at random VMs.
         steps.extend(draw_repeated(seed ^ DEADLY_SEED, DEADLY_INTERVAL_MS, span, |rng| {
@@ -106,6 +133,29 @@
     steps
 }
 
+/// Draws the calm phase, in which upstreams leave in groups and nothing else is wrong. Its faults are in
+/// order of time, from its start.
+pub(crate) fn draw_calm(seed: u64, upstreams: usize) -> Vec<Step> {
+    let mut rng = StdRng::seed_from_u64(seed ^ CALM_SEED);
+    let mut steps = Vec::new();
+    for group in 0..CALM_GROUPS {
+        let mut at = CALM_GROUP_INTERVAL.saturating_mul(group);
+        for _ in 0..CALM_GROUP_SIZE {
+            at += Duration::from_millis(rng.random_range(0..CALM_GROUP_GAP_MS));
+            let upstream = rng.random_range(0..upstreams);
+            if rng.random_bool(0.4) {
+                steps.push(Step { at, fault: Fault::Vanish(upstream) });
+                continue;
+            }
+            steps.push(Step { at, fault: Fault::Replace(upstream) });
+            let delay = Duration::from_millis(rng.random_range(500..3_800));
+            steps.push(Step { at: at + delay, fault: Fault::LateHeartbeat(upstream) });
+        }
+    }
+    steps.sort_by_key(|step| step.at);
+    steps
+}
+
 /// Draws an evacuation that lasts longer than all VMs may take to learn of it.
 fn draw_evacuation(seed: u64) -> Step {
     let mut rng = StdRng::seed_from_u64(seed ^ EVACUATION_SEED);
