--- a/crates/tgw-serve/src/lib.rs
+++ b/crates/tgw-serve/src/lib.rs
@@ -14,6 +14,8 @@
 mod metrics;
 /// The HTTP server for operators.
 mod operators;
+/// What the peers worker reports to the other workers.
+mod peer_reports;
 /// The queries worker: the thread that runs the core.
 mod queries;
 /// Starts and stops all workers.
--- a/crates/tgw-serve/src/serve.rs
+++ b/crates/tgw-serve/src/serve.rs
@@ -4,26 +4,20 @@
     messages::{Command, ConfigMessage, CoreMessage},
     metrics::{Gauges, Metrics},
     operators::{self, Operators},
+    peer_reports::PeerReports,
     queries::{Channels, Queries},
     upstreams,
 };
 use anyhow::Context;
 use std::{
-    collections::BTreeMap,
     net::SocketAddr,
     sync::{Arc, atomic::Ordering},
     thread::JoinHandle,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 use tgw_clock::{Clock, Millis, Monotonic, PauseSwitch};
-use tgw_dispatch::leaf::{Failure, Outcome};
-use tgw_member::Rollout;
-use tgw_node::{
-    Identity, Message, Node, Observer as CoreObserver,
-    message::{Completion, Request},
-};
-use tgw_owner::Directory;
-use tgw_peer::{Command as PeerCommand, Direct, Frame, Network, Observer, Payload};
+use tgw_node::{Identity, Node, Observer as CoreObserver};
+use tgw_peer::{Command as PeerCommand, Direct, Network};
 use tgw_platform::{Http, Store};
 use tgw_ring::{Receiver, Sender, channel};
 use tgw_settings::Settings;
@@ -160,75 +154,6 @@
     }
 }
 
-/// Forwards the reports of the peers worker to the core and to the configuration worker.
-struct Sink {
-    core: Sender<CoreMessage>,
-    config: Sender<ConfigMessage>,
-}
-
-impl Observer for Sink {
-    fn deliver(&self, frame: Frame) -> Result<(), Frame> {
-        let Frame { from, incarnation, payload } = frame;
-        let message = match payload {
-            Payload::Messages(messages) => {
-                let rejected = self.core.push(CoreMessage::Messages(from, messages));
-                return rejected.map_err(|message| match message {
-                    CoreMessage::Messages(from, messages) => {
-                        Frame { from, incarnation, payload: Payload::Messages(messages) }
-                    }
-                    _ => Frame { from, incarnation, payload: Payload::Messages(Vec::new()) },
-                });
-            }
-            Payload::RequestUpdates { edition, catalog_version } => {
-                ConfigMessage::UpdateRequest { from, edition, catalog_version }
-            }
-            Payload::TableUpdate(delta) => ConfigMessage::TableUpdate(delta),
-            Payload::CatalogUpdate { version, updates } => {
-                ConfigMessage::CatalogUpdate { version, services: updates }
-            }
-            Payload::Records(_) => return Ok(()),
-        };
-        // Every membership packet repeats the versions, so a dropped message is made up for.
-        let _ = self.config.push(message);
-        Ok(())
-    }
-
-    fn directory_changed(&self, directory: Arc<Directory>, watches_platform: bool) {
-        let _ = self.core.push(CoreMessage::Directory(directory));
-        let _ = self.config.push(ConfigMessage::WatchesPlatform(watches_platform));
-    }
-
-    fn rollouts(&self, rollouts: BTreeMap<Domain, Rollout>) {
-        let _ = self.core.push(CoreMessage::Rollouts(rollouts));
-    }
-
-    fn disconnected(&self, vm: Vm) {
-        let _ = self.core.push(CoreMessage::Disconnected(vm));
-    }
-
-    fn queue_full(&self, vm: Vm, payload: Payload) {
-        // The VM is overloaded and did not take the batch. Its requests are answered as failed, so that
-        // the entry can retry elsewhere. Outcomes and cancellations are lost; the requesting VM's
-        // timeouts cover that.
-        let Payload::Messages(messages) = payload else { return };
-        let failed = messages.into_iter().filter_map(|message| match message {
-            Message::Request(Request { key, .. }) => {
-                Some(Message::Outcome(Completion::unqueued(key, Outcome::Failed(Failure::Closed))))
-            }
-            _ => None,
-        });
-        let _ = self.core.push(CoreMessage::Messages(vm, failed.collect()));
-    }
-
-    fn peer_newer(&self, vm: Vm, _edit: u64, _catalog_version: u64) {
-        let _ = self.config.push(ConfigMessage::PeerNewer(vm));
-    }
-
-    fn paused(&self, gap: Millis) {
-        let _ = self.core.push(CoreMessage::Paused(gap));
-    }
-}
-
 /// Starts all workers. Fails if an address cannot be bound, a thread cannot be started, or the metrics
 /// or the observer cannot be created.
 pub fn spawn(options: Options) -> anyhow::Result<Handle> {
@@ -247,10 +172,10 @@
     let (close, closed) = watch::channel(false);
     let (idle, idle_receiver) = watch::channel(false);
 
-    let sink = Box::new(Sink { core: core.clone(), config: config.clone() });
+    let peer_reports = Box::new(PeerReports { core: core.clone(), config: config.clone() });
     let mut peer = peer_options(&settings, vm, incarnation, place, network, clock.clone());
     peer.freeze = pause_switch.clone();
-    let peers = tgw_peer::bind(peer, outgoing_receiver, sink, stopped.clone())?;
+    let peers = tgw_peer::bind(peer, outgoing_receiver, peer_reports, stopped.clone())?;
 
     let identity = identity(&settings, vm, incarnation, place);
     let mut node = Node::new(tgw_node::Options::production(&identity));
