refactor(gateway): one connection with hooks in place of two that pass reads and writes on

Cause: the connection that resets a send that was given up repeated 26 lines of the one that times callers' heads. Change: HookedStream passes on, Hook says what happens when bytes are read, at shutdown and at the close; Exchange and HeadTimer are hooks. Result: 91 tests of gateway and adapter pass, a_send_that_is_given_up_is_reset among them; no behaviour changes.

--- a/crates/tgw-gateway/src/callers.rs
+++ b/crates/tgw-gateway/src/callers.rs
@@ -1,6 +1,7 @@
 use crate::{
     handle,
-    request_heads::TimedStream,
+    hooked_stream::HookedStream,
+    request_heads::HeadTimer,
     shared::{Phase, Shared},
     socket,
 };
@@ -60,7 +61,8 @@
             }
         })
     };
-    let stream = TimedStream { stream, head: head.clone(), shared: shared.clone() };
+    let timer = HeadTimer { head: head.clone(), shared: shared.clone() };
+    let stream = HookedStream::new(stream, timer);
     let serving = http1::Builder::new()
         .timer(TokioTimer::new())
         // Hyper applies this timeout both to idle kept-alive connections and to reading a request
--- a/crates/tgw-gateway/src/lib.rs
+++ b/crates/tgw-gateway/src/lib.rs
@@ -21,6 +21,8 @@
 mod handle;
 /// HTTP headers of forwarded messages.
 mod headers;
+/// Connections with a hook for their events.
+mod hooked_stream;
 /// Sends made by other VMs for this one, and by this VM for others.
 mod hop;
 /// Structured logs.
@@ -59,8 +61,8 @@
 mod telemetry;
 /// Entries of upstreams that cannot be decoded.
 mod unreadable;
-/// Connections to upstreams, reset where a send is given up.
-mod upstream_stream;
+/// Resets a connection to an upstream where a send is given up.
+mod upstream_exchange;
 /// Watches of the platform's store.
 mod watch;
 
--- a/crates/tgw-gateway/src/pool.rs
+++ b/crates/tgw-gateway/src/pool.rs
@@ -1,8 +1,4 @@
-use crate::{
-    shared::Shared,
-    socket,
-    upstream_stream::{Exchange, UpstreamStream},
-};
+use crate::{hooked_stream::HookedStream, shared::Shared, socket, upstream_exchange::Exchange};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -147,7 +143,7 @@
     socket::configure(&stream)?;
     detect_reset(&stream).await?;
     let exchange = Exchange::default();
-    let stream = TokioIo::new(UpstreamStream::new(stream, exchange.clone()));
+    let stream = TokioIo::new(HookedStream::new(stream, exchange.clone()));
     let (sender, driver) = http1::handshake(stream).await.map_err(io::Error::other)?;
     let open = OpenConnection::new(shared, key);
     tokio::task::spawn_local(async move {
--- a/crates/tgw-gateway/src/request_heads.rs
+++ b/crates/tgw-gateway/src/request_heads.rs
@@ -1,18 +1,11 @@
-use crate::shared::Shared;
+use crate::{hooked_stream::Hook, shared::Shared};
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
-    io,
-    pin::Pin,
     rc::Rc,
-    task::{Context, Poll},
 };
 use tgw_clock::Millis;
-use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
-    sync::Notify,
-};
+use tokio::sync::Notify;
 
 /// Progress of the request head that a caller is sending.
 ///
@@ -97,54 +90,14 @@
     }
 }
 
-/// A caller's connection that records when a request head begins.
-pub(crate) struct TimedStream {
-    pub(crate) stream: TcpStream,
+/// Records when a request head begins on a caller's connection.
+pub(crate) struct HeadTimer {
     pub(crate) head: Rc<Head>,
     pub(crate) shared: Rc<Shared>,
 }
 
-impl AsyncRead for TimedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let filled = buffer.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if buffer.filled().len() > filled {
-            self.head.bytes_received(|| self.shared.now());
-        }
-        result
-    }
-}
-
-impl AsyncWrite for TimedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, bytes)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+impl Hook for HeadTimer {
+    fn bytes_read(&self) {
+        self.head.bytes_received(|| self.shared.now());
     }
 }
