--- a/crates/tgw-bench/src/leaving/actions.rs
+++ b/crates/tgw-bench/src/leaving/actions.rs
@@ -4,6 +4,7 @@
     setup::Subject,
     simulation::{LEAVING_COUNT, SETTLE_MS, Scheduled, Simulation, TICK_INTERVAL_MS},
     store::Change,
+    view::is_leaving,
     vm::Call,
 };
 use tgw_clock::Millis;
@@ -113,10 +114,13 @@
         if self.take_call(vm, call).is_none() {
             return;
         }
+        let misses = self.misses_leavings(vm);
         let state = &mut self.vms[vm];
         let has_changes = !changes.is_empty();
         state.view.with_upstreams(|view| view.record_store_answer(self.now));
-        changes.into_iter().for_each(|change| state.view.apply_change(self.now, version, change));
+        for change in changes.into_iter().filter(|change| !misses || !is_leaving(&change.1)) {
+            state.view.apply_change(self.now, version, change);
+        }
         state.store_schedule.record_watch(self.now, version, has_changes);
         if has_changes {
             self.announce(vm);
--- a/crates/tgw-bench/src/leaving/peers.rs
+++ b/crates/tgw-bench/src/leaving/peers.rs
@@ -8,6 +8,11 @@
 use std::net::SocketAddr;
 use tgw_clock::Millis;
 use tgw_member::{Action, Event};
+use tgw_spread::{
+    Upstreams,
+    agreement::{COMPARE_INTERVAL_MS, Comparison, Digest},
+    store_reads::Step,
+};
 
 /// Timeout of an update request to a peer, and the time after which another peer is asked too, as
 /// in the gateway.
@@ -93,13 +98,61 @@
     }
 
     pub(super) fn receive_update(&mut self, vm: usize, asked_at: Millis, update: Option<Update>) {
+        let misses = self.misses_leavings(vm);
         let state = &mut self.vms[vm];
         if state.request_sent_at == Some(asked_at) {
             state.request_sent_at = None;
         }
-        if let Some(update) = update {
+        if let Some(mut update) = update {
+            if misses {
+                update.drop_leavings();
+            }
             state.view.apply_update(self.now, update);
             self.announce(vm);
         }
     }
+
+    /// Whether a VM misses what it is told of the upstreams that leave.
+    pub(super) fn misses_leavings(&self, vm: usize) -> bool {
+        let missing = |number: &usize| self.setup.faults[*number].kind == FaultKind::Missed;
+        self.affected.iter().any(|(number, vms)| missing(number) && vms.contains(&vm))
+    }
+
+    /// Sends a VM's digest to another one, chosen at random.
+    pub(super) fn compare(&mut self, vm: usize) {
+        self.schedule(self.now + COMPARE_INTERVAL_MS, Scheduled::Compare(vm));
+        let other = self.compare_rng.random_range(0..self.vms.len());
+        if other != vm {
+            self.send_digest(vm, other, false);
+        }
+    }
+
+    fn send_digest(&mut self, from: usize, to: usize, is_reply: bool) {
+        let digest = self.vms[from].view.digest();
+        let lost = self.compare_rng.random_bool(self.setup.loss);
+        if let Some((to, delay)) = self.delivery(from, address(to)).filter(|_| !lost) {
+            self.schedule(self.now + delay, Scheduled::Digest { to, from, digest, is_reply });
+        }
+    }
+
+    /// Compares another VM's digest, as the gateway does.
+    pub(super) fn receive_digest(
+        &mut self,
+        vm: usize,
+        from: usize,
+        digest: Digest,
+        is_reply: bool,
+    ) {
+        let state = &mut self.vms[vm];
+        let comparison = state.view.digest().compare(digest);
+        if state.reread.record(self.now, comparison) {
+            state.view.with_upstreams(Upstreams::mark_disputed);
+            let running = state.call.take();
+            self.waiting.retain(|w| Some(w.1) != running.map(|call| call.number));
+            self.call(vm, Step::List);
+        }
+        if comparison == Comparison::Different && !is_reply {
+            self.send_digest(vm, from, true);
+        }
+    }
 }
--- a/crates/tgw-bench/src/leaving/setup.rs
+++ b/crates/tgw-bench/src/leaving/setup.rs
@@ -19,6 +19,9 @@
     Outage,
     /// The store takes 200 ms longer for each answer.
     Slow,
+    /// These VMs miss what they are told of the upstreams that leave, whoever tells them, and count
+    /// as being as far as others that were told: an unknown mistake of their code.
+    Missed,
 }
 
 /// The VMs that a fault affects.
@@ -120,7 +123,7 @@
         Subject::Evacuations => Setup::evacuations(vms, seed),
     };
     let named = |name: &str, setup: Setup| (name.to_owned(), setup);
-    vec![
+    let mut setups = vec![
         named("nothing else", of()),
         named("no other news", Setup { rewrites: false, ..of() }),
         named("a fifth of the packets lost", Setup { loss: 0.2, ..of() }),
@@ -195,7 +198,13 @@
                 3_500,
             ),
         ),
-    ]
+    ];
+    // Evacuations are told as a whole list, of which nothing can be missed.
+    if subject == Subject::Upstreams {
+        let missed = of().with_fault(FaultKind::Missed, Target::Share(0.35), -100, 60_000);
+        setups.push(named("a third misses the news", missed));
+    }
+    setups
 }
 
 /// The store refuses the VMs that watch it for a moment that ends just before the upstreams leave.
--- a/crates/tgw-bench/src/leaving/simulation.rs
+++ b/crates/tgw-bench/src/leaving/simulation.rs
@@ -17,6 +17,7 @@
 use tgw_member::{Event, Member, Options, Packet, Record};
 use tgw_spread::{
     Schedule,
+    agreement::{Digest, Reread},
     store_reads::{ProbeResult, Reachability},
 };
 use tgw_topology::{
@@ -40,6 +41,8 @@
     Tick(usize),
     Packet { to: usize, from: SocketAddr, packet: Box<Packet> },
     Records { to: usize, records: Vec<Record> },
+    Compare(usize),
+    Digest { to: usize, from: usize, digest: Digest, is_reply: bool },
     Step(usize, u64),
     Probe(usize),
     Probed(usize, ProbeResult),
@@ -57,6 +60,9 @@
     RewriteEntry,
 }
 
+/// Gives comparisons their own random sequence.
+const COMPARE_SEED: u64 = 0x636f_6d70;
+
 /// The VMs, the store and the scheduled events.
 pub(super) struct Simulation {
     pub(super) setup: Setup,
@@ -74,6 +80,8 @@
     pub(super) calls: usize,
     pub(super) usable: f64,
     pub(super) rng: SmallRng,
+    /// Of its own for comparisons, so that they do not change what else is drawn.
+    pub(super) compare_rng: SmallRng,
 }
 
 /// Runs one setup.
@@ -128,6 +136,7 @@
             calls: 0,
             usable: 1.0,
             rng: SmallRng::seed_from_u64(setup.seed),
+            compare_rng: SmallRng::seed_from_u64(setup.seed ^ COMPARE_SEED),
             setup,
         };
         match simulation.setup.subject {
@@ -146,6 +155,7 @@
             simulation.schedule(jitter, Scheduled::Tick(number));
             simulation.schedule(jitter, Scheduled::Step(number, 0));
             simulation.schedule(SETTLE_MS + jitter, Scheduled::Probe(number));
+            simulation.schedule(SETTLE_MS + jitter, Scheduled::Compare(number));
         }
         simulation.schedule_changes();
         simulation
@@ -174,6 +184,7 @@
             view: View::new(self.setup.subject, &self.store),
             store_schedule: Schedule::new(self.rng.random(), self.setup.subject.timing()),
             reachability: Reachability::default(),
+            reread: Reread::default(),
             relay: None,
             call: None,
             steps: 0,
@@ -207,12 +218,13 @@
     /// the pause.
     fn handle(&mut self, event: Scheduled) {
         let to = match &event {
-            Scheduled::Tick(vm) | Scheduled::Step(vm, _) => Some(*vm),
+            Scheduled::Tick(vm) | Scheduled::Step(vm, _) | Scheduled::Compare(vm) => Some(*vm),
             Scheduled::Probe(vm) | Scheduled::Probed(vm, _) => Some(*vm),
             Scheduled::Listed(vm, ..) | Scheduled::Watched(vm, ..) | Scheduled::Failed(vm, _) => {
                 Some(*vm)
             }
             Scheduled::Packet { to, .. }
+            | Scheduled::Digest { to, .. }
             | Scheduled::Records { to, .. }
             | Scheduled::UpdateRequest { to, .. } => Some(*to),
             Scheduled::Update { to, .. } | Scheduled::UpdateTimeout { to, .. } => Some(*to),
@@ -232,6 +244,10 @@
             Scheduled::Packet { to, from, packet } => {
                 self.handle_member_event(to, Event::Packet(from, packet));
             }
+            Scheduled::Compare(vm) => self.compare(vm),
+            Scheduled::Digest { to, from, digest, is_reply } => {
+                self.receive_digest(to, from, digest, is_reply);
+            }
             Scheduled::Records { to, records } => {
                 self.handle_member_event(to, Event::Records(records));
             }
--- a/crates/tgw-bench/src/leaving/view.rs
+++ b/crates/tgw-bench/src/leaving/view.rs
@@ -7,7 +7,9 @@
 use tgw_clock::Millis;
 use tgw_forward::{Fleet, upstream::Entry};
 use tgw_spread::{
-    Delta, Evacuations, Upstreams, evacuations,
+    Delta, Evacuations, Upstreams,
+    agreement::Digest,
+    evacuations,
     store_reads::{ReadMode, WatchTiming},
     upstreams,
 };
@@ -20,6 +22,24 @@
     Evacuations(Evacuations),
 }
 
+/// Whether a name is that of an upstream that leaves.
+pub(crate) fn is_leaving(id: &str) -> bool {
+    (0..LEAVING_COUNT).any(|number| *name(number) == *id)
+}
+
+impl Update {
+    /// Leaves out what it says of the upstreams that leave; its version stays.
+    pub(crate) fn drop_leavings(&mut self) {
+        if let Self::Upstreams(update) = self {
+            // A whole list leaves nothing out that could be missed.
+            if update.delta.from.is_some() {
+                update.delta.changed.retain(|(id, ..)| !is_leaving(id));
+                update.delta.removed.retain(|(id, _)| !is_leaving(id));
+            }
+        }
+    }
+}
+
 /// An update from another VM.
 #[derive(Debug)]
 pub(crate) enum Update {
@@ -88,6 +108,14 @@
         }
     }
 
+    /// The digest of the list.
+    pub(crate) fn digest(&self) -> Digest {
+        match self {
+            Self::Upstreams(view) => view.0.digest(),
+            Self::Evacuations(view) => view.digest(),
+        }
+    }
+
     /// Reports the store's availability to the list of upstreams; a list of evacuations does not
     /// use it.
     pub(crate) fn with_upstreams(&mut self, kind: impl FnOnce(&mut Upstreams)) {
--- a/crates/tgw-bench/src/leaving/vm.rs
+++ b/crates/tgw-bench/src/leaving/vm.rs
@@ -4,6 +4,7 @@
 use tgw_member::{Event, Member};
 use tgw_spread::{
     Schedule,
+    agreement::Reread,
     store_reads::{Reachability, ReadRank, Step},
 };
 
@@ -23,6 +24,7 @@
     pub(crate) view: View,
     pub(crate) store_schedule: Schedule,
     pub(crate) reachability: Reachability,
+    pub(crate) reread: Reread,
     pub(crate) relay: Option<bool>,
     pub(crate) call: Option<Call>,
     /// Number of the last scheduled step; earlier ones are ignored.
