--- a/crates/tgw-node/src/lib.rs
+++ b/crates/tgw-node/src/lib.rs
@@ -17,6 +17,8 @@
 mod orders;
 /// Changes of ownership: catalog, directory, leaving upstreams.
 mod ownership;
+/// Messages from and to the cores of other VMs.
+mod peer_messages;
 
 pub use event::{Decision, Identity, IncomingOrder, Input, Observer, Options, Output, Placement};
 pub use message::Message;
--- a/crates/tgw-node/src/ownership.rs
+++ b/crates/tgw-node/src/ownership.rs
@@ -1,7 +1,6 @@
 use crate::{
     Decision, Message, Node, Output, Placement,
     groups::{Effect, TAKEOVER_SLOT_SHARE},
-    message::Completion,
 };
 use smallvec::SmallVec;
 use std::{collections::BTreeSet, sync::Arc};
@@ -162,25 +161,7 @@
                     let mut actions = Vec::new();
                     self.owner.hand_over(group, to, &mut actions);
                     for action in actions {
-                        if let owner::Action::Answer {
-                            key,
-                            outcome,
-                            snapshot_counts,
-                            extra_sends,
-                            queue_wait,
-                            load_ratio,
-                        } = action
-                        {
-                            let completion = Completion {
-                                key,
-                                outcome,
-                                snapshot_counts,
-                                extra_sends,
-                                queue_wait,
-                                load_ratio,
-                            };
-                            self.send_message(now, key.from, Message::Outcome(completion), out);
-                        }
+                        self.send_outcome(now, action, out);
                     }
                     self.log_placement(group, why, out);
                 }
