--- a/crates/tgw-dispatch/src/lib.rs
+++ b/crates/tgw-dispatch/src/lib.rs
@@ -15,6 +15,8 @@
 pub mod owner;
 /// Policies that choose an upstream for a leaf request.
 pub mod policy;
+/// What follows from the results of sends: health, retries, answers.
+mod results;
 /// Time-driven work of a group: deadlines, late requests, hedges.
 mod timeouts;
 /// State of a group as read by the policy, the entry VM and the log.
