fix(forward): limited requests continue at different shards

Cause: after an upstream has ended under it, a request continues with one part at a time, and all requests did so in the same order, part 0 first. A harmless search that had lost its first upstreams to the harmful one met it at each next upstream too, and each of the three rounds counted against both (i-3, i-33, i-15 within 41 ms by the logs).

Change: the order begins at a part that depends on the request's content. With n shards the two meet at a next shard with 1/n, and once they do not, the harmless one is answered and free.

Test: searches_that_are_limited_at_the_same_time_continue_at_different_shards; before, all four requests continued at shard 0 ([0, 0, 0, 0]). Left: two limited requests of one shard each still meet at the same upstream.

--- a/crates/tgw-forward/src/plan.rs
+++ b/crates/tgw-forward/src/plan.rs
@@ -196,7 +196,8 @@
             self.parts.iter_mut().for_each(|p| p.state = State::GivenUp);
             return;
         }
-        for index in 0..self.parts.len() {
+        for step in 0..self.parts.len() {
+            let index = self.limited_order(step);
             self.order_send(now, index, Trigger::First, core, out);
             self.give_up_or_defer(now, index, core);
         }
--- a/crates/tgw-forward/src/quarantine.rs
+++ b/crates/tgw-forward/src/quarantine.rs
@@ -129,15 +129,27 @@
         }
     }
 
+    /// The index of the part with which a limited request continues after `step` others.
+    ///
+    /// The order differs from request to request. If a harmless search and one that terminates
+    /// upstreams continued in the same order, each upstream that the harmful one terminates would
+    /// terminate under both, and count against both.
+    pub(crate) fn limited_order(&self, step: usize) -> usize {
+        let parts = self.parts.len().max(1) as u64;
+        ((self.fingerprint.content % parts) as usize + step) % parts as usize
+    }
+
     /// The delayed part with the fewest sends, unless a send in flight has to end first: the
     /// outcome at another service says more about the request.
     fn next_delayed(&self, core: &Core) -> Option<(usize, Trigger)> {
         if self.is_limited(core) && self.parts.iter().any(|p| p.in_flight > 0) {
             return None;
         }
-        let waiting = self.parts.iter().enumerate().filter(|(_, p)| p.waiting());
+        let order = (0..self.parts.len()).map(|step| self.limited_order(step));
+        let waiting = order.map(|i| (i, &self.parts[i])).filter(|(_, part)| part.waiting());
         let delayed = |(index, part): (usize, &Part)| Some((part.sends, index, part.delayed?));
-        let next = waiting.filter_map(delayed).min_by_key(|(sends, index, _)| (*sends, *index))?;
+        // Of equal ones, `min_by_key` returns the first.
+        let next = waiting.filter_map(delayed).min_by_key(|(sends, ..)| *sends)?;
         Some((next.1, next.2))
     }
 }
--- a/crates/tgw-forward/tests/quarantine/mod.rs
+++ b/crates/tgw-forward/tests/quarantine/mod.rs
@@ -80,6 +80,24 @@
     assert!(matches!(world.reply(7, &record(4)), Some(Answer::Merged { missing: 0, .. })));
 }
 
+// A search that terminates upstreams and a harmless one run at the same time, and the first upstreams terminate under
+// both. If both then continued at the same upstreams, those would count against the harmless one as well, and it would
+// be quarantined.
+#[test]
+fn searches_that_are_limited_at_the_same_time_continue_at_different_shards() {
+    let next_part = |content: u64| {
+        let mut world = World::new(4);
+        world.fingerprint.content = content;
+        world.start(&route(shards(4), Safety::Idempotent));
+        for index in 0..4 {
+            terminate(&mut world, index);
+        }
+        world.orders[4].part
+    };
+    let parts: Vec<usize> = (0..4).map(next_part).collect();
+    assert!((0..4).all(|part| parts.contains(&part)), "{parts:?}");
+}
+
 // One upstream terminates under a search, the others answer it. Its retry waits only for the first
 // answer.
 #[test]
