--- a/crates/tgw-route/src/lib.rs
+++ b/crates/tgw-route/src/lib.rs
@@ -5,14 +5,12 @@
 
 /// One version of the configuration: routes, services and limits.
 pub mod config;
-/// The regions in which requests may be served.
-mod residency;
 /// Smooth weighted round robin over services.
 mod round_robin;
 /// Route lookup by host and path.
 mod table;
 
 pub use config::{Config, Limits, Route, Safety, Service, Target, Warmup};
-pub use residency::Residency;
 pub use round_robin::RoundRobin;
 pub use table::Table;
+pub use tgw_topology::Residency;
--- a/crates/tgw-topology/src/lib.rs
+++ b/crates/tgw-topology/src/lib.rs
@@ -9,7 +9,10 @@
 mod id;
 /// Regions and failure domains.
 pub mod place;
+/// The regions in which requests may be served.
+mod residency;
 
 pub use catalog::Catalog;
 pub use id::{Group, Layout, Order, Query, Service, Shard, Snapshot, Upstream, Vm};
 pub use place::Place;
+pub use residency::Residency;
