feat(gateway): requests are made for tenants, by API keys and within limits

No code knew a tenant.

Change: the adapter decodes tenants and the key of a request; the gateway removes the key and whatever the caller says of a tenant, and tells upstreams the tenant's name. Tenants travel as differences. A key that a VM does not know is refused once a VM that reads the store has no newer configuration, and as unverified (503) where nobody can tell. A key that is revoked withdraws its requests before each write, also at a VM that writes for another. A request within a limit is admitted by the holder of its region; its token is returned where it never ran.

--- a/crates/tgw-bench/src/forward.rs
+++ b/crates/tgw-bench/src/forward.rs
@@ -68,6 +68,7 @@
         max_attempts: 2,
         priority: 1,
         residency: Residency::default(),
+        anonymous: false,
     })
 }
 
@@ -185,6 +186,7 @@
         body: Vec::new(),
         fingerprint: Fingerprint { content: 0x9c41_d07b_e2a3_5f68, caller: 0x9c41_d07b },
         rounds: Rounds::default(),
+        principal: None,
     }));
     let outcome = Outcome::Answered {
         status: 200,
--- a/crates/tgw-bench/src/overload/vms.rs
+++ b/crates/tgw-bench/src/overload/vms.rs
@@ -77,6 +77,7 @@
             max_attempts: 2,
             priority: 1,
             residency: Residency::default(),
+            anonymous: false,
         })
     };
     [route("full", 200, 1_000, 0.89), route("urgent", 100, 600, 0.75)]
--- a/crates/tgw-forward/tests/world/mod.rs
+++ b/crates/tgw-forward/tests/world/mod.rs
@@ -51,6 +51,7 @@
         max_attempts: 2,
         priority: 1,
         residency: Residency::default(),
+        anonymous: false,
     })
 }
 
--- /dev/null
+++ b/crates/tgw-gateway/src/authentication.rs
@@ -0,0 +1,150 @@
+use crate::{peers::Peers, shared::Shared};
+use http::{HeaderMap, HeaderValue, header};
+use smallvec::SmallVec;
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+use tgw_clock::Millis;
+use tgw_route::Route;
+use tgw_spread::{
+    message::{Datagram, Versions},
+    start::PeerState,
+};
+use tgw_tenant::{ApiKey, Principal, Tenant};
+use tokio::{
+    sync::Notify,
+    time::{Instant, timeout_at},
+};
+
+/// VMs that are asked for the version of their configuration: the one that reads the store in this region, and
+/// two of other regions, as that one may just have ended.
+const ASKED_VMS: usize = 3;
+/// Time allowed for their answers, and for the newer configuration that one of them may have.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time for which a check holds: callers with unknown keys must not make this VM ask others for each request.
+const CHECK_VALIDITY_MS: Millis = Millis::new(250);
+
+/// Why a request is not accepted.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Error {
+    /// No tenant holds the key, or the request presents none.
+    UnknownKey,
+    /// This VM does not know the key, and cannot tell whether a newer configuration names it.
+    Unverified,
+}
+
+/// Who a request is made for, with what its tenant's settings say.
+#[derive(Clone, Debug)]
+pub(crate) struct Identity {
+    pub(crate) principal: Principal,
+    pub(crate) tenant: Rc<Tenant>,
+}
+
+/// What this VM knows about other VMs' versions of the configuration.
+#[derive(Debug, Default)]
+pub(crate) struct Freshness {
+    asked_at: Cell<Option<Millis>>,
+    /// When a VM that reads the store last had no newer configuration.
+    confirmed_at: Cell<Option<Millis>>,
+    /// Notified of each answer and each new configuration.
+    changed: Notify,
+    /// The VMs that read the store, that of this region first.
+    store_readers: RefCell<SmallVec<[SocketAddr; 8]>>,
+}
+
+impl Freshness {
+    pub(crate) fn config_changed(&self) {
+        self.changed.notify_waiters();
+    }
+
+    pub(crate) fn set_store_readers(&self, readers: SmallVec<[SocketAddr; 8]>) {
+        self.store_readers.replace(readers);
+    }
+
+    fn is_confirmed(&self, now: Millis) -> bool {
+        self.confirmed_at.get().is_some_and(|at| now - at <= CHECK_VALIDITY_MS)
+    }
+}
+
+/// Finds who a request is made for; `None` if it needs no API key. The key is removed from its headers.
+///
+/// A key that has just been added is not refused where another VM knows it: before it refuses a key, this VM
+/// makes sure that its configuration is the newest.
+pub(crate) async fn authenticate(
+    shared: &Shared,
+    route: &Route,
+    headers: &mut HeaderMap,
+) -> Result<Option<Identity>, Error> {
+    let key = shared.codec.api_key(headers);
+    let has_tenants = shared.config.borrow().tenants.is_some();
+    if has_tenants || key.is_some() {
+        headers.remove(header::AUTHORIZATION);
+    }
+    // Callers cannot speak for a tenant, whatever the deployment.
+    headers.remove(&shared.codec.headers().tenant);
+    if !has_tenants || route.anonymous {
+        return Ok(None);
+    }
+    let key = key.ok_or(Error::UnknownKey)?;
+    let identity = match find(shared, key) {
+        Some(identity) => identity,
+        None => find_in_newest(shared, key).await?,
+    };
+    let name = HeaderValue::from_str(&identity.tenant.name).map_err(|_| Error::UnknownKey)?;
+    headers.insert(shared.codec.headers().tenant.clone(), name);
+    Ok(Some(identity))
+}
+
+fn find(shared: &Shared, key: ApiKey) -> Option<Identity> {
+    let config = shared.config.borrow();
+    let tenants = config.tenants.as_ref()?;
+    let principal = tenants.principal(key)?;
+    Some(Identity { principal, tenant: tenants.find(key)?.clone() })
+}
+
+async fn find_in_newest(shared: &Shared, key: ApiKey) -> Result<Identity, Error> {
+    let deadline = Instant::now() + CHECK_TIMEOUT;
+    loop {
+        let changed = shared.freshness.changed.notified();
+        if let Some(identity) = find(shared, key) {
+            return Ok(identity);
+        }
+        let now = shared.now();
+        if shared.store_reads.config.get() || shared.freshness.is_confirmed(now) {
+            return Err(Error::UnknownKey);
+        }
+        ask_others(shared, now);
+        if timeout_at(deadline, changed).await.is_err() {
+            return find(shared, key).ok_or(Error::Unverified);
+        }
+    }
+}
+
+/// Asks the VMs that read the store for their versions.
+fn ask_others(shared: &Shared, now: Millis) {
+    let Freshness { asked_at, store_readers, .. } = &shared.freshness;
+    if asked_at.get().is_some_and(|at| now - at < CHECK_VALIDITY_MS) {
+        return;
+    }
+    asked_at.set(Some(now));
+    for to in store_readers.borrow().iter().take(ASKED_VMS) {
+        shared.packets.send(*to, &Datagram::VersionQuery);
+    }
+}
+
+impl Peers {
+    /// Takes another VM's answer to the question for its versions.
+    pub(crate) fn on_version(self: &Rc<Self>, from: SocketAddr, state: PeerState) {
+        let own = self.versions();
+        if state.config > own.config {
+            self.request_state(from, Versions { config: state.config, ..own });
+        } else if state.reads_store {
+            let freshness = &self.shared.freshness;
+            freshness.confirmed_at.set(Some(self.shared.now()));
+            freshness.changed.notify_waiters();
+        }
+    }
+}
--- a/crates/tgw-gateway/src/codec.rs
+++ b/crates/tgw-gateway/src/codec.rs
@@ -1,10 +1,11 @@
 //! Interface to the platform adapter, which translates the platform's names and documents.
 
-use http::{HeaderName, HeaderValue};
+use http::{HeaderMap, HeaderName, HeaderValue};
 use serde_json::Value;
 use std::fmt;
 use tgw_forward::{load::Load, upstream::Entry};
 use tgw_route::Config;
+use tgw_tenant::ApiKey;
 
 /// Names of the headers exchanged with callers and upstreams.
 #[derive(Clone, Debug)]
@@ -21,6 +22,8 @@
     pub load: HeaderName,
     /// Present if the upstream states that it did not run the request.
     pub not_executed: HeaderName,
+    /// The tenant that a request is made for; set by this product only.
+    pub tenant: HeaderName,
     /// The signatures of the parts that an answer was merged from.
     pub part_signatures: HeaderName,
     /// The number of shards missing from an answer.
@@ -74,6 +77,8 @@
     fn kinds(&self) -> &Kinds;
     /// The path on which the balancer checks readiness.
     fn ready_path(&self) -> &str;
+    /// The API key that a request presents; `None` if it presents none, or anything else.
+    fn api_key(&self, headers: &HeaderMap) -> Option<ApiKey>;
     /// Decodes the load that an upstream reports; `None` if the value is not a load.
     fn decode_load(&self, value: &HeaderValue) -> Option<Load>;
     /// Decodes a configuration. Errors: the configuration has no version or no routes.
--- a/crates/tgw-gateway/src/exchange.rs
+++ b/crates/tgw-gateway/src/exchange.rs
@@ -19,6 +19,7 @@
 };
 use tgw_quarantine::{Fingerprint, message::Rounds};
 use tgw_route::Route;
+use tgw_tenant::Principal;
 use tokio::time::timeout;
 
 /// Largest reply that is buffered; parts of an answer are a few kilobytes.
@@ -38,6 +39,8 @@
     /// The route at the time the request arrived; `None` if another VM sent the request and this VM
     /// has no route for it.
     pub(crate) route: Option<Rc<Route>>,
+    /// Who it is made for; `None` if it needed no API key.
+    pub(crate) principal: Option<Principal>,
     pub(crate) deadline: Millis,
 }
 
@@ -187,9 +190,12 @@
             }
             return Err(Failure::ConnectionLimit);
         }
-        // Connecting may take seconds. Meanwhile the upstream may have left or become cold, or the
-        // request's home regions may have changed, so the permission to send is checked again. As
-        // nothing was sent, the request can still go to another upstream.
+        // Connecting may take seconds. Meanwhile the upstream may have left or become cold, the
+        // request's home regions may have changed or its API key been revoked, so the permission to
+        // send is checked again. As nothing was sent, the request can still go to another upstream.
+        if !shared.permits(request.principal.as_ref()) {
+            return Err(Failure::Disallowed);
+        }
         if !shared.core.borrow_mut().authorize_write(
             shared.now(),
             request.route.as_deref(),
--- a/crates/tgw-gateway/src/handle.rs
+++ b/crates/tgw-gateway/src/handle.rs
@@ -1,4 +1,6 @@
 use crate::{
+    admission::{self, Admitted, Refusal as LimitRefusal},
+    authentication::{self, Identity},
     exchange::{self, OutgoingRequest},
     headers,
     memory::Reservation,
@@ -18,6 +20,7 @@
 };
 use tgw_quarantine::fingerprint::Content;
 use tgw_route::Route;
+use tgw_tenant::Tenant;
 use tokio::{
     sync::mpsc::{self, UnboundedReceiver, UnboundedSender},
     task::AbortHandle,
@@ -72,6 +75,8 @@
     arrived: Millis,
     caller_timeout: Option<Millis>,
     outgoing: OutgoingRequest,
+    /// The token of its tenant's limit; `None` without a limit.
+    admitted: Option<Admitted>,
 }
 
 type Refusal = Box<Response<Full<Bytes>>>;
@@ -79,12 +84,12 @@
 /// Finds the route of a caller's request and reads its body, before anything is sent to an upstream.
 /// Errors: the response that refuses the request.
 async fn accept(
-    shared: &Shared,
+    shared: &Rc<Shared>,
     request: Request<Incoming>,
     caller: u32,
 ) -> Result<Accepted, Refusal> {
     let arrived = shared.now();
-    let (head, body) = request.into_parts();
+    let (mut head, body) = request.into_parts();
     let names = shared.codec.headers();
     let host = headers::host(&head.uri, &head.headers);
     let (route, version) = {
@@ -117,6 +122,13 @@
         telemetry::request_unread(shared, arrived, None, "no identity");
         return Err(refuse(StatusCode::BAD_REQUEST, None));
     };
+    let credentials = head.headers.get(header::AUTHORIZATION).cloned();
+    let authenticated = authentication::authenticate(shared, &route, &mut head.headers).await;
+    let tenant = authenticated.map_err(|error| {
+        telemetry::request_unauthenticated(shared, arrived, identity.to_str().ok(), error, version);
+        refuse_unauthenticated(error)
+    })?;
+    let route = restrict(route, tenant.as_ref().map(|t| &*t.tenant));
     let caller_timeout =
         header_text(&head.headers, &names.deadline).and_then(|t| t.parse().ok()).map(Millis::new);
     let time_limit = caller_timeout.unwrap_or(route.timeout);
@@ -126,14 +138,16 @@
     })?;
     let content = Content {
         method: head.method.as_str(),
-        host: host.unwrap_or_default(),
+        host: headers::host(&head.uri, &head.headers).unwrap_or_default(),
         target: head.uri.path_and_query().map_or("", |target| target.as_str()),
-        credentials: head.headers.get(header::AUTHORIZATION).map_or(&[], HeaderValue::as_bytes),
+        credentials: credentials.as_ref().map_or(&[], HeaderValue::as_bytes),
         body: &body,
     };
     let fingerprint = shared.hasher.fingerprint(caller, &content);
     let mut headers = head.headers;
     headers::strip(&mut headers);
+    let admitted = admit(shared, tenant.as_ref(), arrived, &identity).await?;
+    let principal = tenant.map(|t| t.principal);
     let outgoing = OutgoingRequest {
         method: head.method,
         uri: head.uri,
@@ -143,9 +157,47 @@
         identity,
         fingerprint,
         route: Some(route.clone()),
+        principal,
         deadline: Millis::ZERO,
     };
-    Ok(Accepted { route, version, arrived, caller_timeout, outgoing })
+    Ok(Accepted { route, version, arrived, caller_timeout, outgoing, admitted })
+}
+
+fn refuse_unauthenticated(error: authentication::Error) -> Refusal {
+    match error {
+        authentication::Error::UnknownKey => refuse(StatusCode::UNAUTHORIZED, None),
+        authentication::Error::Unverified => {
+            refuse(StatusCode::SERVICE_UNAVAILABLE, Some(UNCONFIGURED_RETRY_MS))
+        }
+    }
+}
+
+/// The route with the tenant's restrictions on regions.
+pub(crate) fn restrict(route: Rc<Route>, tenant: Option<&Tenant>) -> Rc<Route> {
+    match tenant.filter(|tenant| !tenant.residency.is_unrestricted()) {
+        Some(tenant) => {
+            let residency = route.residency.and(&tenant.residency);
+            Rc::new(Route { residency, ..(*route).clone() })
+        }
+        None => route,
+    }
+}
+
+/// Admits a request within its tenant's limit. Errors: the response that refuses it.
+async fn admit(
+    shared: &Rc<Shared>,
+    identity: Option<&Identity>,
+    arrived: Millis,
+    request: &HeaderValue,
+) -> Result<Option<Admitted>, Refusal> {
+    let Some(Identity { tenant, .. }) = identity else { return Ok(None) };
+    admission::admit(shared, tenant).await.map_err(|refusal| {
+        telemetry::request_not_admitted(shared, arrived, request, &tenant.name, refusal);
+        match refusal {
+            LimitRefusal::OverLimit(after) => refuse(StatusCode::TOO_MANY_REQUESTS, Some(after)),
+            LimitRefusal::Undecided(after) => refuse(StatusCode::SERVICE_UNAVAILABLE, Some(after)),
+        }
+    })
 }
 
 /// A buffered body and the memory reserved for it.
@@ -276,7 +328,7 @@
     accepted: Accepted,
     first_on_connection: bool,
 ) -> Response<Full<Bytes>> {
-    let Accepted { route, version, arrived, caller_timeout, mut outgoing } = accepted;
+    let Accepted { route, version, arrived, caller_timeout, mut outgoing, admitted } = accepted;
     let spread = shared.next_number();
     let fingerprint = outgoing.fingerprint;
     let options = plan::Options {
@@ -322,6 +374,14 @@
         quarantine::trial_answered(shared, fingerprint);
     }
     telemetry::request_answered(shared, &outgoing, &route, version, &plan, &answer);
+    if matches!(answer, Answer::Refused { .. }) {
+        if let Some(admitted) = admitted {
+            admitted.give_back();
+        }
+        if !shared.permits(outgoing.principal.as_ref()) {
+            return *refuse(StatusCode::UNAUTHORIZED, None);
+        }
+    }
     respond(shared, answer)
 }
 
--- a/crates/tgw-gateway/src/hop.rs
+++ b/crates/tgw-gateway/src/hop.rs
@@ -1,5 +1,6 @@
 use crate::{
     exchange::{self, ActiveSend, OutgoingRequest},
+    handle,
     packets::MAX_PACKET_BYTES,
     shared::Shared,
 };
@@ -216,6 +217,7 @@
         body: request.body.to_vec(),
         fingerprint: request.fingerprint,
         rounds: send.seen,
+        principal: request.principal.clone(),
     })
 }
 
@@ -337,7 +339,13 @@
     }
     let identity = headers.get(&shared.codec.headers().request_id)?.clone();
     let uri: Uri = request.uri.parse().ok()?;
-    let route = shared.config.borrow().route(&uri, &headers).cloned();
+    let route = {
+        let config = shared.config.borrow();
+        let principal = request.principal.as_ref().zip(config.tenants.as_ref());
+        let tenant = principal.and_then(|(p, tenants)| tenants.tenant(&p.tenant));
+        let route = config.route(&uri, &headers).cloned();
+        route.map(|route| handle::restrict(route, tenant.map(|t| &**t)))
+    };
     Some(OutgoingRequest {
         method: request.method.parse().ok()?,
         uri,
@@ -347,6 +355,7 @@
         identity,
         fingerprint: request.fingerprint,
         route,
+        principal: request.principal,
         deadline: shared.now() + Millis::new(request.time_left_ms),
     })
 }
--- a/crates/tgw-gateway/src/lib.rs
+++ b/crates/tgw-gateway/src/lib.rs
@@ -5,8 +5,12 @@
 //! threads. The platform's names and protocols are hidden behind [`Codec`] and
 //! [`tgw_platform::Store`].
 
+/// Admission of requests within the limits of their tenants.
+mod admission;
 /// Comparison of this VM's lists with those of other VMs.
 mod agreement;
+/// Who a request is made for.
+mod authentication;
 /// Sends whose connection broke, and whether their upstream has ended.
 mod broken;
 /// Connections from callers.
--- a/crates/tgw-gateway/src/peers.rs
+++ b/crates/tgw-gateway/src/peers.rs
@@ -1,4 +1,5 @@
 use crate::{
+    admission,
     hop::{self, Hosts},
     packets::MAX_PACKET_BYTES,
     quarantine::{self, Schedule},
@@ -27,6 +28,7 @@
     message::{self, Datagram, Versions},
     start::{self, PeerState},
 };
+use tgw_tenant::limit::ranking as limit;
 use tgw_topology::Vm;
 use tgw_wire::Error;
 use tokio::{
@@ -153,6 +155,7 @@
                     self.forward_updates();
                     self.send_quarantine_round();
                     self.compare_lists();
+                    self.shared.admission.tick(self.shared.now());
                 }
             }
             self.recount_if_due();
@@ -253,7 +256,9 @@
                 quarantine::apply_update(&self.shared, from, &update);
             }
             Ok(Datagram::Digests { digests, is_reply }) => self.on_digests(from, digests, is_reply),
+            Ok(Datagram::Limit(message)) => admission::on_message(&self.shared, from, message),
             Ok(Datagram::VersionReply(state)) => {
+                self.on_version(from, state);
                 self.on_start_event(start::Event::VersionReply(from, state));
             }
             Err(error) => tracing::debug!(%error, %from, "packet refused"),
@@ -333,6 +338,7 @@
         let directory = self.member.borrow().directory();
         self.shared.peers_without_store.set(self.member.borrow().platform_unreachable_count());
         self.update_hosts(&directory);
+        self.update_admission(&directory);
         let own = Vm::from_name(&self.shared.settings.vm);
         let own_region = directory.members.get(&own).map(|m| m.place.region);
         let all = directory.owners().count();
@@ -386,6 +392,24 @@
         Candidates::new(Vm::from_name(&self.shared.settings.vm).0, domains)
     }
 
+    /// Updates the VMs that admit tenants' requests and those that read the store.
+    fn update_admission(&self, directory: &Directory) {
+        let own = Vm::from_name(&self.shared.settings.vm);
+        let own_region = self.shared.settings.peer.place.region;
+        let mut regions: BTreeMap<u8, Vec<limit::Candidate>> = BTreeMap::new();
+        for (vm, entry) in &directory.members {
+            if entry.state != State::Leaving {
+                let alive = entry.state != State::Dead;
+                let candidate = limit::Candidate { vm: vm.0, addr: entry.addr, alive };
+                regions.entry(entry.place.region.0).or_default().push(candidate);
+            }
+        }
+        let region = regions.remove(&own_region.0).unwrap_or_default();
+        self.shared.admission.set_vms(self.shared.now(), own.0, region, regions);
+        let readers = self.member.borrow().platform_watchers();
+        self.shared.freshness.set_store_readers(readers);
+    }
+
     /// Updates the addresses of the live VMs of other regions.
     fn update_hosts(&self, directory: &Directory) {
         let place = &self.shared.settings.place;
--- a/crates/tgw-gateway/src/serve.rs
+++ b/crates/tgw-gateway/src/serve.rs
@@ -135,6 +135,7 @@
         self.peers.add_seeds(settings.peer.seeds.clone());
         self.shared.core.borrow_mut().set_budget(settings.retry_budget);
         self.shared.core.borrow_mut().set_headroom(settings.warmup_headroom);
+        self.shared.admission.set_terms(settings.limit_terms);
         self.grace_period = settings.grace_period;
     }
 
--- a/crates/tgw-gateway/src/settings.rs
+++ b/crates/tgw-gateway/src/settings.rs
@@ -2,6 +2,7 @@
 use tgw_clock::Millis;
 use tgw_forward::{core::Budget, fleet::Place, warmup::Headroom};
 use tgw_spread::start::Timeouts;
+use tgw_tenant::limit::Terms;
 use tgw_topology::Place as Numbered;
 
 /// Settings of one gateway process.
@@ -19,6 +20,8 @@
     pub retry_budget: Budget,
     /// Headroom for cold upstreams beyond what they declare, of all VMs together.
     pub warmup_headroom: Headroom,
+    /// How the limits of tenants are measured.
+    pub limit_terms: Terms,
     /// Memory budget for buffered bodies, in bytes.
     pub body_memory_bytes: usize,
     /// The whole fleet is starting for the first time.
--- a/crates/tgw-gateway/src/shared.rs
+++ b/crates/tgw-gateway/src/shared.rs
@@ -1,7 +1,7 @@
 use crate::{
-    Codec, Settings, agreement::Agreement, broken::Sends, headers, hop::Hops, log::DropCounter,
-    log_limiter::Limiter, memory::Budget, metrics::Metrics, packets::Packets, pool::Pools,
-    request_heads::RequestHeads,
+    Codec, Settings, admission::Admission, agreement::Agreement, authentication::Freshness,
+    broken::Sends, headers, hop::Hops, log::DropCounter, log_limiter::Limiter, memory::Budget,
+    metrics::Metrics, packets::Packets, pool::Pools, request_heads::RequestHeads,
 };
 use http::{HeaderMap, Uri};
 use std::{
@@ -18,6 +18,7 @@
     start::{self, Event},
     store_reads::Reachability,
 };
+use tgw_tenant::{Directory, Principal};
 use tokio::sync::{Notify, watch};
 
 /// Phase of the process from start to shutdown.
@@ -57,6 +58,8 @@
     pub(crate) version: Option<u64>,
     pub(crate) table: Table,
     pub(crate) limits: Limits,
+    /// The tenants; `None` where requests need no API key.
+    pub(crate) tenants: Option<Directory>,
     /// Time at which the configuration came into force.
     pub(crate) since: Millis,
 }
@@ -98,6 +101,10 @@
     pub(crate) start: RefCell<Bootstrap>,
     /// What this VM currently reads from the store.
     pub(crate) store_reads: StoreReads,
+    /// Whether this VM's configuration is the newest.
+    pub(crate) freshness: Freshness,
+    /// Admission of tenants' requests.
+    pub(crate) admission: Admission,
     /// Comparison of this VM's lists with those of other VMs.
     pub(crate) agreement: Agreement,
     /// Whether this VM can reach the store.
@@ -137,6 +144,7 @@
                 rng_seed: rand::random(),
             },
         );
+        let admission = Admission::new(settings.limit_terms);
         let world = ReplicatedState::new(settings.heartbeat_interval);
         let mut core = Core::new(settings.place.clone(), settings.retry_budget, policy);
         core.set_headroom(settings.warmup_headroom);
@@ -160,6 +168,8 @@
             relay: watch::Sender::new(None),
             start: RefCell::new(start),
             store_reads: StoreReads::default(),
+            freshness: Freshness::default(),
+            admission,
             agreement: Agreement::default(),
             reachability: RefCell::default(),
             peers_without_store: Cell::new(0),
@@ -213,6 +223,7 @@
             before = active.version,
             routes = config.routes.len(),
             services = config.services.len(),
+            tenants = config.tenants.as_ref().map(Vec::len),
             source,
             "configuration in force"
         );
@@ -221,8 +232,10 @@
             version: Some(config.version),
             table: Table::new(config),
             limits: config.limits,
+            tenants: config.tenants.as_ref().map(|t| Directory::new(config.version, t)),
             since: self.now(),
         };
+        self.freshness.config_changed();
         self.update_ready.notify_one();
     }
 
@@ -243,6 +256,13 @@
         self.update_ready.notify_one();
     }
 
+    /// Whether a request that was accepted for a principal may still be sent.
+    pub(crate) fn permits(&self, principal: Option<&Principal>) -> bool {
+        let config = self.config.borrow();
+        let permits = |principal| config.tenants.as_ref().is_none_or(|t| t.permits(principal));
+        principal.is_none_or(permits)
+    }
+
     /// Queues reports on late or slow upstreams for other VMs.
     pub(crate) fn queue_reports(&self, now: Millis, keys: &[Key]) {
         let mut core = self.core.borrow_mut();
@@ -282,6 +302,7 @@
         set(&gauges.lines_left_out, self.log_limiter.left_out());
         set(&gauges.lines_dropped, self.dropped_lines.as_ref().map_or(0, DropCounter::count));
         set(&gauges.free_memory_bytes, self.memory.free_bytes() as u64);
+        set(&gauges.limit_accounts, self.admission.accounts() as u64);
         set(&gauges.hosted, self.hops.hosted() as u64);
         let (quarantined, suspected) = core.quarantine.counts();
         set(&gauges.quarantined, quarantined as u64);
--- a/crates/tgw-gateway/src/telemetry.rs
+++ b/crates/tgw-gateway/src/telemetry.rs
@@ -2,11 +2,14 @@
 //! the inputs were.
 
 use crate::{
+    admission::Refusal,
+    authentication,
     broken::BrokenSend,
     exchange::{ActiveSend, OutgoingRequest},
     log_limiter::Category,
     shared::Shared,
 };
+use http::HeaderValue;
 use tgw_clock::Millis;
 use tgw_forward::{
     Plan,
@@ -224,6 +227,7 @@
     tracing::info!(
         request = identity(request),
         print = %request.fingerprint,
+        tenant = request.principal.as_ref().map(|p| &*p.tenant),
         route = &*route.name,
         safety = %route.safety,
         config = version,
@@ -292,6 +296,57 @@
     }
 }
 
+/// Counts and logs a request that is refused for its API key, which is not logged.
+pub(crate) fn request_unauthenticated(
+    shared: &Shared,
+    now: Millis,
+    request: Option<&str>,
+    error: authentication::Error,
+    version: u64,
+) {
+    let cause = match error {
+        authentication::Error::UnknownKey => "unknown API key",
+        authentication::Error::Unverified => "API key cannot be verified",
+    };
+    shared.metrics.count_request("", "refused", cause, Millis::ZERO);
+    if shared.log_limiter.allows(now, Category::Outcome) {
+        let since = shared.config.borrow().since;
+        tracing::info!(
+            request,
+            config = version,
+            config_age_ms = (now - since).as_whole_ms(),
+            outcome = "refused",
+            cause,
+            "request"
+        );
+    }
+}
+
+/// Counts and logs a request that is not admitted within its tenant's limit.
+pub(crate) fn request_not_admitted(
+    shared: &Shared,
+    now: Millis,
+    request: &HeaderValue,
+    tenant: &str,
+    refusal: Refusal,
+) {
+    let (cause, retry_after) = match refusal {
+        Refusal::OverLimit(after) => ("over its tenant's limit", after),
+        Refusal::Undecided(after) => ("tenant's limit undecided", after),
+    };
+    shared.metrics.count_request("", "refused", cause, Millis::ZERO);
+    if shared.log_limiter.allows(now, Category::Outcome) {
+        tracing::info!(
+            request = request.to_str().unwrap_or_default(),
+            tenant,
+            outcome = "refused",
+            cause,
+            retry_ms = retry_after.as_whole_ms(),
+            "request"
+        );
+    }
+}
+
 /// Counts and logs a request whose caller left before the answer, which cancels its sends.
 pub(crate) fn request_abandoned(shared: &Shared, request: &OutgoingRequest, sends: usize) {
     let now = shared.now();
--- a/crates/tgw-member/src/cross_domain.rs
+++ b/crates/tgw-member/src/cross_domain.rs
@@ -8,10 +8,16 @@
     seq::{IteratorRandom, SliceRandom},
 };
 use smallvec::SmallVec;
-use std::collections::BTreeSet;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 use tgw_clock::Millis;
 use tgw_owner::State;
-use tgw_topology::{Vm, place::Domain};
+use tgw_topology::{
+    Place, Vm,
+    place::{Domain, Region},
+};
 
 impl Member {
     /// Whether this VM is a relay: it keeps contact with other domains and watches the platform for
@@ -44,6 +50,22 @@
         })
     }
 
+    /// The VMs that watch the platform, one of each region, that of this region first.
+    pub fn platform_watchers(&self) -> SmallVec<[SocketAddr; 8]> {
+        let mut regions: BTreeMap<Region, Domain> = BTreeMap::new();
+        for record in self.records.values().filter(|r| r.member.state.can_own()) {
+            if !record.member.platform_unreachable {
+                let Place { region, domain } = record.member.place;
+                let first = regions.entry(region).or_insert(domain);
+                *first = (*first).min(domain);
+            }
+        }
+        let own = regions.remove(&self.options.place.region);
+        let first_relays = own.into_iter().chain(regions.into_values());
+        let watchers = first_relays.filter_map(|domain| self.relays(domain).first().copied());
+        watchers.filter_map(|vm| self.addr(vm)).collect()
+    }
+
     /// The number of VMs of this domain that cannot reach the platform.
     pub fn platform_unreachable_count(&self) -> usize {
         let local = self.records.values().filter(|r| r.member.place.domain == self.own_domain());
--- a/crates/tgw-route/src/config.rs
+++ b/crates/tgw-route/src/config.rs
@@ -1,10 +1,11 @@
 //! One version of the operators' configuration.
 
-use crate::Residency;
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeMap, rc::Rc};
 use tgw_clock::Millis;
+use tgw_tenant::Tenant;
+use tgw_topology::Residency;
 
 /// One version of the operators' configuration.
 #[derive(Clone, Debug, Default)]
@@ -17,6 +18,8 @@
     pub services: BTreeMap<Rc<str>, Service>,
     /// Limits on callers' requests and connections.
     pub limits: Limits,
+    /// The tenants; `None` where requests need no API key.
+    pub tenants: Option<Vec<Rc<Tenant>>>,
 }
 
 /// The target of matching requests and the rules for sending them.
@@ -44,6 +47,8 @@
     pub priority: u32,
     /// The regions in which its requests may be served.
     pub residency: Residency,
+    /// Whether requests need no API key even if there are tenants.
+    pub anonymous: bool,
 }
 
 /// Whether a request may run more than once.
--- a/crates/tgw-route/tests/route.rs
+++ b/crates/tgw-route/tests/route.rs
@@ -19,6 +19,7 @@
         max_attempts: 2,
         priority: 1,
         residency: Residency::default(),
+        anonymous: false,
     })
 }
 
--- a/crates/tgw-spread/src/hop.rs
+++ b/crates/tgw-spread/src/hop.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use tgw_forward::load::Load;
 use tgw_quarantine::{Fingerprint, message::Rounds};
+use tgw_tenant::Principal;
 
 /// Asks a VM to send a request to one upstream.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -41,6 +42,8 @@
     /// Rounds in which upstreams ended under the request, as the sender knows them.
     #[serde(rename = "seen")]
     pub rounds: Rounds,
+    /// Who the request is made for; `None` where it needed no API key.
+    pub principal: Option<Principal>,
 }
 
 /// The result of a [`Request`].
--- a/crates/tgw-spread/src/message.rs
+++ b/crates/tgw-spread/src/message.rs
@@ -6,6 +6,7 @@
 use tgw_member::Record;
 use tgw_quarantine::message as quarantine;
 use tgw_route::{Limits, Route, Service};
+use tgw_tenant::{Tenant, limit};
 
 /// The versions that a VM holds; zero for what it does not hold.
 #[derive(Copy, Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -78,6 +79,8 @@
         /// They answer the receiver's digests, with which they do not agree.
         is_reply: bool,
     },
+    /// Admission of tenants' requests.
+    Limit(limit::Message),
 }
 
 /// A report on an overdue or slow upstream.
@@ -117,4 +120,6 @@
     pub services: Delta<Service>,
     /// Limits on what callers may send.
     pub limits: Limits,
+    /// Tenants by name; `None` where requests need no API key.
+    pub tenants: Option<Delta<Tenant>>,
 }
--- a/crates/tgw-spread/src/world.rs
+++ b/crates/tgw-spread/src/world.rs
@@ -6,6 +6,7 @@
 use std::{collections::BTreeMap, rc::Rc};
 use tgw_clock::Millis;
 use tgw_route::{Config, Limits, Route, Service};
+use tgw_tenant::Tenant;
 
 /// The configuration, the list of upstreams and the evacuations as this VM has them.
 #[derive(Debug, Default)]
@@ -14,6 +15,9 @@
     routes: VersionedMap<Route>,
     services: VersionedMap<Service>,
     limits: Limits,
+    tenants: VersionedMap<Tenant>,
+    /// Requests need an API key.
+    has_tenants: bool,
     /// The list of upstreams.
     pub upstreams: Upstreams,
     /// The evacuated failure domains.
@@ -59,6 +63,10 @@
         let services: Vec<_> =
             config.services.iter().map(|(n, s)| (n.clone(), s.clone())).collect();
         apply_document(&mut self.services, self.config, version, &services);
+        let tenants = config.tenants.iter().flatten();
+        let tenants: Vec<_> = tenants.map(|t| (t.name.clone(), (**t).clone())).collect();
+        apply_document(&mut self.tenants, self.config, version, &tenants);
+        self.has_tenants = config.tenants.is_some();
         self.limits = config.limits;
         self.config = version;
         true
@@ -71,6 +79,9 @@
             routes: with_version(self.routes.since(config), self.config),
             services: with_version(self.services.since(config), self.config),
             limits: self.limits,
+            tenants: self
+                .has_tenants
+                .then(|| with_version(self.tenants.since(config), self.config)),
         })
     }
 
@@ -83,6 +94,12 @@
         self.routes.apply(update.routes);
         self.services.apply(update.services);
         self.limits = update.limits;
+        self.has_tenants = update.tenants.is_some();
+        match update.tenants {
+            Some(tenants) => _ = self.tenants.apply(tenants),
+            // Only a whole list can be applied to an empty map.
+            None => self.tenants = VersionedMap::default(),
+        }
         Some(self.current())
     }
 
@@ -92,6 +109,9 @@
             routes: self.routes.values().map(|(_, route)| Rc::new(route.clone())).collect(),
             services: self.services.values().map(|(n, s)| (n.clone(), s.clone())).collect(),
             limits: self.limits,
+            tenants: self
+                .has_tenants
+                .then(|| self.tenants.values().map(|(_, t)| Rc::new(t.clone())).collect()),
         }
     }
 }
--- a/crates/tgw-spread/tests/spread.rs
+++ b/crates/tgw-spread/tests/spread.rs
@@ -129,6 +129,7 @@
         max_attempts: 2,
         priority: 0,
         residency: Residency::default(),
+        anonymous: false,
     };
     let routes = routes.iter().map(|name| Rc::new(route(name))).collect();
     Config { version, routes, ..Config::default() }
@@ -185,6 +186,7 @@
         body: vec![1, 2],
         fingerprint: Fingerprint { content: 7, caller: 8 },
         rounds: Rounds { total: 1, service: 2 },
+        principal: None,
     };
     let outcome = hop::Outcome::Answered {
         status: 200,
