--- a/crates/tanagergw/src/bench.rs
+++ b/crates/tanagergw/src/bench.rs
@@ -3,7 +3,7 @@
 use anyhow::Context;
 use std::{path::PathBuf, process::ExitCode};
 use tgw_bench::{
-    Policy, Report, Scenario, leaving, overload, plot,
+    Policy, Report, Scenario, leaving, limits, overload, plot,
     scenario::{self, Options},
     slopes, starts, warmup,
 };
@@ -14,8 +14,8 @@
 pub(crate) struct Args {
     /// An experiment, `all`, `list`, `slopes` for the cost of a unit of state and of work, `starts` for which VMs read
     /// the store when many VMs start at once, `leaving` for how long VMs send to upstreams that leave, `evacuations`
-    /// for the same of failure domains, `warmup` for the load that all VMs put on a cold upstream, `overload` for
-    /// forwarding under extreme load, or `overload/NAME` for one of its scenarios.
+    /// for the same of failure domains, `warmup` for the load that all VMs put on a cold upstream, `limits` for
+    /// the requests of tenants that all VMs admit, `overload` for forwarding under extreme load, or `overload/NAME` for one of its scenarios.
     scenario: String,
     /// User whose fleet size is simulated: coimbra, aspen or both.
     #[arg(long, default_value = "both")]
@@ -84,6 +84,9 @@
     if args.scenario == "warmup" {
         return run_warmup(args);
     }
+    if args.scenario == "limits" {
+        return run_limits(args);
+    }
     if args.scenario == "evacuations" {
         return run_leaving(args, leaving::Subject::Evacuations);
     }
@@ -150,6 +153,24 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Default numbers of VMs for `bench limits`.
+const LIMITS_VMS: [usize; 3] = [9, 76, 300];
+
+fn run_limits(args: &Args) -> anyhow::Result<ExitCode> {
+    let sizes = args.vms.map_or(LIMITS_VMS.to_vec(), |vms| vec![vms]);
+    let mut outcomes = Vec::new();
+    for vms in sizes {
+        for way in [limits::Way::PerRegion, limits::Way::Single] {
+            for (name, setup) in args.seed.iter().flat_map(|s| limits::setups(vms, way, *s)) {
+                let outcome = limits::play(setup.clone());
+                outcomes.push((name, setup, outcome));
+            }
+        }
+    }
+    print!("{}", limits::text(&outcomes));
+    Ok(ExitCode::SUCCESS)
+}
+
 /// Request rates at which `bench warmup` runs, per second.
 const WARMUP_RATES_PER_S: [f64; 3] = [2.0, 4.0, 20.0];
 /// Numbers of VMs that hold a lease to send to the cold upstream in `bench warmup`.
--- a/crates/tgw-bench/src/lib.rs
+++ b/crates/tgw-bench/src/lib.rs
@@ -15,6 +15,8 @@
 mod forward;
 /// Upstreams that leave, and how long VMs still send to them.
 pub mod leaving;
+/// Rate limits of tenants, under demand from all VMs.
+pub mod limits;
 /// Membership of many VMs under a virtual clock.
 pub mod members;
 /// Model of an upstream: slots, queue and service time.
