test(forward, gateway): queries that are handed over; a revoked key is answered 401 whatever became of its sends

Tests: budgets and kept connections of all VMs sum up to the operators' whole, whoever gathers (property); a repeated query runs once and is answered again; one that is behind, unrouted, cancelled or of a revoked key.

--- a/crates/tgw-forward/tests/forward.rs
+++ b/crates/tgw-forward/tests/forward.rs
@@ -6,6 +6,7 @@
 mod budget;
 mod catalog;
 mod evacuation;
+mod gather;
 mod load;
 mod margin;
 mod merge;
--- a/crates/tgw-gateway/src/handle.rs
+++ b/crates/tgw-gateway/src/handle.rs
@@ -283,13 +283,12 @@
             run.answer
         }
     };
-    if matches!(answer, Answer::Refused { .. }) {
-        if let Some(admitted) = admitted {
-            admitted.give_back();
-        }
-        if !shared.permits(principal.as_ref()) {
-            return *refuse(StatusCode::UNAUTHORIZED, None);
-        }
+    if let Some(admitted) = admitted.filter(|_| matches!(answer, Answer::Refused { .. })) {
+        admitted.give_back();
+    }
+    let is_success = matches!(answer, Answer::Forward(_) | Answer::Merged { .. });
+    if !is_success && !shared.permits(principal.as_ref()) {
+        return *refuse(StatusCode::UNAUTHORIZED, None);
     }
     respond(shared, answer)
 }
--- a/crates/tgw-gateway/src/metrics.rs
+++ b/crates/tgw-gateway/src/metrics.rs
@@ -99,6 +99,7 @@
     send_ends: Counter<u64>,
     upstream_ends: Counter<u64>,
     store_calls: Counter<u64>,
+    handed_over: Counter<u64>,
 }
 
 impl Metrics {
@@ -125,6 +126,7 @@
             send_ends: meter.u64_counter("tgw_sends_ended").build(),
             upstream_ends: meter.u64_counter("tgw_upstreams_ended").build(),
             store_calls: meter.u64_counter("tgw_store_calls").build(),
+            handed_over: meter.u64_counter("tgw_queries_handed_over").build(),
             gauges,
             registry,
             _provider: provider,
@@ -145,6 +147,11 @@
             .add(1, &[route, KeyValue::new("outcome", outcome), KeyValue::new("cause", cause)]);
     }
 
+    /// Counts a query that was handed over to a gatherer.
+    pub(crate) fn count_handed_over(&self, outcome: &'static str) {
+        self.handed_over.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts a send.
     pub(crate) fn count_send(&self, trigger: Trigger, distance: Distance, hop: Hop) {
         let trigger = match trigger {
--- a/crates/tgw-gateway/src/telemetry.rs
+++ b/crates/tgw-gateway/src/telemetry.rs
@@ -256,6 +256,7 @@
     let (outcome, cause, complete) = describe(answer);
     let route = &options.route;
     shared.metrics.count_request(&route.name, outcome, cause, age);
+    shared.metrics.count_handed_over(outcome);
     let late = age > route.target_latency;
     let category = if complete && !late { Category::Routine } else { Category::Outcome };
     if !shared.log_limiter.allows(shared.now(), category) {
