test(soak): tenants, and VMs that hand their queries over

Half of the VMs state 0.05 of a core and hand their queries over to the others, which are killed, paused and restarted as all are. Requests are made for a tenant; one tenant exceeds its limit, and some present a key that nobody holds. Checked: upstreams are told the tenant and no key, nothing runs with an unknown key, no window of the limited tenant exceeds its limit.

--- a/crates/tgw-soak/src/callers.rs
+++ b/crates/tgw-soak/src/callers.rs
@@ -1,5 +1,6 @@
+use crate::tenants;
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, StatusCode};
+use http::{HeaderMap, Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -31,18 +32,31 @@
     HomeRegion,
     /// To all shards; ends every upstream process that starts to run it.
     Deadly,
+    /// To one upstream, for a tenant that sends more than its limit.
+    Limited,
+    /// To one upstream, with an API key that no tenant holds.
+    UnknownKey,
 }
 
 impl Kind {
     fn path(self) -> &'static str {
         match self {
             Self::AllShards => "/all/q?x=1",
-            Self::Idempotent => "/safe/q",
+            Self::Idempotent | Self::Limited | Self::UnknownKey => "/safe/q",
             Self::AtMostOnce => "/once/q",
             Self::HomeRegion => "/home/q",
             Self::Deadly => DEADLY_PATH,
         }
     }
+
+    /// The API key that the caller presents.
+    fn key(self) -> &'static str {
+        match self {
+            Self::Limited => tenants::LIMITED.key,
+            Self::UnknownKey => tenants::UNKNOWN_KEY,
+            _ => tenants::USUAL.key,
+        }
+    }
 }
 
 /// One request and its answer.
@@ -115,9 +129,7 @@
         connection.ready().await.ok()?;
         let (method, body) = match kind {
             Kind::AtMostOnce => (Method::POST, Bytes::from_static(b"order")),
-            Kind::AllShards | Kind::Idempotent | Kind::HomeRegion | Kind::Deadly => {
-                (Method::GET, Bytes::new())
-            }
+            _ => (Method::GET, Bytes::new()),
         };
         let names = tgw_site_standin::leaf::header_names();
         let request = Request::builder()
@@ -126,6 +138,7 @@
             .header("host", "a.example")
             .header(names.request_id, request_id)
             .header(names.deadline, REQUEST_DEADLINE_MS)
+            .header(header::AUTHORIZATION, format!("Token {}", kind.key()))
             .body(Full::new(body))
             .ok()?;
         let response = connection.send_request(request).await.ok()?;
--- a/crates/tgw-soak/src/check.rs
+++ b/crates/tgw-soak/src/check.rs
@@ -5,6 +5,7 @@
         WARMUP_TIME, shards,
     },
     leaving::{self, Leavings},
+    tenants,
 };
 use http::StatusCode;
 use std::{
@@ -105,6 +106,7 @@
     check_home_region(environment, &mut broken);
     check_evacuated(environment, &mut broken);
     check_cold(environment, &mut broken);
+    tenants::check(exchanges, environment, &mut broken);
     broken.truncate(MAX_REPORTED);
     let status = |code: StatusCode| {
         exchanges.iter().filter(|e| e.answer.as_ref().is_some_and(|a| a.status == code)).count()
@@ -143,7 +145,7 @@
     }
     let expected = match kind {
         Kind::AllShards => "GET /all/q?x=1 ",
-        Kind::Idempotent => "GET /safe/q ",
+        Kind::Idempotent | Kind::Limited | Kind::UnknownKey => "GET /safe/q ",
         Kind::AtMostOnce => "POST /once/q order",
         Kind::Deadly => "GET /all/deadly ",
         Kind::HomeRegion => "GET /home/q ",
@@ -161,7 +163,7 @@
     let request_id = &exchange.request_id;
     let wrong = match exchange.kind {
         Kind::AllShards | Kind::Deadly => check_merged(request_id, answer),
-        Kind::Idempotent | Kind::AtMostOnce | Kind::HomeRegion => check_single(request_id, answer),
+        _ => check_single(request_id, answer),
     };
     if let Some(wrong) = wrong {
         broken.push(format!("{request_id}: {wrong}"));
@@ -216,8 +218,8 @@
             && (home.clone().any(|(_, _, until)| e.sent_at < *until + REWARM_TIMEOUT)
                 || is_unanswered_at_home(environment, e.sent_at))
     };
-    let is_counted =
-        |e: &&Exchange| phase.contains(&e.sent_at) && e.kind != Kind::Deadly && !is_cold(e);
+    let is_served = |kind| !matches!(kind, Kind::Deadly | Kind::Limited | Kind::UnknownKey);
+    let is_counted = |e: &&Exchange| phase.contains(&e.sent_at) && is_served(e.kind) && !is_cold(e);
     let recent = exchanges.iter().filter(is_counted);
     let recent: Vec<&Exchange> = recent.collect();
     let served = recent
--- a/crates/tgw-soak/src/environment.rs
+++ b/crates/tgw-soak/src/environment.rs
@@ -1,4 +1,4 @@
-use crate::{callers::DEADLY_PATH, fleet::DOMAINS, proxy::Proxy};
+use crate::{callers::DEADLY_PATH, fleet::DOMAINS, proxy::Proxy, tenants};
 use serde_json::{Value, json};
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 use tgw_site_standin::{
@@ -292,6 +292,7 @@
                 );
             }
         }
+        let document = files::with_tenants(document, &tenants::documents());
         self.store.put("config", "main", &document);
     }
 
--- a/crates/tgw-soak/src/fleet.rs
+++ b/crates/tgw-soak/src/fleet.rs
@@ -14,6 +14,10 @@
 /// Failure domains, each with its region.
 pub(crate) const DOMAINS: [(&str, &str); 3] = [("d1", "r1"), ("d2", "r2"), ("d3", "r3")];
 
+/// Power that the first VM of each failure domain states, in cores, and the others: these hand their queries over.
+const GATHERER_POWER: f64 = 1.0;
+const USUAL_POWER: f64 = 0.05;
+
 /// The process of one VM.
 pub(crate) struct Process {
     pub(crate) vm: Vm,
@@ -53,7 +57,10 @@
             let name = format!("vm-{}", index + 1);
             let vm = Vm { name: name.clone(), ip: ip(index), domain: domain.into() };
             let settings = folder.join(format!("{name}.toml"));
-            fs::write(&settings, text(&vm, ports, &seeds, &DOMAINS, *store))?;
+            let power = if index < DOMAINS.len() { GATHERER_POWER } else { USUAL_POWER };
+            let text = text(&vm, ports, &seeds, &DOMAINS, *store);
+            let text = format!("{text}[limits]\ncpu_share = {power}\nmemory_mb = 260\n");
+            fs::write(&settings, text)?;
             let log = folder.join(format!("{name}.log"));
             let program = program.to_owned();
             let mut process = Process {
--- a/crates/tgw-soak/src/main.rs
+++ b/crates/tgw-soak/src/main.rs
@@ -21,6 +21,8 @@
 mod run;
 /// Schedule of faults drawn from a seed.
 mod schedule;
+/// The tenants of a run.
+mod tenants;
 
 use anyhow::Context;
 use clap::Parser;
--- a/crates/tgw-soak/src/run.rs
+++ b/crates/tgw-soak/src/run.rs
@@ -174,11 +174,13 @@
                     (process.callers_addr(), process.is_running() && !process.leaving)
                 };
                 if open || caller.is_connected() {
-                    let kind = match request % 5 {
-                        0 | 1 => Kind::AllShards,
-                        2 => Kind::Idempotent,
-                        3 => Kind::HomeRegion,
-                        _ => Kind::AtMostOnce,
+                    let kind = match request % 14 {
+                        0 | 1 | 5 | 6 => Kind::AllShards,
+                        2 | 7 => Kind::Idempotent,
+                        3 | 8 => Kind::HomeRegion,
+                        4 | 9 => Kind::AtMostOnce,
+                        13 => Kind::UnknownKey,
+                        _ => Kind::Limited,
                     };
                     caller.send(addr, kind, format!("c{number}-{request}"), &exchanges).await;
                 }
