--- a/crates/tanagergw/src/status.rs
+++ b/crates/tanagergw/src/status.rs
@@ -3,7 +3,7 @@
 use crate::access::{self, Platform, Vms, try_access};
 use anyhow::Context;
 use std::{path::PathBuf, process::ExitCode};
-use tgw_operate::{explain, leaving, losses, status, timeline};
+use tgw_operate::{explain, leaving, losses, spread, status, timeline};
 
 /// Show the VMs, the table's edition in force in each failure domain, and the upstreams with owner and state.
 #[derive(clap::Args)]
@@ -28,7 +28,7 @@
 #[derive(clap::Args)]
 pub(crate) struct Explain {
     /// The query's ID, or the caller's own ID of it.
-    #[arg(required_unless_present_any = ["losses", "leaving"])]
+    #[arg(required_unless_present_any = ["losses", "leaving", "spread"])]
     query: Option<String>,
     /// Log files of VMs. The timeline is built from them, and no VM is queried.
     files: Vec<PathBuf>,
@@ -49,6 +49,10 @@
     /// leaves, and which VMs sent to it afterwards.
     #[arg(long, num_args = 2.., value_names = ["UPSTREAM", "FILE"], conflicts_with_all = ["query", "losses"])]
     leaving: Vec<String>,
+    /// Instead of explaining one query, report from these log files how long configurations and leaving upstreams took
+    /// to be known at all VMs.
+    #[arg(long, num_args = 1.., value_name = "FILE", conflicts_with_all = ["query", "losses", "leaving"])]
+    spread: Vec<PathBuf>,
     #[command(flatten)]
     asked: Sources,
 }
@@ -91,6 +95,17 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Prints how long changes took to be known at all VMs.
+fn print_spread(args: &Explain) -> anyhow::Result<ExitCode> {
+    let report = spread::read(&args.spread).context("cannot read the logs")?;
+    if args.asked.json {
+        println!("{}", serde_json::to_string(&report)?);
+    } else {
+        print!("{report}");
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
 /// Prints when each VM learned that an upstream leaves.
 fn print_leaving(args: &Explain, upstream: &str, files: &[String]) -> anyhow::Result<ExitCode> {
     let report = leaving::read(upstream, files).context("cannot read the logs")?;
@@ -109,6 +124,9 @@
     if !args.losses.is_empty() {
         return print_losses(args);
     }
+    if !args.spread.is_empty() {
+        return print_spread(args);
+    }
     let query = args.query.as_deref().unwrap_or_default();
     if !args.files.is_empty() {
         return print_timeline(args, query);
--- a/crates/tgw-gateway/src/admission.rs
+++ b/crates/tgw-gateway/src/admission.rs
@@ -58,11 +58,20 @@
 
 /// Why a request is not admitted.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
-pub(crate) enum Refusal {
+pub(crate) struct Refusal {
+    pub(crate) kind: RefusalKind,
+    pub(crate) retry_after: Millis,
+    /// The VM that decided; `None` if this one did, or none.
+    pub(crate) by: Option<SocketAddr>,
+}
+
+/// The reason for a [`Refusal`].
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub(crate) enum RefusalKind {
     /// It exceeds its tenant's limit.
-    OverLimit(Millis),
+    OverLimit,
     /// No VM could tell.
-    Undecided(Millis),
+    Undecided,
 }
 
 impl Admission {
@@ -123,7 +132,8 @@
     let (sender, mut answers) = mpsc::unbounded_channel();
     let asked = Asked { shared, numbers: RefCell::default() };
     let order = shared.admission.order(&tenant.name);
-    let mut refusal = Refusal::Undecided(UNANSWERED_RETRY_MS);
+    let mut refusal =
+        Refusal { kind: RefusalKind::Undecided, retry_after: UNANSWERED_RETRY_MS, by: None };
     for to in order {
         asked.ask(&tenant.name, to, &sender);
         match timeout(ASK_TIMEOUT, answers.recv()).await {
@@ -132,11 +142,11 @@
                 let tenant = tenant.name.clone();
                 return Ok(Some(Admitted { shared: shared.clone(), tenant, by }));
             }
-            Ok(Some(Answer { decision: Decision::OverLimit { retry_after }, .. })) => {
-                return Err(Refusal::OverLimit(retry_after));
+            Ok(Some(Answer { by, decision: Decision::OverLimit { retry_after } })) => {
+                return Err(Refusal { kind: RefusalKind::OverLimit, retry_after, by });
             }
-            Ok(Some(Answer { decision: Decision::Undecided { retry_after }, .. })) => {
-                refusal = Refusal::Undecided(retry_after);
+            Ok(Some(Answer { by, decision: Decision::Undecided { retry_after } })) => {
+                refusal = Refusal { retry_after, by, ..refusal };
             }
             Ok(None) => break,
             Err(_) => {
--- a/crates/tgw-gateway/src/handle.rs
+++ b/crates/tgw-gateway/src/handle.rs
@@ -1,5 +1,5 @@
 use crate::{
-    admission::{self, Admitted, Refusal as LimitRefusal},
+    admission::{self, Admitted, RefusalKind},
     authentication::{self, Identity},
     drive,
     exchange::OutgoingRequest,
@@ -186,10 +186,11 @@
     let Some(Identity { tenant, .. }) = identity else { return Ok(None) };
     admission::admit(shared, tenant).await.map_err(|refusal| {
         telemetry::request_not_admitted(shared, arrived, request, &tenant.name, refusal);
-        match refusal {
-            LimitRefusal::OverLimit(after) => refuse(StatusCode::TOO_MANY_REQUESTS, Some(after)),
-            LimitRefusal::Undecided(after) => refuse(StatusCode::SERVICE_UNAVAILABLE, Some(after)),
-        }
+        let status = match refusal.kind {
+            RefusalKind::OverLimit => StatusCode::TOO_MANY_REQUESTS,
+            RefusalKind::Undecided => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        refuse(status, Some(refusal.retry_after))
     })
 }
 
--- a/crates/tgw-gateway/src/telemetry.rs
+++ b/crates/tgw-gateway/src/telemetry.rs
@@ -2,7 +2,7 @@
 //! the inputs were.
 
 use crate::{
-    admission::Refusal,
+    admission::{Refusal, RefusalKind},
     authentication,
     broken::BrokenSend,
     drive::Run,
@@ -20,7 +20,7 @@
     transition::{Departure, Kind, Transition},
     upstream::{Distance, Entry, SendOutcome},
 };
-use tgw_route::Route;
+use tgw_route::{Route, Target};
 
 /// Counts an ordered send. Logs it with the inputs of the decision, unless it is the first send.
 pub(crate) fn send_started(
@@ -255,6 +255,14 @@
 ) {
     let (outcome, cause, complete) = describe(answer);
     let route = &options.route;
+    let (parts, missing) = match (&route.target, answer) {
+        (Target::Shards(shards), Answer::Merged { missing, .. }) => {
+            (shards.services.len(), *missing)
+        }
+        (Target::Shards(shards), _) => (shards.services.len(), shards.services.len()),
+        _ => (1, 1),
+    };
+    let version = shared.config.borrow().version;
     shared.metrics.count_request(&route.name, outcome, cause, age);
     shared.metrics.count_handed_over(outcome);
     let late = age > route.target_latency;
@@ -268,11 +276,14 @@
         tenant = request.principal.as_ref().map(|p| &*p.tenant),
         route = &*route.name,
         %gatherer,
+        config = version,
         outcome,
         cause,
+        got = parts.saturating_sub(missing),
+        parts,
         late,
         age_ms = age.as_whole_ms(),
-        "request handed over"
+        "request"
     );
 }
 
@@ -388,9 +399,10 @@
     tenant: &str,
     refusal: Refusal,
 ) {
-    let (cause, retry_after) = match refusal {
-        Refusal::OverLimit(after) => ("over its tenant's limit", after),
-        Refusal::Undecided(after) => ("tenant's limit undecided", after),
+    let Refusal { kind, retry_after, by } = refusal;
+    let cause = match kind {
+        RefusalKind::OverLimit => "over its tenant's limit",
+        RefusalKind::Undecided => "tenant's limit undecided",
     };
     shared.metrics.count_request("", "refused", cause, Millis::ZERO);
     if shared.log_limiter.allows(now, Category::Outcome) {
@@ -399,6 +411,7 @@
             tenant,
             outcome = "refused",
             cause,
+            counted_by = by.map(tracing::field::display),
             retry_ms = retry_after.as_whole_ms(),
             "request"
         );
--- a/crates/tgw-operate/src/lib.rs
+++ b/crates/tgw-operate/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod losses;
 /// Requests that a gateway quarantines.
 pub mod quarantine;
+/// How long changes take to reach all VMs, from log files.
+pub mod spread;
 /// Status of the fleet as its VMs report it.
 pub mod status;
 /// Edits of the table.
--- a/crates/tgw-operate/src/timeline.rs
+++ b/crates/tgw-operate/src/timeline.rs
@@ -203,6 +203,24 @@
              another VM holds the right to send to them"
                 .into()
         }
+        "unknown API key" => {
+            format!("no tenant holds its API key in configuration {}", end.number("config"))
+        }
+        "API key cannot be verified" => {
+            "this VM does not know its API key, and no VM that reads the store told it in time that \
+             its configuration is the newest"
+                .into()
+        }
+        "over its tenant's limit" => format!(
+            "{} was over its limit, by the count of {}",
+            end.text("tenant"),
+            counted_by(end)
+        ),
+        "tenant's limit undecided" => format!(
+            "{} had become the holder of {}'s limit only now, or lacked contact to others",
+            counted_by(end),
+            end.text("tenant")
+        ),
         "no identity" => "it bore no identity".into(),
         "no memory for the body" => "bodies of other requests took the memory set aside".into(),
         "body too long" => "its body is longer than the operators allow".into(),
@@ -224,7 +242,19 @@
     } else {
         String::new()
     };
-    format!("{outcome} after {age_ms} ms{missing_parts}: {reason}{not_retried}")
+    let gathered = match end.text("gatherer") {
+        "" => String::new(),
+        gatherer => format!(" (made by {gatherer}, see its line \"query gathered\")"),
+    };
+    format!("{outcome} after {age_ms} ms{missing_parts}: {reason}{not_retried}{gathered}")
+}
+
+/// The VM that counts a tenant's requests.
+fn counted_by(line: &Line) -> &str {
+    match line.text("counted_by") {
+        "" => "this VM",
+        vm => vm,
+    }
 }
 
 /// Sends of the request to upstreams whose entries the VM knew to be missing.
--- a/crates/tgw-operate/tests/operate/main.rs
+++ b/crates/tgw-operate/tests/operate/main.rs
@@ -4,5 +4,6 @@
 
 mod leaving;
 mod losses;
+mod spread;
 mod table;
 mod timeline;
--- a/crates/tgw-operate/tests/operate/timeline.rs
+++ b/crates/tgw-operate/tests/operate/timeline.rs
@@ -21,6 +21,9 @@
 {"timestamp":"T08","message":"request","request":"cold","outcome":"refused","cause":"cold upstreams bear no more","age_ms":0}
 {"timestamp":"T09","message":"request","request":"ends","print":"0a","outcome":"failed","cause":"too few parts","age_ms":30}
 {"timestamp":"T10","message":"request","request":"partial","outcome":"merged","cause":"","got":8,"parts":10,"age_ms":140}
+{"timestamp":"T11","message":"request","request":"limited","tenant":"mill","outcome":"refused","cause":"over its tenant's limit","counted_by":"10.0.0.9:7803","retry_ms":90}
+{"timestamp":"T11","message":"request","request":"strange","config":5,"outcome":"refused","cause":"unknown API key"}
+{"timestamp":"T12","message":"request","request":"handed","gatherer":"10.0.0.8:7803","outcome":"failed","cause":"upstreams failed","got":0,"parts":9,"age_ms":210}
 "#;
 
 /// Writes a log file into the test folder and returns its path.
@@ -41,6 +44,9 @@
 #[test_case("cut", "no VM logged an answer: the VM ended while the request ran"; "a VM that ended")]
 #[test_case("partial", "merged after 140 ms, 2 of 10 parts left out: nothing went wrong at upstreams"; "a partial answer")]
 #[test_case("ends", "failed after 30 ms: i-4 of s ended under it; 2 upstreams ended under requests with its fingerprint, 0a"; "a request that ends upstreams")]
+#[test_case("limited", "refused after 0 ms: mill was over its limit, by the count of 10.0.0.9:7803"; "a limit")]
+#[test_case("strange", "refused after 0 ms: no tenant holds its API key in configuration 5"; "an unknown key")]
+#[test_case("handed", "failed after 210 ms: nothing went wrong at upstreams (made by 10.0.0.8:7803, see its line \"query gathered\")"; "a query that another VM made")]
 #[test_case("nobody", "no VM logged this request: it reached none, or its lines were left out; --at tells what the VMs did then"; "an id that no VM saw")]
 fn cause_is_derived_from_the_log_lines(request: &str, cause: &str) {
     let path = log_file(&format!("vm-{request}.log"), LOG);
