--- a/justfile
+++ b/justfile
@@ -40,3 +40,7 @@
 soak *ARGS:
     cargo build --release -p tanagergw
     cargo run --release -p tgw-soak -- {{ARGS}}
+
+# Requests of tenants that all VMs admit together, beside faults.
+limits *ARGS:
+    cargo run --release -p tanagergw -- bench limits {{ARGS}}
