--- a/crates/tgw-bench/src/leaving/actions.rs
+++ b/crates/tgw-bench/src/leaving/actions.rs
@@ -42,8 +42,7 @@
     }
 
     pub(super) fn call(&mut self, vm: usize, step: Step) {
-        self.next += 1;
-        let number = self.next;
+        let number = self.events.next_number();
         self.vms[vm].call = Some(Call { number, step, began: self.now });
         self.schedule(self.now + SAME_REGION_DELAY_MS, Scheduled::CallReceived(vm, number));
         let waits = match step {
--- a/crates/tgw-bench/src/leaving/peers.rs
+++ b/crates/tgw-bench/src/leaving/peers.rs
@@ -1,9 +1,10 @@
 use super::{
     FaultKind,
     actions::{CROSS_REGION_DELAY_MS, SAME_REGION_DELAY_MS},
-    simulation::{Scheduled, Simulation, address, index},
+    simulation::{Scheduled, Simulation},
     view::Update,
 };
+use crate::address::{address, number};
 use rand::Rng;
 use std::net::SocketAddr;
 use tgw_clock::Millis;
@@ -53,7 +54,7 @@
     }
 
     pub(super) fn delivery(&self, from: usize, to: SocketAddr) -> Option<(usize, Millis)> {
-        let to = index(to);
+        let to = number(to);
         let partitioned = self.affected.iter().any(|(number, vms)| {
             let partitioned = self.setup.faults[*number].kind == FaultKind::Partitioned;
             partitioned && (vms.contains(&from) != vms.contains(&to))
--- a/crates/tgw-bench/src/leaving/simulation.rs
+++ b/crates/tgw-bench/src/leaving/simulation.rs
@@ -5,10 +5,10 @@
     view::{Update, View},
     vm::Vm,
 };
+use crate::{address::address, event_queue::EventQueue};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use std::{
-    cmp::Reverse,
-    collections::{BTreeMap, BinaryHeap},
+    collections::BTreeMap,
     net::{Ipv4Addr, SocketAddr},
     rc::Rc,
 };
@@ -74,9 +74,7 @@
     /// VMs affected by each active fault.
     pub(super) affected: BTreeMap<usize, Vec<usize>>,
     pub(super) left_at: Vec<Option<Millis>>,
-    pub(super) heap: BinaryHeap<Reverse<(Millis, u64)>>,
-    pub(super) events: BTreeMap<u64, Scheduled>,
-    pub(super) next: u64,
+    pub(super) events: EventQueue<Scheduled>,
     pub(super) calls: usize,
     pub(super) usable: f64,
     pub(super) rng: SmallRng,
@@ -88,29 +86,13 @@
 pub fn play(setup: Setup) -> Outcome {
     let mut simulation = Simulation::new(setup);
     let end = simulation.setup.leave_at + RUN_AFTER_MS;
-    while let Some(Reverse((at, number))) = simulation.heap.pop() {
-        if at > end {
-            break;
-        }
+    while let Some((at, event)) = simulation.events.pop(end) {
         simulation.now = at;
-        if let Some(event) = simulation.events.remove(&number) {
-            simulation.handle(event);
-        }
+        simulation.handle(event);
     }
     simulation.outcome()
 }
 
-pub(super) fn address(index: usize) -> SocketAddr {
-    let [_, _, high, low] = (index as u32).to_be_bytes();
-    SocketAddr::from((Ipv4Addr::new(10, 9, high, low), 7802))
-}
-
-pub(super) fn index(addr: SocketAddr) -> usize {
-    let SocketAddr::V4(v4) = addr else { return usize::MAX };
-    let [_, _, high, low] = v4.ip().octets();
-    usize::from(u16::from_be_bytes([high, low]))
-}
-
 pub(super) fn name(number: usize) -> Rc<str> {
     format!("u{number}").into()
 }
@@ -130,9 +112,7 @@
             waiting: Vec::new(),
             affected: BTreeMap::new(),
             left_at: vec![None; LEAVING_COUNT],
-            heap: BinaryHeap::new(),
-            events: BTreeMap::new(),
-            next: 0,
+            events: EventQueue::default(),
             calls: 0,
             usable: 1.0,
             rng: SmallRng::seed_from_u64(setup.seed),
@@ -210,9 +190,7 @@
     }
 
     pub(super) fn schedule(&mut self, at: Millis, event: Scheduled) {
-        self.next += 1;
-        self.heap.push(Reverse((at, self.next)));
-        self.events.insert(self.next, event);
+        self.events.schedule(at, event);
     }
 
     /// Handles an event. One for a dead VM is dropped, and one for a paused VM is postponed to the end of
--- a/crates/tgw-bench/src/lib.rs
+++ b/crates/tgw-bench/src/lib.rs
@@ -5,8 +5,12 @@
 //! the time at which a VM learns of a change, and every delay is a constant or drawn from one
 //! distribution.
 
+/// Addresses of simulated VMs.
+mod address;
 /// Checks and counts the answers that callers get.
 mod answers;
+/// Events of a virtual clock.
+mod event_queue;
 /// Injects faults into a run.
 mod faults;
 /// Figures of one run.
--- a/crates/tgw-bench/src/limits/simulation.rs
+++ b/crates/tgw-bench/src/limits/simulation.rs
@@ -1,19 +1,18 @@
 use super::{
     Fault, FaultKind, Outcome, Setup,
     outcome::{Place, Record, allowance_at},
-    vm::{REGIONS, Vm, address, number},
+    vm::{REGIONS, Vm},
+};
+use crate::{
+    address::{address, number},
+    event_queue::EventQueue,
 };
 use rand::{
     Rng, SeedableRng,
     rngs::SmallRng,
     seq::{IndexedRandom, SliceRandom},
 };
-use std::{
-    cmp::Reverse,
-    collections::{BTreeMap, BinaryHeap},
-    net::SocketAddr,
-    rc::Rc,
-};
+use std::{collections::BTreeMap, net::SocketAddr, rc::Rc};
 use tgw_clock::Millis;
 use tgw_member::{Action as MemberAction, Event, Packet, Record as MemberRecord};
 use tgw_tenant::limit::{Action, Asker, BORROW_TIMEOUT_MS, Case, Decision, Message};
@@ -65,9 +64,7 @@
     vms: Vec<Vm>,
     /// VMs affected by each active fault.
     affected: BTreeMap<usize, Vec<usize>>,
-    heap: BinaryHeap<Reverse<(Millis, u64)>>,
-    events: BTreeMap<u64, Scheduled>,
-    next: u64,
+    events: EventQueue<Scheduled>,
     questions: BTreeMap<u64, Question>,
     names: Vec<Rc<str>>,
     record: Record,
@@ -77,14 +74,9 @@
 /// Runs one setup.
 pub fn play(setup: Setup) -> Outcome {
     let mut simulation = Simulation::new(setup);
-    while let Some(Reverse((at, number))) = simulation.heap.pop() {
-        if at > RUN_END_MS {
-            break;
-        }
+    while let Some((at, event)) = simulation.events.pop(RUN_END_MS) {
         simulation.now = at;
-        if let Some(event) = simulation.events.remove(&number) {
-            simulation.handle(event);
-        }
+        simulation.handle(event);
     }
     simulation.record.outcome(&simulation.setup)
 }
@@ -95,9 +87,7 @@
             now: Millis::ZERO,
             vms: Vec::new(),
             affected: BTreeMap::new(),
-            heap: BinaryHeap::new(),
-            events: BTreeMap::new(),
-            next: 0,
+            events: EventQueue::default(),
             questions: BTreeMap::new(),
             names: (0..setup.tenants).map(|tenant| format!("tenant-{tenant}").into()).collect(),
             record: Record::new(setup.tenants),
@@ -122,9 +112,7 @@
     }
 
     fn schedule(&mut self, at: Millis, event: Scheduled) {
-        self.next += 1;
-        self.heap.push(Reverse((at, self.next)));
-        self.events.insert(self.next, event);
+        self.events.schedule(at, event);
     }
 
     fn handle(&mut self, event: Scheduled) {
@@ -338,8 +326,7 @@
         let Some(to) = question.order.pop() else { return self.retry(&question) };
         let (vm, tenant) = (question.vm, question.place.tenant);
         question.asked = to;
-        self.next += 1;
-        let number = self.next;
+        let number = self.events.next_number();
         self.questions.insert(number, question);
         self.schedule(self.now + ASK_TIMEOUT_MS, Scheduled::AskTimeout { question: number });
         if to == address(vm) {
--- a/crates/tgw-bench/src/limits/vm.rs
+++ b/crates/tgw-bench/src/limits/vm.rs
@@ -1,8 +1,6 @@
 use super::{Setup, Way};
-use std::{
-    collections::BTreeMap,
-    net::{Ipv4Addr, SocketAddr},
-};
+use crate::address::address;
+use std::{collections::BTreeMap, net::SocketAddr};
 use tgw_clock::Millis;
 use tgw_member::{Member, Options};
 use tgw_owner::State;
@@ -29,17 +27,6 @@
     pub(super) silent: BTreeMap<SocketAddr, Millis>,
 }
 
-pub(super) fn address(number: usize) -> SocketAddr {
-    let [_, _, high, low] = (number as u32).to_be_bytes();
-    SocketAddr::from((Ipv4Addr::new(10, 9, high, low), 7802))
-}
-
-pub(super) fn number(addr: SocketAddr) -> usize {
-    let SocketAddr::V4(v4) = addr else { return usize::MAX };
-    let [_, _, high, low] = v4.ip().octets();
-    usize::from(u16::from_be_bytes([high, low]))
-}
-
 impl Vm {
     pub(super) fn start(now: Millis, setup: &Setup, number: usize, seed: u64) -> Self {
         let domains = if setup.vms <= 9 { REGIONS } else { 2 * REGIONS };
--- a/crates/tgw-bench/src/starts/simulation.rs
+++ b/crates/tgw-bench/src/starts/simulation.rs
@@ -1,10 +1,10 @@
 use super::{Outcome, Setup};
-use rand::{Rng, SeedableRng, rngs::SmallRng};
-use std::{
-    cmp::Reverse,
-    collections::{BTreeMap, BinaryHeap},
-    net::{Ipv4Addr, SocketAddr},
+use crate::{
+    address::{address, number},
+    event_queue::EventQueue,
 };
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use std::net::SocketAddr;
 use tgw_clock::Millis;
 use tgw_spread::{
     Bootstrap,
@@ -68,9 +68,7 @@
     now: Millis,
     vms: Vec<Vm>,
     setup: Setup,
-    heap: BinaryHeap<Reverse<(Millis, u64)>>,
-    events: BTreeMap<u64, Scheduled>,
-    next: u64,
+    events: EventQueue<Scheduled>,
     rng: SmallRng,
     calls: f64,
 }
@@ -79,29 +77,13 @@
 pub fn play(setup: Setup) -> Outcome {
     let mut simulation = Simulation::new(setup);
     let end = Millis::new(20_000);
-    while let Some(Reverse((at, number))) = simulation.heap.pop() {
-        if at > end {
-            break;
-        }
+    while let Some((at, event)) = simulation.events.pop(end) {
         simulation.now = at;
-        if let Some(event) = simulation.events.remove(&number) {
-            simulation.handle(event);
-        }
+        simulation.handle(event);
     }
     simulation.outcome()
 }
 
-fn address(index: usize) -> SocketAddr {
-    let [_, _, high, low] = (index as u32).to_be_bytes();
-    SocketAddr::from((Ipv4Addr::new(10, 9, high, low), 7802))
-}
-
-fn index(addr: SocketAddr) -> usize {
-    let SocketAddr::V4(v4) = addr else { return usize::MAX };
-    let [_, _, high, low] = v4.ip().octets();
-    usize::from(u16::from_be_bytes([high, low]))
-}
-
 impl Simulation {
     fn new(setup: Setup) -> Self {
         let mut rng = SmallRng::seed_from_u64(setup.seed);
@@ -141,9 +123,8 @@
                 read: false,
             });
         }
-        let (heap, events) = (BinaryHeap::new(), BTreeMap::new());
-        let now = Millis::ZERO;
-        let mut simulation = Self { now, vms, setup, heap, events, next: 0, rng, calls: 0.0 };
+        let (now, events) = (Millis::ZERO, EventQueue::default());
+        let mut simulation = Self { now, vms, setup, events, rng, calls: 0.0 };
         for number in 0..simulation.vms.len() {
             simulation.schedule(simulation.vms[number].at, Scheduled::Tick(number));
         }
@@ -151,9 +132,7 @@
     }
 
     fn schedule(&mut self, at: Millis, event: Scheduled) {
-        self.next += 1;
-        self.heap.push(Reverse((at, self.next)));
-        self.events.insert(self.next, event);
+        self.events.schedule(at, event);
     }
 
     fn is_alive(&self, vm: usize) -> bool {
@@ -224,11 +203,11 @@
         for action in actions {
             match action {
                 Action::QueryVersions(addr) => {
-                    let to = index(addr);
+                    let to = number(addr);
                     self.packet(vm, to, Scheduled::VersionQuery { to, from: vm });
                 }
                 Action::RequestState(addr) => {
-                    let to = index(addr);
+                    let to = number(addr);
                     // A connection setup and a request take three one-way delays.
                     let delay = self.delay(vm, to);
                     self.schedule(
--- a/crates/tgw-bench/src/warmup/simulation.rs
+++ b/crates/tgw-bench/src/warmup/simulation.rs
@@ -1,13 +1,13 @@
 use super::{
     Fault, FaultKind, Outcome, Setup,
-    vm::{SERVICE, UPSTREAM, Vm, address, number},
+    vm::{SERVICE, UPSTREAM, Vm},
 };
-use rand::{Rng, SeedableRng, rngs::SmallRng, seq::SliceRandom};
-use std::{
-    cmp::Reverse,
-    collections::{BTreeMap, BinaryHeap},
-    net::SocketAddr,
+use crate::{
+    address::{address, number},
+    event_queue::EventQueue,
 };
+use rand::{Rng, SeedableRng, rngs::SmallRng, seq::SliceRandom};
+use std::{collections::BTreeMap, net::SocketAddr};
 use tgw_clock::Millis;
 use tgw_forward::{
     Scope,
@@ -51,9 +51,7 @@
     vms: Vec<Vm>,
     /// VMs affected by each active fault.
     affected: BTreeMap<usize, Vec<usize>>,
-    heap: BinaryHeap<Reverse<(Millis, u64)>>,
-    events: BTreeMap<u64, Scheduled>,
-    next: u64,
+    events: EventQueue<Scheduled>,
     /// When requests reached the upstream.
     written: Vec<Millis>,
     rng: SmallRng,
@@ -62,14 +60,9 @@
 /// Runs one setup.
 pub fn play(setup: Setup) -> Outcome {
     let mut simulation = Simulation::new(setup);
-    while let Some(Reverse((at, number))) = simulation.heap.pop() {
-        if at > RUN_END_MS {
-            break;
-        }
+    while let Some((at, event)) = simulation.events.pop(RUN_END_MS) {
         simulation.now = at;
-        if let Some(event) = simulation.events.remove(&number) {
-            simulation.handle(event);
-        }
+        simulation.handle(event);
     }
     simulation.outcome()
 }
@@ -80,9 +73,7 @@
             now: Millis::ZERO,
             vms: Vec::new(),
             affected: BTreeMap::new(),
-            heap: BinaryHeap::new(),
-            events: BTreeMap::new(),
-            next: 0,
+            events: EventQueue::default(),
             written: Vec::new(),
             rng: SmallRng::seed_from_u64(setup.seed),
             setup,
@@ -102,9 +93,7 @@
     }
 
     fn schedule(&mut self, at: Millis, event: Scheduled) {
-        self.next += 1;
-        self.heap.push(Reverse((at, self.next)));
-        self.events.insert(self.next, event);
+        self.events.schedule(at, event);
     }
 
     fn handle(&mut self, event: Scheduled) {
--- a/crates/tgw-bench/src/warmup/vm.rs
+++ b/crates/tgw-bench/src/warmup/vm.rs
@@ -1,4 +1,5 @@
 use super::Setup;
+use crate::address::address;
 use std::{
     collections::BTreeMap,
     net::{Ipv4Addr, SocketAddr},
@@ -40,17 +41,6 @@
     pub(super) is_down: bool,
 }
 
-pub(super) fn address(number: usize) -> SocketAddr {
-    let [_, _, high, low] = (number as u32).to_be_bytes();
-    SocketAddr::from((Ipv4Addr::new(10, 9, high, low), 7802))
-}
-
-pub(super) fn number(addr: SocketAddr) -> usize {
-    let SocketAddr::V4(v4) = addr else { return usize::MAX };
-    let [_, _, high, low] = v4.ip().octets();
-    usize::from(u16::from_be_bytes([high, low]))
-}
-
 fn domain(number: u8) -> String {
     format!("d{number}")
 }
