fix(forward, gateway): an answer leaves in time although its query was handed over, or waited before its sends

Cause, from the logs of all VMs: answers that miss a part leave at the last moment. That moment was counted from the start of the sends, not from the request's arrival, so that the time of a hand-over, of an admission or of reading a body came on top; and a gatherer took its own time to answer into account (10 ms), not that of the smaller VM that still has to read the outcome and write its answer (14 to 20 ms). Ages at the entries were 245 to 249 ms of 250.

Change: the moment counts from the arrival; an entry tells what it needs to deliver, and the gatherer leaves that much earlier.

Test: an_answer_leaves_the_gatherer_early_enough_for_a_slow_entry, 45 ms late before.

--- a/crates/tgw-forward/src/gather.rs
+++ b/crates/tgw-forward/src/gather.rs
@@ -7,6 +7,7 @@
 //! extra sends is divided among them.
 
 use std::{collections::BTreeSet, net::SocketAddr};
+use tgw_clock::Millis;
 
 /// Processor time of a whole core for sending one part and reading its reply, in ms.
 const PART_COST_MS: f64 = 0.12;
@@ -18,6 +19,15 @@
 /// answers.
 const COMMON_PART: f64 = 0.1;
 
+/// Time in ms that a query's ways to the gatherer and back take.
+const TRANSIT_MS: Millis = Millis::new(3);
+
+/// The arrival from which a gatherer measures the limits of a query that it receives at `now`, at the age of `age`, from
+/// a VM that needs `delivery` to answer the caller: so much earlier than it was that its answer is in time there.
+pub fn arrival(now: Millis, age: Millis, delivery: Millis) -> Millis {
+    now - (age + delivery + TRANSIT_MS)
+}
+
 /// A live VM that can gather.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
 pub struct Vm {
--- a/crates/tgw-forward/src/margin.rs
+++ b/crates/tgw-forward/src/margin.rs
@@ -51,6 +51,12 @@
             (self.wakeup_delay_ms * step.exp()).clamp(MIN_DELAY_MS, MAX_DELAY_MS);
     }
 
+    /// The part of [`Self::lead_time`] that this VM itself needs, and not the way to its caller. A gatherer's answer
+    /// has to leave that much earlier, as this VM still has to read it and to write its own.
+    pub fn delivery_time(&self, new_connection: bool) -> Millis {
+        self.lead_time(new_connection) - Millis::from_f64(ROUND_TRIP_MS)
+    }
+
     /// How long before its latency target an answer has to leave; `new_connection` if the caller
     /// opened its connection for the request.
     pub fn lead_time(&self, new_connection: bool) -> Millis {
--- a/crates/tgw-forward/src/plan.rs
+++ b/crates/tgw-forward/src/plan.rs
@@ -174,7 +174,7 @@
             .margin
             .lead_time(self.new_connection)
             .min(route.target_latency.mul_f64(MAX_MARGIN_FACTOR));
-        self.answer_by = now + (route.target_latency - margin);
+        self.answer_by = self.started + (route.target_latency - margin);
         match &route.target {
             Target::Single(service) => self.parts.push(Part::new(service.clone())),
             Target::Weighted(targets) => {
--- a/crates/tgw-forward/tests/gather/mod.rs
+++ b/crates/tgw-forward/tests/gather/mod.rs
@@ -4,11 +4,12 @@
 use proptest::prelude::*;
 use std::net::SocketAddr;
 use test_case::test_case;
+use tgw_clock::Millis;
 use tgw_forward::{
-    Gathering,
+    Gathering, Margin,
     core::{Budget, Vms},
-    gather::Vm,
-    plan::SendResult,
+    gather::{self, Vm},
+    plan::{Answer, SendResult},
     upstream::SendOutcome,
 };
 use tgw_route::{Config, Safety, Service, Target, Warmup};
@@ -141,6 +142,26 @@
     assert!(extra >= 12, "{extra} extra sends");
 }
 
+// A shard is paused, so that the answer leaves at the last moment. The gatherer is fast, the VM that took the query in
+// is slowed and has to read the answer and to write its own.
+#[test]
+fn an_answer_leaves_the_gatherer_early_enough_for_a_slow_entry() {
+    let mut entry = Margin::default();
+    (0..200).for_each(|_| entry.record_timer_delay(Millis::new(12)));
+    let (age, arrived) = (Millis::new(4), Millis::new(1_000));
+    let mut gatherer = World::new(4);
+    (0..2_000).for_each(|_| gatherer.core.margin.record_timer_delay(Millis::new(1)));
+    gatherer.now = arrived + age;
+    let route = route(shards(4), Safety::Idempotent);
+    let arrival = gather::arrival(gatherer.now, age, entry.delivery_time(true));
+    gatherer.start_arrived(&route, arrival);
+    (0..3).for_each(|part| drop(gatherer.reply(part, &crate::world::record(part as u8))));
+    let answer = gatherer.run_to_answer();
+    assert!(matches!(answer, Answer::Merged { missing: 1, .. }), "{answer:?}");
+    let latest = arrived + (route.target_latency - entry.lead_time(true));
+    assert!(gatherer.now <= latest, "{} after {latest}", gatherer.now);
+}
+
 // Guards against connections that are made for each send, as none is kept where VMs are more than connections.
 #[test]
 fn a_gatherer_keeps_connections_that_a_vm_among_all_could_not() {
--- a/crates/tgw-forward/tests/world/mod.rs
+++ b/crates/tgw-forward/tests/world/mod.rs
@@ -109,6 +109,11 @@
     }
 
     pub(crate) fn start(&mut self, route: &Rc<Route>) -> Option<Answer> {
+        self.start_arrived(route, self.now)
+    }
+
+    /// Starts a request that counts as having arrived at `arrived`.
+    pub(crate) fn start_arrived(&mut self, route: &Rc<Route>, arrived: Millis) -> Option<Answer> {
         let print = self.fingerprint;
         let options = Options {
             route: route.clone(),
@@ -117,7 +122,7 @@
             retry_spread: 0,
             fingerprint: print,
         };
-        self.plan = Some(Plan::new(self.now, &options));
+        self.plan = Some(Plan::new(arrived, &options));
         self.orders.clear();
         self.on(Event::Start)
     }
--- a/crates/tgw-gateway/src/gather.rs
+++ b/crates/tgw-gateway/src/gather.rs
@@ -15,7 +15,10 @@
     time::Duration,
 };
 use tgw_clock::Millis;
-use tgw_forward::plan::{Answer, Cause, Options};
+use tgw_forward::{
+    gather,
+    plan::{Answer, Cause, Options},
+};
 use tgw_route::Target;
 use tgw_spread::{
     gather::{Message, Outcome, Query},
@@ -35,8 +38,6 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for which a gatherer that did not accept a query is not asked: until membership has detected its failure.
 const SILENCE_MS: Millis = Millis::new(2_000);
-/// Time taken off a query's limits for its way to the gatherer and back.
-const TRANSIT_MS: Millis = Millis::new(3);
 /// Most queries that a whole core gathers at once. At 50 ms each these are 1,300 a second.
 const MAX_GATHERED_PER_CORE: usize = 64;
 /// Time for which the outcome of a query is kept: its packet may be lost, and is then asked for.
@@ -194,8 +195,8 @@
     Some(Query {
         number,
         age: shared.now() - arrived,
+        delivery: shared.core.borrow().margin.delivery_time(options.new_connection),
         caller_timeout: options.caller_timeout,
-        new_connection: options.new_connection,
         config: shared.config.borrow().version.unwrap_or_default(),
         method: request.method.to_string(),
         uri,
@@ -310,17 +311,18 @@
     if shared.phase() != Phase::Serving || !shared.is_ready() || is_stale || is_behind || is_full {
         return None;
     }
-    let Query { age, caller_timeout, new_connection, fingerprint, .. } = query;
+    let Query { age, delivery, caller_timeout, fingerprint, .. } = query;
     let head = hop::Head { method: query.method, uri: query.uri, headers: query.headers };
     let request = hop::unpack_head(shared, head, query.body, fingerprint, query.principal)?;
     let route = request.route.clone()?;
     let options = Options {
         route,
         caller_timeout,
-        new_connection,
+        // The sender's time of delivery accounts for it.
+        new_connection: false,
         retry_spread: shared.next_number(),
         fingerprint,
     };
     matches!(options.route.target, Target::Shards(_))
-        .then(|| (request, options, now - (age + TRANSIT_MS)))
+        .then(|| (request, options, gather::arrival(now, age, delivery)))
 }
--- a/crates/tgw-spread/src/gather.rs
+++ b/crates/tgw-spread/src/gather.rs
@@ -31,10 +31,10 @@
     pub number: u64,
     /// The time since the query arrived at the sender.
     pub age: Millis,
+    /// The time that the sender needs to answer its caller once it has the outcome.
+    pub delivery: Millis,
     /// The timeout that the caller gave, if any, from the arrival on.
     pub caller_timeout: Option<Millis>,
-    /// Whether the caller opened a connection for it.
-    pub new_connection: bool,
     /// The version of the configuration by which the sender found its route.
     pub config: u64,
     /// The method.
