--- a/crates/tgw-gateway/src/gather.rs
+++ b/crates/tgw-gateway/src/gather.rs
@@ -110,8 +110,8 @@
         self.shared.packets.send(self.gatherer, &Datagram::Gather(message));
     }
 
-    /// Whether the gatherer makes the query.
-    async fn is_accepted(&mut self) -> Option<Outcome> {
+    /// Waits until the gatherer accepts the query, and then for its outcome; `None` if it does not accept it.
+    async fn accepted_outcome(&mut self) -> Option<Outcome> {
         match timeout(ACCEPT_TIMEOUT, self.messages.recv()).await {
             Ok(Some(Message::Ended(_, outcome))) => Some(outcome),
             Ok(Some(Message::Accepted(_))) => Some(self.outcome().await),
@@ -168,7 +168,7 @@
     shared.gathered.pending.borrow_mut().insert(number, (gatherer, sender));
     let mut pending = Pending { shared, gatherer, number, messages };
     pending.send(Message::Query(Box::new(query)));
-    let outcome = pending.is_accepted().await?;
+    let outcome = pending.accepted_outcome().await?;
     shared.gathered.pending.borrow_mut().remove(&number);
     let answer = answer_of(outcome);
     telemetry::request_gathered(
--- a/crates/tgw-gateway/src/handle.rs
+++ b/crates/tgw-gateway/src/handle.rs
@@ -17,7 +17,6 @@
 use tgw_forward::plan::{self, Answer, Response as Reply};
 use tgw_quarantine::fingerprint::Content;
 use tgw_route::Route;
-use tgw_tenant::Tenant;
 use tokio::time::timeout;
 
 /// Retry delay sent to a caller while this VM has no configuration.
@@ -121,7 +120,10 @@
         telemetry::request_unauthenticated(shared, arrived, identity.to_str().ok(), error, version);
         refuse_unauthenticated(error)
     })?;
-    let route = restrict(route, tenant.as_ref().map(|t| &*t.tenant));
+    let route = match &tenant {
+        Some(identity) => route.restricted_to(&identity.tenant.residency),
+        None => route,
+    };
     let caller_timeout =
         header_text(&head.headers, &names.deadline).and_then(|t| t.parse().ok()).map(Millis::new);
     let time_limit = caller_timeout.unwrap_or(route.timeout);
@@ -165,17 +167,6 @@
     }
 }
 
-/// The route with the tenant's restrictions on regions.
-pub(crate) fn restrict(route: Rc<Route>, tenant: Option<&Tenant>) -> Rc<Route> {
-    match tenant.filter(|tenant| !tenant.residency.is_unrestricted()) {
-        Some(tenant) => {
-            let residency = route.residency.and(&tenant.residency);
-            Rc::new(Route { residency, ..(*route).clone() })
-        }
-        None => route,
-    }
-}
-
 /// Admits a request within its tenant's limit. Errors: the response that refuses it.
 async fn admit(
     shared: &Rc<Shared>,
--- a/crates/tgw-gateway/src/hop.rs
+++ b/crates/tgw-gateway/src/hop.rs
@@ -1,6 +1,5 @@
 use crate::{
     exchange::{self, ActiveSend, OutgoingRequest},
-    handle,
     packets::MAX_PACKET_BYTES,
     shared::Shared,
 };
@@ -385,7 +384,10 @@
         let known = principal.as_ref().zip(config.tenants.as_ref());
         let tenant = known.and_then(|(p, tenants)| tenants.tenant(&p.tenant));
         let route = config.route(&uri, &headers).cloned();
-        route.map(|route| handle::restrict(route, tenant.map(|t| &**t)))
+        match tenant {
+            Some(tenant) => route.map(|route| route.restricted_to(&tenant.residency)),
+            None => route,
+        }
     };
     Some(OutgoingRequest {
         method: head.method.parse().ok()?,
--- a/crates/tgw-route/src/config.rs
+++ b/crates/tgw-route/src/config.rs
@@ -51,6 +51,17 @@
     pub anonymous: bool,
 }
 
+impl Route {
+    /// The route for requests that may be served in these regions only, besides its own restrictions.
+    pub fn restricted_to(self: Rc<Self>, residency: &Residency) -> Rc<Self> {
+        if residency.is_unrestricted() {
+            return self;
+        }
+        let residency = self.residency.and(residency);
+        Rc::new(Self { residency, ..(*self).clone() })
+    }
+}
+
 /// Whether a request may run more than once.
 #[derive(Copy, Clone, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Safety {
