--- a/crates/tgw-gateway/src/lib.rs
+++ b/crates/tgw-gateway/src/lib.rs
@@ -33,6 +33,8 @@
 mod hooked_stream;
 /// Sends made by other VMs for this one, and by this VM for others.
 mod hop;
+/// Live VMs, as membership knows them, for limits, gatherers, leases and shares.
+mod live_vms;
 /// Structured logs.
 pub mod log;
 /// Limits on the number of log lines.
