fix(gateway): an answer from before a request does not refuse its key

Cause: the answer was good for a time, not for requests that came before the question. The decision has no I/O and stands in tgw-spread.

Test: an_answer_covers_no_request_that_arrived_after_the_question.

--- a/crates/tgw-gateway/src/authentication.rs
+++ b/crates/tgw-gateway/src/authentication.rs
@@ -1,22 +1,17 @@
 use crate::{peers::Peers, shared::Shared};
 use http::{HeaderMap, HeaderValue, header};
 use smallvec::SmallVec;
-use std::{
-    cell::{Cell, RefCell},
-    net::SocketAddr,
-    rc::Rc,
-    time::Duration,
-};
-use tgw_clock::Millis;
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 use tgw_route::Route;
 use tgw_spread::{
+    Freshness,
     message::{Datagram, Versions},
     start::PeerState,
 };
 use tgw_tenant::{ApiKey, Principal, Tenant};
 use tokio::{
     sync::Notify,
-    time::{Instant, timeout_at},
+    time::{Instant, timeout},
 };
 
 /// VMs that are asked for the version of their configuration: the one that reads the store in this region, and
@@ -24,8 +19,8 @@
 const ASKED_VMS: usize = 3;
 /// Time allowed for their answers, and for the newer configuration that one of them may have.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
-/// Time for which a check holds: callers with unknown keys must not make this VM ask others for each request.
-const CHECK_VALIDITY_MS: Millis = Millis::new(250);
+/// Interval at which a request that waits for an answer sees whether to ask again.
+const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Why a request is not accepted.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
@@ -43,19 +38,17 @@
     pub(crate) tenant: Rc<Tenant>,
 }
 
-/// What this VM knows about other VMs' versions of the configuration.
+/// Questions to other VMs whether this VM's configuration is the newest.
 #[derive(Debug, Default)]
-pub(crate) struct Freshness {
-    asked_at: Cell<Option<Millis>>,
-    /// When a VM that reads the store last had no newer configuration.
-    confirmed_at: Cell<Option<Millis>>,
+pub(crate) struct NewestCheck {
+    freshness: RefCell<Freshness>,
     /// Notified of each answer and each new configuration.
     changed: Notify,
     /// The VMs that read the store, that of this region first.
     store_readers: RefCell<SmallVec<[SocketAddr; 8]>>,
 }
 
-impl Freshness {
+impl NewestCheck {
     pub(crate) fn config_changed(&self) {
         self.changed.notify_waiters();
     }
@@ -63,10 +56,6 @@
     pub(crate) fn set_store_readers(&self, readers: SmallVec<[SocketAddr; 8]>) {
         self.store_readers.replace(readers);
     }
-
-    fn is_confirmed(&self, now: Millis) -> bool {
-        self.confirmed_at.get().is_some_and(|at| now - at <= CHECK_VALIDITY_MS)
-    }
 }
 
 /// Finds who a request is made for; `None` if it needs no API key. The key is removed from its headers.
@@ -106,30 +95,32 @@
 }
 
 async fn find_in_newest(shared: &Shared, key: ApiKey) -> Result<Identity, Error> {
+    let arrived = shared.now();
     let deadline = Instant::now() + CHECK_TIMEOUT;
     loop {
-        let changed = shared.freshness.changed.notified();
+        let changed = shared.newest_check.changed.notified();
         if let Some(identity) = find(shared, key) {
             return Ok(identity);
         }
-        let now = shared.now();
-        if shared.store_reads.config.get() || shared.freshness.is_confirmed(now) {
+        let is_newest = shared.newest_check.freshness.borrow().covers(arrived);
+        if shared.store_reads.config.get() || is_newest {
             return Err(Error::UnknownKey);
         }
-        ask_others(shared, now);
-        if timeout_at(deadline, changed).await.is_err() {
-            return find(shared, key).ok_or(Error::Unverified);
+        if Instant::now() >= deadline {
+            return Err(Error::Unverified);
         }
+        ask_others(shared);
+        // Whichever comes first: the answer, or the time to ask again.
+        let _ = timeout(CHECK_INTERVAL, changed).await;
     }
 }
 
-/// Asks the VMs that read the store for their versions.
-fn ask_others(shared: &Shared, now: Millis) {
-    let Freshness { asked_at, store_readers, .. } = &shared.freshness;
-    if asked_at.get().is_some_and(|at| now - at < CHECK_VALIDITY_MS) {
+/// Asks the VMs that read the store for their versions, if that is due.
+fn ask_others(shared: &Shared) {
+    let NewestCheck { freshness, store_readers, .. } = &shared.newest_check;
+    if !freshness.borrow_mut().take_ask_due(shared.now()) {
         return;
     }
-    asked_at.set(Some(now));
     for to in store_readers.borrow().iter().take(ASKED_VMS) {
         shared.packets.send(*to, &Datagram::VersionQuery);
     }
@@ -142,9 +133,9 @@
         if state.config > own.config {
             self.request_state(from, Versions { config: state.config, ..own });
         } else if state.reads_store {
-            let freshness = &self.shared.freshness;
-            freshness.confirmed_at.set(Some(self.shared.now()));
-            freshness.changed.notify_waiters();
+            let check = &self.shared.newest_check;
+            check.freshness.borrow_mut().confirm();
+            check.changed.notify_waiters();
         }
     }
 }
--- a/crates/tgw-gateway/src/live_vms.rs
+++ b/crates/tgw-gateway/src/live_vms.rs
@@ -121,7 +121,7 @@
         let region = regions.remove(&own_region.0).unwrap_or_default();
         self.shared.admission.set_vms(self.shared.now(), own.0, region, regions);
         let readers = self.member.borrow().platform_watchers();
-        self.shared.freshness.set_store_readers(readers);
+        self.shared.newest_check.set_store_readers(readers);
     }
 
     /// Updates the addresses of the live VMs of other regions.
--- a/crates/tgw-gateway/src/shared.rs
+++ b/crates/tgw-gateway/src/shared.rs
@@ -1,5 +1,5 @@
 use crate::{
-    Codec, Settings, admission::Admission, agreement::Agreement, authentication::Freshness,
+    Codec, Settings, admission::Admission, agreement::Agreement, authentication::NewestCheck,
     broken::Sends, gather::Gathered, headers, hop::Hops, log::DropCounter, log_limiter::Limiter,
     memory::Budget, metrics::Metrics, packets::Packets, pool::Pools, request_heads::RequestHeads,
 };
@@ -103,7 +103,7 @@
     /// What this VM currently reads from the store.
     pub(crate) store_reads: StoreReads,
     /// Whether this VM's configuration is the newest.
-    pub(crate) freshness: Freshness,
+    pub(crate) newest_check: NewestCheck,
     /// Admission of tenants' requests.
     pub(crate) admission: Admission,
     /// Comparison of this VM's lists with those of other VMs.
@@ -170,7 +170,7 @@
             relay: watch::Sender::new(None),
             start: RefCell::new(start),
             store_reads: StoreReads::default(),
-            freshness: Freshness::default(),
+            newest_check: NewestCheck::default(),
             admission,
             agreement: Agreement::default(),
             reachability: RefCell::default(),
@@ -237,7 +237,7 @@
             tenants: config.tenants.as_ref().map(|t| Directory::new(config.version, t)),
             since: self.now(),
         };
-        self.freshness.config_changed();
+        self.newest_check.config_changed();
         self.update_ready.notify_one();
     }
 
--- a/crates/tgw-spread/src/lib.rs
+++ b/crates/tgw-spread/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod agreement;
 /// Evacuated failure domains, whose upstreams receive no further requests.
 pub mod evacuations;
+/// Whether a VM's configuration is the newest.
+mod freshness;
 /// Queries that one VM hands to another.
 pub mod gather;
 /// Sends that one VM asks another to make.
@@ -26,6 +28,7 @@
 mod world;
 
 pub use evacuations::Evacuations;
+pub use freshness::Freshness;
 pub use message::Message;
 pub use start::Bootstrap;
 pub use store_reads::Schedule;
--- a/crates/tgw-spread/tests/spread.rs
+++ b/crates/tgw-spread/tests/spread.rs
@@ -4,6 +4,7 @@
 
 mod agreement;
 mod evacuations;
+mod freshness;
 mod start;
 mod upstreams;
 
