--- a/crates/tgw-member/src/anti_entropy.rs
+++ b/crates/tgw-member/src/anti_entropy.rs
@@ -1,6 +1,7 @@
 use crate::{
     Member, Record,
-    member::{Action, Actions},
+    event::Action,
+    member::Actions,
     packet::{Body, MAX_UPDATES_PER_PACKET},
 };
 use rand::{Rng, seq::SliceRandom};
--- a/crates/tgw-member/src/failure_detector.rs
+++ b/crates/tgw-member/src/failure_detector.rs
@@ -1,6 +1,7 @@
 use crate::{
     Member,
-    member::{Action, Actions, PROBE_INTERVAL_MS, SUSPICION_TIMEOUT_MS, Suspicion},
+    event::Action,
+    member::{Actions, PROBE_INTERVAL_MS, SUSPICION_TIMEOUT_MS, Suspicion},
     packet::{Body, Update},
 };
 use rand::seq::SliceRandom;
--- a/crates/tgw-member/src/lib.rs
+++ b/crates/tgw-member/src/lib.rs
@@ -10,6 +10,8 @@
 mod apply;
 /// Relay VMs: contact with other failure domains and with the platform.
 mod cross_domain;
+/// Inputs and outputs of the state machine.
+mod event;
 /// Probes, suspicion and the final probes before a VM is declared dead.
 mod failure_detector;
 /// Updates queued for other VMs and how many more times each is sent.
@@ -25,6 +27,7 @@
 /// Reachability of other failure domains and the editions in force in each.
 mod relay;
 
-pub use member::{Action, Event, Member, Options, Rollout, Stats};
+pub use event::{Action, Event};
+pub use member::{Member, Options, Rollout, Stats};
 pub use packet::Packet;
 pub use record::Record;
