--- a/crates/tgw-bench/src/lib.rs
+++ b/crates/tgw-bench/src/lib.rs
@@ -43,6 +43,8 @@
 pub mod slopes;
 /// Simultaneous starts of many VMs.
 pub mod starts;
+/// Faults of simulated VMs and of the ways between them.
+pub mod vm_faults;
 /// Leases to send to cold upstreams, under demand from all VMs.
 pub mod warmup;
 
--- a/crates/tgw-bench/src/limits/outcome.rs
+++ b/crates/tgw-bench/src/limits/outcome.rs
@@ -1,7 +1,5 @@
-use super::{
-    Setup,
-    setup::{FAULT_START_MS, FaultKind},
-};
+use super::{Setup, setup::FAULT_START_MS};
+use crate::vm_faults::{Fault, FaultKind};
 use serde::Serialize;
 use tgw_clock::Millis;
 use tgw_tenant::Allowance;
@@ -111,7 +109,7 @@
 }
 
 fn is_lowered(setup: &Setup, tenant: usize, now: Millis, after: Millis) -> bool {
-    let lowered = |fault: &&super::Fault| fault.kind == FaultKind::Lowered;
+    let lowered = |fault: &&Fault| fault.kind == FaultKind::LimitLowered;
     tenant == 0 && setup.faults.iter().find(lowered).is_some_and(|f| now >= f.at + after)
 }
 
--- a/crates/tgw-bench/src/limits/setup.rs
+++ b/crates/tgw-bench/src/limits/setup.rs
@@ -1,39 +1,8 @@
+use crate::vm_faults::{Fault, FaultKind};
 use derive_more::Display;
 use tgw_clock::Millis;
 use tgw_tenant::{Allowance, limit::Terms};
 
-/// Kind of a fault.
-#[derive(Copy, Clone, Debug, PartialEq, Eq)]
-pub enum FaultKind {
-    /// Each of these VMs is partitioned from every other VM; callers still reach it.
-    Isolated,
-    /// These VMs are partitioned from the others, but reach one another.
-    Partitioned,
-    /// These VMs are paused.
-    Paused,
-    /// The processes of these VMs end, and start again when the fault ends.
-    Restarted,
-    /// Packets between all VMs are lost with a probability of a fifth.
-    Lossy,
-    /// The limit of the largest tenant is halved, for good.
-    Lowered,
-    /// The first region is partitioned from the others.
-    RegionCut,
-}
-
-/// One fault.
-#[derive(Copy, Clone, Debug)]
-pub struct Fault {
-    /// When it begins.
-    pub at: Millis,
-    /// When it ends.
-    pub until: Millis,
-    /// Its kind.
-    pub kind: FaultKind,
-    /// Share of the VMs that it affects, where it affects some.
-    pub share: f64,
-}
-
 /// Which VMs hold a tenant's limit.
 #[derive(Copy, Clone, Debug, Display, PartialEq, Eq)]
 pub enum Way {
@@ -92,7 +61,7 @@
     /// Adds a fault.
     #[must_use]
     pub fn with_fault(mut self, kind: FaultKind, share: f64) -> Self {
-        let until = if kind == FaultKind::Lowered { Millis::MAX } else { FAULT_END_MS };
+        let until = if kind == FaultKind::LimitLowered { Millis::MAX } else { FAULT_END_MS };
         self.faults.push(Fault { at: FAULT_START_MS, until, kind, share });
         self
     }
@@ -135,10 +104,10 @@
         named("half restarted", with(FaultKind::Restarted, 0.55)),
         named("all restarted", with(FaultKind::Restarted, 1.0)),
         named("packets lost", with(FaultKind::Lossy, 0.0)),
-        named("limit halved", with(FaultKind::Lowered, 0.0)),
+        named("limit halved", with(FaultKind::LimitLowered, 0.0)),
         named(
             "limit halved, half restarted",
-            with(FaultKind::Lowered, 0.0).with_fault(FaultKind::Restarted, 0.55),
+            with(FaultKind::LimitLowered, 0.0).with_fault(FaultKind::Restarted, 0.55),
         ),
     ]
 }
--- a/crates/tgw-bench/src/limits/simulation.rs
+++ b/crates/tgw-bench/src/limits/simulation.rs
@@ -1,17 +1,14 @@
 use super::{
-    Fault, FaultKind, Outcome, Setup,
+    Outcome, Setup,
     outcome::{Place, Record, allowance_at},
     vm::{REGIONS, Vm},
 };
 use crate::{
     address::{address, number},
     event_queue::EventQueue,
+    vm_faults::{ActiveFaults, FaultKind, Site},
 };
-use rand::{
-    Rng, SeedableRng,
-    rngs::SmallRng,
-    seq::{IndexedRandom, SliceRandom},
-};
+use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
 use std::{collections::BTreeMap, net::SocketAddr, rc::Rc};
 use tgw_clock::Millis;
 use tgw_member::{Action as MemberAction, Event, Packet, Record as MemberRecord};
@@ -62,8 +59,7 @@
     setup: Setup,
     now: Millis,
     vms: Vec<Vm>,
-    /// VMs affected by each active fault.
-    affected: BTreeMap<usize, Vec<usize>>,
+    faults: ActiveFaults,
     events: EventQueue<Scheduled>,
     questions: BTreeMap<u64, Question>,
     names: Vec<Rc<str>>,
@@ -86,7 +82,7 @@
         let mut simulation = Self {
             now: Millis::ZERO,
             vms: Vec::new(),
-            affected: BTreeMap::new(),
+            faults: ActiveFaults::default(),
             events: EventQueue::default(),
             questions: BTreeMap::new(),
             names: (0..setup.tenants).map(|tenant| format!("tenant-{tenant}").into()).collect(),
@@ -188,26 +184,14 @@
     /// The receiver of a packet and its delay, unless the packet is lost.
     fn delivery(&mut self, from: usize, to: SocketAddr) -> Option<(usize, Millis)> {
         let to = number(to);
-        let regions = [self.vms[from].region, self.vms.get(to)?.region];
-        let mut loss = PACKET_LOSS_RATIO;
-        for (number, vms) in &self.affected {
-            let (here, there) = (vms.contains(&from), vms.contains(&to));
-            let partitioned = match self.setup.faults[*number].kind {
-                FaultKind::Isolated => from != to && (here || there),
-                FaultKind::Partitioned => here != there,
-                FaultKind::RegionCut => (regions[0] == 0) != (regions[1] == 0),
-                FaultKind::Lossy => {
-                    loss = LOSSY_RATIO;
-                    false
-                }
-                FaultKind::Paused | FaultKind::Restarted | FaultKind::Lowered => false,
-            };
-            if partitioned {
-                return None;
-            }
+        let sites = [from, to].map(|vm| Some(Site { vm, region: self.vms.get(vm)?.region }));
+        let [from, to_site] = [sites[0]?, sites[1]?];
+        if self.faults.are_partitioned(from, to_site) {
+            return None;
         }
-        let delay =
-            if regions[0] == regions[1] { SAME_REGION_DELAY_MS } else { CROSS_REGION_DELAY_MS };
+        let loss = if self.faults.are_ways_lossy() { LOSSY_RATIO } else { PACKET_LOSS_RATIO };
+        let is_near = from.region == to_site.region;
+        let delay = if is_near { SAME_REGION_DELAY_MS } else { CROSS_REGION_DELAY_MS };
         let jitter = delay.mul_f64(self.rng.random_range(0.0..0.2));
         (!self.rng.random_bool(loss)).then_some((to, delay + jitter))
     }
@@ -367,27 +351,18 @@
     }
 
     fn begin_fault(&mut self, number: usize) {
-        let Fault { kind, share, until, .. } = self.setup.faults[number];
-        let taken: Vec<usize> = self.affected.values().flatten().copied().collect();
-        let mut vms: Vec<usize> = (0..self.vms.len()).filter(|vm| !taken.contains(vm)).collect();
-        vms.shuffle(&mut self.rng);
-        vms.truncate((share * self.vms.len() as f64).round() as usize);
-        for vm in &vms {
-            match kind {
-                FaultKind::Paused => self.vms[*vm].paused_until = until,
-                FaultKind::Restarted => self.vms[*vm].is_down = true,
+        let fault = self.setup.faults[number];
+        for vm in self.faults.begin(number, fault, self.vms.len(), &mut self.rng) {
+            match fault.kind {
+                FaultKind::Paused => self.vms[vm].paused_until = fault.until,
+                FaultKind::Restarted => self.vms[vm].is_down = true,
                 _ => {}
             }
         }
-        self.affected.insert(number, vms);
     }
 
     fn end_fault(&mut self, number: usize) {
-        let vms = self.affected.remove(&number).unwrap_or_default();
-        if self.setup.faults[number].kind != FaultKind::Restarted {
-            return;
-        }
-        for vm in vms {
+        for vm in self.faults.end(number) {
             let seed = self.rng.random();
             self.vms[vm] = Vm::start(self.now, &self.setup, vm, seed);
             self.schedule(self.now, Scheduled::Tick(vm));
--- a/crates/tgw-bench/src/warmup/mod.rs
+++ b/crates/tgw-bench/src/warmup/mod.rs
@@ -8,5 +8,5 @@
 /// State of one VM.
 mod vm;
 
-pub use setup::{Fault, FaultKind, Outcome, Setup, setups, text};
+pub use setup::{Outcome, Setup, setups, text};
 pub use simulation::play;
--- a/crates/tgw-bench/src/warmup/setup.rs
+++ b/crates/tgw-bench/src/warmup/setup.rs
@@ -1,33 +1,8 @@
+use crate::vm_faults::{Fault, FaultKind};
 use serde::Serialize;
 use tgw_clock::Millis;
 use tgw_forward::warmup::Headroom;
 
-/// Kind of a fault.
-#[derive(Copy, Clone, Debug, PartialEq, Eq)]
-pub enum FaultKind {
-    /// Each of these VMs is partitioned from every other VM; callers and upstreams still reach it.
-    Isolated,
-    /// These VMs are partitioned from the others, but reach one another.
-    Partitioned,
-    /// These VMs are paused.
-    Paused,
-    /// The processes of these VMs end, and start again when the fault ends.
-    Restarted,
-}
-
-/// One fault.
-#[derive(Copy, Clone, Debug)]
-pub struct Fault {
-    /// When it begins.
-    pub at: Millis,
-    /// When it ends.
-    pub until: Millis,
-    /// Its kind.
-    pub kind: FaultKind,
-    /// Share of the VMs that it affects.
-    pub share: f64,
-}
-
 /// Setup of one run.
 #[derive(Clone, Debug)]
 pub struct Setup {
--- a/crates/tgw-bench/src/warmup/simulation.rs
+++ b/crates/tgw-bench/src/warmup/simulation.rs
@@ -1,13 +1,14 @@
 use super::{
-    Fault, FaultKind, Outcome, Setup,
+    Outcome, Setup,
     vm::{SERVICE, UPSTREAM, Vm},
 };
 use crate::{
     address::{address, number},
     event_queue::EventQueue,
+    vm_faults::{ActiveFaults, FaultKind, Site},
 };
-use rand::{Rng, SeedableRng, rngs::SmallRng, seq::SliceRandom};
-use std::{collections::BTreeMap, net::SocketAddr};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use std::net::SocketAddr;
 use tgw_clock::Millis;
 use tgw_forward::{
     Scope,
@@ -49,8 +50,7 @@
     setup: Setup,
     now: Millis,
     vms: Vec<Vm>,
-    /// VMs affected by each active fault.
-    affected: BTreeMap<usize, Vec<usize>>,
+    faults: ActiveFaults,
     events: EventQueue<Scheduled>,
     /// When requests reached the upstream.
     written: Vec<Millis>,
@@ -72,7 +72,7 @@
         let mut simulation = Self {
             now: Millis::ZERO,
             vms: Vec::new(),
-            affected: BTreeMap::new(),
+            faults: ActiveFaults::default(),
             events: EventQueue::default(),
             written: Vec::new(),
             rng: SmallRng::seed_from_u64(setup.seed),
@@ -166,17 +166,11 @@
 
     fn delivery(&self, from: usize, to: SocketAddr) -> Option<(usize, Millis)> {
         let to = number(to);
-        let partitioned = self.affected.iter().any(|(number, vms)| {
-            let (here, there) = (vms.contains(&from), vms.contains(&to));
-            match self.setup.faults[*number].kind {
-                FaultKind::Isolated => here || there,
-                FaultKind::Partitioned => here != there,
-                FaultKind::Paused | FaultKind::Restarted => false,
-            }
-        });
-        let near = self.vms.get(to)?.region == self.vms[from].region;
-        (!partitioned)
-            .then_some((to, if near { SAME_REGION_DELAY_MS } else { CROSS_REGION_DELAY_MS }))
+        let site = |vm: usize| Some(Site { vm, region: self.vms.get(vm)?.region });
+        let (here, there) = (site(from)?, site(to)?);
+        let is_near = here.region == there.region;
+        let delay = if is_near { SAME_REGION_DELAY_MS } else { CROSS_REGION_DELAY_MS };
+        (!self.faults.are_partitioned(here, there)).then_some((to, delay))
     }
 
     /// A caller's request arrives at any VM that accepts callers.
@@ -239,27 +233,18 @@
     }
 
     fn begin_fault(&mut self, number: usize) {
-        let Fault { kind, share, until, .. } = self.setup.faults[number];
-        let taken: Vec<usize> = self.affected.values().flatten().copied().collect();
-        let mut vms: Vec<usize> = (0..self.vms.len()).filter(|vm| !taken.contains(vm)).collect();
-        vms.shuffle(&mut self.rng);
-        vms.truncate((share * self.vms.len() as f64).round() as usize);
-        for vm in &vms {
-            match kind {
-                FaultKind::Paused => self.vms[*vm].paused_until = until,
-                FaultKind::Restarted => self.vms[*vm].is_down = true,
-                FaultKind::Isolated | FaultKind::Partitioned => {}
+        let fault = self.setup.faults[number];
+        for vm in self.faults.begin(number, fault, self.vms.len(), &mut self.rng) {
+            match fault.kind {
+                FaultKind::Paused => self.vms[vm].paused_until = fault.until,
+                FaultKind::Restarted => self.vms[vm].is_down = true,
+                _ => {}
             }
         }
-        self.affected.insert(number, vms);
     }
 
     fn end_fault(&mut self, number: usize) {
-        let vms = self.affected.remove(&number).unwrap_or_default();
-        if self.setup.faults[number].kind != FaultKind::Restarted {
-            return;
-        }
-        for vm in vms {
+        for vm in self.faults.end(number) {
             let seed = self.rng.random();
             self.vms[vm] = Vm::start(self.now, &self.setup, vm, seed);
             self.schedule(self.now, Scheduled::Tick(vm));
--- a/crates/tgw-bench/tests/warmup/mod.rs
+++ b/crates/tgw-bench/tests/warmup/mod.rs
@@ -1,7 +1,10 @@
 //! Requests that a cold upstream receives from all VMs together.
 
 use test_case::test_case;
-use tgw_bench::warmup::{FaultKind, Setup, play, setups};
+use tgw_bench::{
+    vm_faults::FaultKind,
+    warmup::{Setup, play, setups},
+};
 
 fn play_within_limit(name: &str, setup: Setup) {
     let (vms, rate, seed) = (setup.vms, setup.rate, setup.seed);
