fix(tenant): a VM that knows no other admits nothing until it can rely on that

Read in the last look at the tree: for some 0.25 s after a start of all VMs each knows only itself, took itself for the holder of every tenant's limit in its region, and admitted what a new holder may: 75 VMs, 75 times that.

Change: without knowledge of any other VM, and before it relies on being alone (4.5 s after its start), a VM answers undecided, and its caller comes back after 150 ms. Test: a_vm_that_knows_no_other_admits_nothing_at_first, 1 admitted before.

--- a/crates/tgw-bench/src/limits/vm.rs
+++ b/crates/tgw-bench/src/limits/vm.rs
@@ -11,6 +11,8 @@
 };
 
 pub(super) const REGIONS: usize = 3;
+/// Time until a VM that knows no other one relies on being the only one, as in the gateway.
+const SETTLE_ALONE_MS: Millis = Millis::new(4_500);
 
 /// State of one VM: its admission and membership code.
 pub(super) struct Vm {
@@ -20,6 +22,7 @@
     pub(super) region: usize,
     number: usize,
     way: Way,
+    began: Millis,
     pub(super) paused_until: Millis,
     /// Its process does not run.
     pub(super) is_down: bool,
@@ -49,6 +52,7 @@
             region,
             number,
             way: setup.way,
+            began: now,
             paused_until: Millis::ZERO,
             is_down: false,
             silent: BTreeMap::new(),
@@ -75,6 +79,6 @@
         };
         let region = regions.remove(&own_region).unwrap_or_default();
         let own = Id::from_name(&format!("vm-{}", self.number)).0;
-        self.ranking.update(now, own, region, regions);
+        self.ranking.update(now, own, region, regions, now - self.began >= SETTLE_ALONE_MS);
     }
 }
--- a/crates/tgw-gateway/src/admission.rs
+++ b/crates/tgw-gateway/src/admission.rs
@@ -101,8 +101,9 @@
         own: u64,
         region: Vec<Candidate>,
         other_regions: BTreeMap<u8, Vec<Candidate>>,
+        is_settled: bool,
     ) {
-        self.ranking.borrow_mut().update(now, own, region, other_regions);
+        self.ranking.borrow_mut().update(now, own, region, other_regions, is_settled);
     }
 
     /// Periodic work: drops what is no longer needed.
--- a/crates/tgw-gateway/src/live_vms.rs
+++ b/crates/tgw-gateway/src/live_vms.rs
@@ -119,7 +119,8 @@
             }
         }
         let region = regions.remove(&own_region.0).unwrap_or_default();
-        self.shared.admission.set_vms(self.shared.now(), own.0, region, regions);
+        let (now, is_settled) = (self.shared.now(), self.is_settled());
+        self.shared.admission.set_vms(now, own.0, region, regions, is_settled);
         let readers = self.member.borrow().platform_watchers();
         self.shared.newest_check.set_store_readers(readers);
     }
--- a/crates/tgw-tenant/src/limit/holder.rs
+++ b/crates/tgw-tenant/src/limit/holder.rs
@@ -14,6 +14,9 @@
 /// was not used for so long.
 const IDLE_WINDOWS: f64 = 2.0;
 
+/// When a caller is to come back to a VM that knows no other one yet: most know some within 0.3 s of their start.
+const UNINFORMED_RETRY_MS: Millis = Millis::new(150);
+
 /// Who asks about a request.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
 pub struct Asker {
@@ -85,6 +88,10 @@
 
     /// Decides about a request, now or once tokens were borrowed.
     pub fn ask(&mut self, now: Millis, case: Case<'_>, asker: Asker, out: &mut Vec<Action>) {
+        if !case.standing.is_informed {
+            let decision = Decision::Undecided { retry_after: UNINFORMED_RETRY_MS };
+            return out.push(Action::Decide(asker, decision));
+        }
         let (account, role) = self.account(now, case);
         if let Some(decision) = account.ask(now, role, asker) {
             out.push(Action::Decide(asker, decision));
--- a/crates/tgw-tenant/src/limit/ranking.rs
+++ b/crates/tgw-tenant/src/limit/ranking.rs
@@ -28,22 +28,26 @@
     other_regions: BTreeMap<u8, Vec<Candidate>>,
     /// When the VMs of the region last changed.
     changed_at: Millis,
+    /// Whether this VM has run for long enough to rely on knowing no other one.
+    is_settled: bool,
 }
 
 impl Ranking {
-    /// Takes over the VMs of the own region and of the others, by the number of their region.
+    /// Takes over the VMs of the own region and of the others, by the number of their region. `is_settled` tells whether
+    /// this VM has run for long enough to rely on them.
     pub fn update(
         &mut self,
         now: Millis,
         own: u64,
         mut region: Vec<Candidate>,
         other_regions: BTreeMap<u8, Vec<Candidate>>,
+        is_settled: bool,
     ) {
         region.sort_by_key(|candidate| candidate.vm);
         if self.own != own || self.region != region {
             self.changed_at = now;
         }
-        *self = Self { own, region, other_regions, changed_at: self.changed_at };
+        *self = Self { own, region, other_regions, changed_at: self.changed_at, is_settled };
     }
 
     /// The VMs of this region that admit the requests of a tenant, the holder first.
@@ -61,7 +65,11 @@
         let is_holder = self.ranked(tenant).first().is_some_and(|first| self.is_own(first));
         let live = self.region.iter().filter(|candidate| candidate.alive).count();
         let lenders = self.other_regions.values().filter_map(|vms| ranked(vms, tenant, 1).pop());
+        // Of VMs that all start at once, each would take itself for the holder of every tenant.
+        let is_informed =
+            self.is_settled || self.region.len() > 1 || !self.other_regions.is_empty();
         Standing {
+            is_informed,
             is_holder,
             since: self.changed_at,
             live_part: live as f64 / self.region.len().max(1) as f64,
@@ -83,6 +91,8 @@
 /// One VM's standing in the admission of a tenant's requests.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Standing {
+    /// Whether it knows other VMs, or can rely on being the only one.
+    pub is_informed: bool,
     /// Whether it is the holder of its region.
     pub is_holder: bool,
     /// When the VMs of its region last changed.
--- a/crates/tgw-tenant/tests/limit/mod.rs
+++ b/crates/tgw-tenant/tests/limit/mod.rs
@@ -2,6 +2,7 @@
 
 use proptest::prelude::*;
 use std::{collections::BTreeMap, net::SocketAddr, rc::Rc};
+use test_case::test_case;
 use tgw_clock::Millis;
 use tgw_tenant::{
     Allowance,
@@ -64,6 +65,7 @@
     fn with(&mut self, at: usize, f: impl FnOnce(Millis, &mut Holder, Case<'_>, &mut Vec<Action>)) {
         let others = (0..REGIONS).filter(|region| *region != at);
         let standing = Standing {
+            is_informed: true,
             is_holder: true,
             since: self.since[at],
             live_part: 1.0,
@@ -195,7 +197,7 @@
     };
     let ranking = |own, alive| {
         let mut ranking = Ranking::default();
-        ranking.update(Millis::ZERO, own, vms(alive), BTreeMap::new());
+        ranking.update(Millis::ZERO, own, vms(alive), BTreeMap::new(), true);
         ranking
     };
     let tenants: Vec<String> = (0..50).map(|n| format!("tenant-{n}")).collect();
@@ -213,6 +215,23 @@
     assert_eq!(standing.live_part, 0.75);
 }
 
+// All VMs start at once. Until each knows of another one it would take itself for the holder of every tenant, and all
+// together would admit a multiple of the limit.
+#[test_case(false, 0; "just started")]
+#[test_case(true, 1; "alone for long")]
+fn a_vm_that_knows_no_other_admits_nothing_at_first(is_settled: bool, admitted: usize) {
+    let mut ranking = Ranking::default();
+    let own = Candidate { vm: 1, addr: addr(1), alive: true };
+    ranking.update(Millis::ZERO, 1, vec![own], BTreeMap::new(), is_settled);
+    let standing = ranking.standing("a");
+    let case = Case { tenant: &"a".into(), allowance: LIMIT, standing: &standing };
+    let mut out = Vec::new();
+    Holder::new(terms(), 0).ask(Millis::new(200), case, HERE, &mut out);
+    let decided = |action: &&Action| matches!(action, Action::Decide(_, Decision::Admitted));
+    assert_eq!(out.iter().filter(decided).count(), admitted, "{out:?}");
+    assert_eq!(out.len(), 1);
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Ask(usize, u8),
