feat(bench): several queries of death beside searches that many callers repeat

The emulator had one query of death, of one content, at ten shards, and counted no request that is quarantined though it is harmless. `bench overload/queries-of-death` has `--deadly` contents (four by default) beside searches of which half repeat one of four contents, at `--shards` shards, and counts the harmless requests that any VM ever quarantines: the aim is none.

--- a/crates/tanagergw/src/bench.rs
+++ b/crates/tanagergw/src/bench.rs
@@ -48,6 +48,12 @@
     /// Number of seeds with which `overload` runs.
     #[arg(long, default_value_t = 20)]
     seeds: u64,
+    /// Shards of the index in `overload`; by default ten.
+    #[arg(long)]
+    shards: Option<usize>,
+    /// Number of queries that end upstreams in `overload/queries-of-death`; by default four.
+    #[arg(long)]
+    deadly: Option<usize>,
     /// Overrides a policy setting for `overload`, such as `hedges=no`. May be repeated.
     #[arg(long = "set", value_name = "NAME=VALUE")]
     set: Vec<String>,
@@ -218,7 +224,13 @@
             format!("unknown overload scenario `{name}`: expected one of {}", known.join(", "))
         })?],
     };
-    let options = overload::Options { seeds: args.seeds, vms: args.vms, set: args.set.clone() };
+    let options = overload::Options {
+        seeds: args.seeds,
+        vms: args.vms,
+        shards: args.shards,
+        deadly: args.deadly,
+        set: args.set.clone(),
+    };
     let mut reports = Vec::new();
     for scenario in scenarios {
         let report = overload::report(scenario, &options)?;
--- a/crates/tgw-bench/src/overload/figures.rs
+++ b/crates/tgw-bench/src/overload/figures.rs
@@ -1,14 +1,17 @@
 //! Figures of overload runs.
 
-use super::{Choice, Scenario, query::Query, scenario::QUARANTINE_BOUND_S, vms::SHARDS};
+use super::{
+    Choice, Scenario, query::Query, scenario::QUARANTINE_BOUND_S, vms::min_shard_share,
+};
 use serde::Serialize;
 use std::{
-    collections::BTreeSet,
+    collections::{BTreeMap, BTreeSet},
     fmt::{self, Display, Formatter},
     ops::Range,
 };
 use tgw_clock::Millis;
 use tgw_forward::plan::{Answer, Trigger};
+use tgw_quarantine::Fingerprint;
 
 /// Counts of one run while its fault lasts.
 #[derive(Clone, Debug, Default)]
@@ -26,13 +29,16 @@
     pub(super) sends: u64,
     pub(super) far: u64,
     pub(super) took: Vec<f64>,
-    pub(super) terminations: Terminations,
+    /// By the content of the query under which upstreams ended.
+    terminations: BTreeMap<u64, Terminations>,
+    /// Queries that were quarantined though no upstream ends because of them.
+    harmless_quarantined: BTreeSet<Fingerprint>,
     counted: Range<f64>,
 }
 
 /// Upstreams that ended under a query that a caller sends repeatedly.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Terminations {
+struct Terminations {
     ended: u64,
     third_at: Option<Millis>,
     /// Repetitions of that query of which a send reached an upstream after all VMs must know it.
@@ -41,7 +47,7 @@
 
 impl Terminations {
     /// Records that an upstream ended.
-    pub(super) fn record(&mut self, now: Millis) {
+    fn record(&mut self, now: Millis) {
         self.ended += 1;
         if self.ended == 3 {
             self.third_at = Some(now);
@@ -49,7 +55,7 @@
     }
 
     /// Records that a send of repetition `number` of the query reached an upstream.
-    pub(super) fn record_send(&mut self, now: Millis, number: usize) {
+    fn record_send(&mut self, now: Millis, number: usize) {
         let known = Millis::from_f64(QUARANTINE_BOUND_S * 1_000.0);
         if self.third_at.is_some_and(|third_at| now > third_at + known) {
             self.late_repetitions.insert(number);
@@ -62,11 +68,33 @@
         Self { counted: scenario.counted_period(), ..Self::default() }
     }
 
+    /// Records that an upstream ended under a deadly query.
+    pub(super) fn record_end(&mut self, now: Millis, content: u64) {
+        self.terminations.entry(content).or_default().record(now);
+    }
+
+    /// Records that a send of repetition `number` of a deadly query reached an upstream.
+    pub(super) fn record_deadly_send(&mut self, now: Millis, content: u64, number: usize) {
+        self.terminations.entry(content).or_default().record_send(now, number);
+    }
+
+    /// Records that a VM quarantines a query.
+    pub(super) fn record_quarantine(&mut self, fingerprint: Fingerprint) {
+        if !self.terminations.contains_key(&fingerprint.content) {
+            self.harmless_quarantined.insert(fingerprint);
+        }
+    }
+
     /// Whether a query is counted, by the time of its first arrival.
     fn counts(&self, query: &Query) -> bool {
         !query.deadly && self.counted.contains(&query.first.as_f64())
     }
 
+    /// Sums a count over the deadly queries.
+    fn ends(&self, count: fn(&Terminations) -> u64) -> u64 {
+        self.terminations.values().map(count).sum()
+    }
+
     pub(super) fn send(&mut self, query: &Query, trigger: Trigger, region: usize) {
         if self.counts(query) {
             self.sends += 1;
@@ -86,16 +114,17 @@
         let worth = if query.full { 2.0 } else { 1.0 };
         self.queries += 1;
         self.owed += worth;
-        self.parts += SHARDS as u64;
+        self.parts += query.work.len() as u64;
         worth
     }
 
     fn earn(&mut self, query: &Query, worth: f64, took: f64, got: usize) {
         let late = took > if query.full { 200.0 } else { 100.0 };
-        let share = got as f64 / SHARDS as f64;
+        let parts = query.work.len();
+        let share = got as f64 / parts as f64;
         self.in_aim += u64::from(!late);
         self.earned += worth * share * share * if late { 0.1 } else { 1.0 };
-        self.missing += (SHARDS - got) as u64;
+        self.missing += (parts - got) as u64;
         self.took.push(took);
     }
 
@@ -127,7 +156,7 @@
         self.firsts += replies.len() as u64;
         self.sends += replies.len() as u64;
         self.far += far;
-        let least = if query.full { 9 } else { 8 };
+        let least = (query.work.len() as f64 * min_shard_share(query.full)).ceil() as usize;
         let mut took: Vec<f64> = replies.iter().map(|at| (*at - query.at).as_f64()).collect();
         took.sort_by(f64::total_cmp);
         let (aim, deadline) = if query.full { (200.0, 1_000.0) } else { (100.0, 600.0) };
@@ -167,6 +196,11 @@
     /// Times that a query still reached upstreams after all VMs must know that upstreams end under
     /// it; the maximum over the seeds.
     pub ended_late: u64,
+    /// Queries that were quarantined at any VM though no upstream ends because of them; the maximum
+    /// over the seeds.
+    pub harmless_quarantined: u64,
+    /// Seeds in which there was one.
+    pub seeds_with_harmless: u64,
     /// Median latency of answers, in ms.
     pub p50_ms: f64,
     /// 99th percentile of the latency of answers, in ms.
@@ -184,6 +218,7 @@
         let queries = sum(|t| t.queries);
         let mut took: Vec<f64> = seeds.iter().flat_map(|t| t.took.iter().copied()).collect();
         took.sort_by(f64::total_cmp);
+        let most = |count: &dyn Fn(&Tally) -> u64| seeds.iter().map(count).max().unwrap_or_default();
         let at = |part: f64| took.get((took.len() as f64 * part) as usize).copied();
         Self {
             choice,
@@ -195,12 +230,11 @@
             left_out: ratio(sum(|t| t.missing), sum(|t| t.parts)),
             extra: ratio(sum(|t| t.sends) - sum(|t| t.firsts), sum(|t| t.firsts)),
             far: ratio(sum(|t| t.far), sum(|t| t.sends)),
-            ended: seeds.iter().map(|t| t.terminations.ended).max().unwrap_or_default(),
-            ended_late: seeds
-                .iter()
-                .map(|t| t.terminations.late_repetitions.len() as u64)
-                .max()
-                .unwrap_or_default(),
+            ended: most(&|t| t.ends(|ends| ends.ended)),
+            ended_late: most(&|t| t.ends(|ends| ends.late_repetitions.len() as u64)),
+            harmless_quarantined: most(&|t| t.harmless_quarantined.len() as u64),
+            seeds_with_harmless: seeds.iter().filter(|t| !t.harmless_quarantined.is_empty()).count()
+                as u64,
             p50_ms: at(0.5).unwrap_or_default(),
             p99_ms: at(0.99).unwrap_or_default(),
         }
@@ -262,6 +296,11 @@
             let Figures { ended, ended_late, .. } = figures;
             if *ended > 0 {
                 writeln!(f, "  most upstreams ended {ended}, sent again once known {ended_late}")?;
+                let Figures { harmless_quarantined, seeds_with_harmless, .. } = figures;
+                writeln!(
+                    f,
+                    "  harmless queries quarantined {harmless_quarantined}, in {seeds_with_harmless} seeds"
+                )?;
             }
         }
         Ok(())
--- a/crates/tgw-bench/src/overload/mod.rs
+++ b/crates/tgw-bench/src/overload/mod.rs
@@ -28,13 +28,20 @@
 pub use scenario::Scenario;
 pub use vms::SHARDS;
 
+/// Number of queries that end upstreams, where there are several.
+const DEADLY_QUERIES: usize = 4;
+
 /// Parameters of a report.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Options {
     /// Number of seeds; each is run with every choice.
     pub seeds: u64,
     /// VMs in total over three regions; nine by default.
     pub vms: Option<usize>,
+    /// Shards of the index; [`SHARDS`] by default.
+    pub shards: Option<usize>,
+    /// Queries that end upstreams, in [`Scenario::QueriesOfDeath`]; four by default.
+    pub deadly: Option<usize>,
     /// Overrides of the forwarding policy for [`Choice::Tier`], such as `hedges=no`.
     pub set: Vec<String>,
 }
@@ -50,9 +57,13 @@
 ) -> Result<Report, tgw_forward::policy::Invalid> {
     let mut policy = tgw_forward::Policy::default();
     options.set.iter().try_for_each(|setting| policy.set(setting))?;
-    let size = vms::Size { vms: options.vms.unwrap_or(vms::VMS).max(vms::REGIONS) };
+    let size = vms::Size {
+        vms: options.vms.unwrap_or(vms::VMS).max(vms::REGIONS),
+        shards: options.shards.unwrap_or(SHARDS).max(1),
+    };
+    let deadly = options.deadly.unwrap_or(DEADLY_QUERIES);
     let played = |choice: Choice| {
-        let play = |seed| run::simulate(scenario, choice, (size, policy), seed);
+        let play = |seed| run::simulate((scenario, deadly), choice, (size, policy), seed);
         let seeds = (1..=options.seeds).map(play);
         Figures::of(choice, seeds)
     };
--- a/crates/tgw-bench/src/overload/oracle.rs
+++ b/crates/tgw-bench/src/overload/oracle.rs
@@ -2,7 +2,7 @@
     query::Query,
     run::UpstreamPool,
     upstream::Outcome,
-    vms::{REGIONS, SHARDS, upstream_number},
+    vms::{REGIONS, upstream_number},
 };
 use tgw_clock::Millis;
 
@@ -13,7 +13,7 @@
 /// order of their arrival, and none is given up for the sake of others.
 pub(super) fn answer(pool: &mut UpstreamPool, query: &Query) -> (Vec<Millis>, u64) {
     let (mut replies, mut far) = (Vec::new(), 0);
-    for shard in 0..SHARDS {
+    for shard in 0..query.work.len() {
         let tries = (0..REGIONS).map(|region| {
             let delay = pool.delay(query.region, region);
             let upstream = upstream_number(shard, region);
--- a/crates/tgw-bench/src/overload/run.rs
+++ b/crates/tgw-bench/src/overload/run.rs
@@ -8,7 +8,7 @@
     scenario::{FAULT_START_S, Scenario},
     termination::{self, InFlight},
     upstream::Upstream,
-    vms::{REGIONS, SHARDS, Size, Vm, routes, start_vm},
+    vms::{REGIONS, Size, Vm, routes, start_vm},
 };
 use derive_more::Display;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -111,6 +111,8 @@
     End {
         upstream: usize,
         generation: u32,
+        /// Content of the query that ends it.
+        content: u64,
     },
     /// A VM finds during a request that the upstream ended.
     EndDetected {
@@ -174,14 +176,14 @@
 
 /// Runs one seed.
 pub(super) fn simulate(
-    scenario: Scenario,
+    (scenario, deadly): (Scenario, usize),
     choice: Choice,
     (size, tier): (Size, Policy),
     seed: u64,
 ) -> Tally {
     let mut rng = SmallRng::seed_from_u64(seed);
-    let upstreams = (0..SHARDS * REGIONS).map(|_| Upstream::new(scenario, &mut rng)).collect();
-    let queries = query::arrivals(scenario, size, &mut rng);
+    let upstreams = (0..size.upstreams()).map(|_| Upstream::new(scenario, &mut rng)).collect();
+    let queries = query::arrivals((scenario, deadly), size, &mut rng);
     let mut pool = UpstreamPool { upstreams };
     if choice == Choice::Oracle {
         let mut tally = Tally::new(scenario);
@@ -210,13 +212,13 @@
             pool,
             size,
             policy,
-            routes: routes(),
+            routes: routes(size),
             vms: (0..size.vms).map(|v| start_vm(v % REGIONS, size, policy)).collect(),
             running: BTreeMap::new(),
             queries: BTreeMap::new(),
             heap: BinaryHeap::new(),
             events: BTreeMap::new(),
-            in_flight: (0..SHARDS * REGIONS).map(|_| Vec::new()).collect(),
+            in_flight: (0..size.upstreams()).map(|_| Vec::new()).collect(),
             next: 0,
             rng,
             tally,
@@ -253,7 +255,9 @@
                     self.record_end(now, vm, ticket, outcome);
                 }
                 Some(Event::Restart) => self.restart(),
-                Some(Event::End { upstream, generation }) => self.end(now, upstream, generation),
+                Some(Event::End { upstream, generation, content }) => {
+                    self.end(now, (upstream, generation), content);
+                }
                 Some(Event::EndDetected { vm, upstream, generation, end }) => {
                     self.detect_end(now, vm, (upstream, generation), &end);
                 }
--- a/crates/tgw-bench/src/overload/run/sends.rs
+++ b/crates/tgw-bench/src/overload/run/sends.rs
@@ -72,13 +72,13 @@
             let draw = query.draw(part, *sends, upstream);
             return self.pool.upstreams[upstream].arrive(at, query.work[part], draw);
         }
-        let generation = self.pool.upstreams[upstream].generation();
+        let (generation, content) = (self.pool.upstreams[upstream].generation(), query.content);
         let outcome = self.pool.upstreams[upstream].arrive_deadly(at);
         if let Outcome::Ends(end) = outcome {
-            self.schedule(end, Event::End { upstream, generation });
+            self.schedule(end, Event::End { upstream, generation, content });
         }
         if matches!(outcome, Outcome::Ends(_) | Outcome::Shed) {
-            self.tally.terminations.record_send(at, number);
+            self.tally.record_deadly_send(at, content, number);
         }
         outcome
     }
--- a/crates/tgw-bench/src/overload/scenario.rs
+++ b/crates/tgw-bench/src/overload/scenario.rs
@@ -47,11 +47,14 @@
     /// The same, each time from another host of the caller.
     #[display("query-of-death-of-many-hosts")]
     QueryOfDeathOfManyHosts,
+    /// Several queries that end upstreams, beside searches that many callers repeat.
+    #[display("queries-of-death")]
+    QueriesOfDeath,
 }
 
 impl Scenario {
     /// All scenarios.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::Pauses,
         Self::ShedAcross,
         Self::SlowAcross,
@@ -61,6 +64,7 @@
         Self::Burst,
         Self::QueryOfDeath,
         Self::QueryOfDeathOfManyHosts,
+        Self::QueriesOfDeath,
     ];
 
     /// Returns the scenario of that name.
@@ -75,13 +79,22 @@
             Self::SlowAcross | Self::DarkAcross => 0.15,
             Self::RepliesLost => 0.5,
             Self::Pauses | Self::FleetRestart | Self::Burst => 0.0,
-            Self::QueryOfDeath | Self::QueryOfDeathOfManyHosts => 0.0,
+            Self::QueryOfDeath | Self::QueryOfDeathOfManyHosts | Self::QueriesOfDeath => 0.0,
         }
     }
 
     /// Whether the scenario has a query that ends upstreams.
     pub(super) fn has_deadly_query(self) -> bool {
-        matches!(self, Self::QueryOfDeath | Self::QueryOfDeathOfManyHosts)
+        self.deadly_queries(1) > 0
+    }
+
+    /// Number of queries that end upstreams; `several` where a scenario has more than one.
+    pub(super) fn deadly_queries(self, several: usize) -> usize {
+        match self {
+            Self::QueryOfDeath | Self::QueryOfDeathOfManyHosts => 1,
+            Self::QueriesOfDeath => several,
+            _ => 0,
+        }
     }
 
     /// When the fault lasts, in ms.
--- a/crates/tgw-bench/src/overload/termination.rs
+++ b/crates/tgw-bench/src/overload/termination.rs
@@ -8,7 +8,7 @@
 use tgw_quarantine::{
     Fingerprint,
     message::{Rounds, Termination, Update},
-    tracker,
+    tracker::{self, Change},
 };
 
 /// Time after which the store no longer lists an upstream that ended.
@@ -43,12 +43,17 @@
 
     /// Ends an upstream's process of this `generation`, unless it has ended already. Requests that
     /// it holds break; requests on their way to it are refused.
-    pub(super) fn end(&mut self, now: Millis, upstream: usize, generation: u32) {
+    pub(super) fn end(
+        &mut self,
+        now: Millis,
+        (upstream, generation): (usize, u32),
+        content: u64,
+    ) {
         if self.pool.upstreams[upstream].generation() != generation {
             return;
         }
         let restart_at = self.pool.upstreams[upstream].end(now);
-        self.tally.terminations.record(now);
+        self.tally.record_end(now, content);
         self.schedule(now + UNLIST_DELAY_MS, Event::Unlisted { upstream, generation });
         self.schedule(restart_at, Event::Started { upstream, generation: generation + 1 });
         for request in std::mem::take(&mut self.in_flight[upstream]) {
@@ -99,22 +104,31 @@
         if let Some(key) = core.fleet.key(&name(upstream, generation)) {
             core.fleet.mark_unreachable(now, key);
         }
-        core.quarantine.record_end(now, end);
+        let change = core.quarantine.record_end(now, end);
+        self.record_change(end.fingerprint, change);
         self.forward_updates(now, vm);
     }
 
     /// A VM receives an update on quarantined requests from a peer.
     pub(super) fn receive_update(&mut self, now: Millis, vm: usize, update: &Update) {
         let tracker = &mut self.vms[vm].core.quarantine;
-        for end in &update.terminations {
-            tracker.record_end(now, end);
-        }
-        for state in &update.states {
-            tracker.merge(now, state);
+        let ends = update.terminations.iter();
+        let ends = ends.map(|end| (end.fingerprint, tracker.record_end(now, end)));
+        let mut changes: Vec<(Fingerprint, Change)> = ends.collect();
+        let states = update.states.iter();
+        changes.extend(states.map(|state| (state.fingerprint, tracker.merge(now, state))));
+        for (fingerprint, change) in changes {
+            self.record_change(fingerprint, change);
         }
         self.forward_updates(now, vm);
     }
 
+    fn record_change(&mut self, fingerprint: Fingerprint, change: Change) {
+        if matches!(change, Change::Quarantined { .. }) {
+            self.tally.record_quarantine(fingerprint);
+        }
+    }
+
     /// Forwards the updates that are new to a VM to some randomly chosen peers.
     fn forward_updates(&mut self, now: Millis, vm: usize) {
         while let Some(update) = self.vms[vm].core.quarantine.take_update() {
--- a/crates/tgw-bench/src/overload/vms.rs
+++ b/crates/tgw-bench/src/overload/vms.rs
@@ -12,7 +12,7 @@
 };
 use tgw_route::{Config, Residency, Route, Safety, Service, Target, Warmup, config::Shards};
 
-/// Shards of the index.
+/// Shards of the index by default.
 pub const SHARDS: usize = 10;
 /// Number of regions.
 pub(super) const REGIONS: usize = 3;
@@ -32,13 +32,19 @@
 /// How long a starting upstream declares itself cold.
 const WARMUP_MS: Millis = Millis::new(3_000);
 
-/// Size of a fleet. The total request rate does not grow with the number of VMs.
+/// Size of a deployment. The total request rate grows with neither number.
 #[derive(Copy, Clone, Debug)]
 pub(super) struct Size {
     pub(super) vms: usize,
+    pub(super) shards: usize,
 }
 
 impl Size {
+    /// Number of upstreams.
+    pub(super) fn upstreams(self) -> usize {
+        self.shards * REGIONS
+    }
+
     fn connections(self) -> u32 {
         (BASE_CONNECTIONS + CONNECTIONS_PER_VM * self.vms as f64) as u32
     }
@@ -62,15 +68,20 @@
     shard * REGIONS + region
 }
 
+/// Least share of the shards in a success of the full or of the urgent search.
+pub(super) fn min_shard_share(full: bool) -> f64 {
+    if full { 0.89 } else { 0.75 }
+}
+
 /// The routes of the full and of the urgent search.
-pub(super) fn routes() -> [Rc<Route>; 2] {
-    let route = |name: &str, aim: u64, timeout: u64, least: f64| {
-        let services = (0..SHARDS).map(|s| format!("s{s}").into()).collect();
+pub(super) fn routes(size: Size) -> [Rc<Route>; 2] {
+    let route = |name: &str, aim: u64, timeout: u64, full: bool| {
+        let services = (0..size.shards).map(|s| format!("s{s}").into()).collect();
         Rc::new(Route {
             name: name.into(),
             host: "a.example".into(),
             prefix: "/".into(),
-            target: Target::Shards(Shards { services, result_limit: 5, min_shard_share: least }),
+            target: Target::Shards(Shards { services, result_limit: 5, min_shard_share: min_shard_share(full) }),
             safety: Safety::Idempotent,
             timeout: Millis::new(timeout),
             target_latency: Millis::new(aim),
@@ -80,7 +91,7 @@
             anonymous: false,
         })
     };
-    [route("full", 200, 1_000, 0.89), route("urgent", 100, 600, 0.75)]
+    [route("full", 200, 1_000, true), route("urgent", 100, 600, false)]
 }
 
 /// A VM that has just started, already connected to the upstreams of its region.
@@ -88,7 +99,7 @@
     let regions = (0..REGIONS).map(|r| (domain(r), format!("r{r}"))).collect();
     let mut core = Core::new(Place { domain: domain(region), regions }, size.budget(), policy);
     let mut config = Config::default();
-    for shard in 0..SHARDS {
+    for shard in 0..size.shards {
         let service: Rc<str> = format!("s{shard}").into();
         config.services.insert(
             service,
@@ -101,7 +112,7 @@
     core.set_vms(Vms { all: size.vms as u32, in_region: (size.vms / REGIONS) as u32 });
     let elsewhere = (0..REGIONS).filter(|r| *r != region).map(|r| format!("r{r}"));
     core.fleet.set_peer_regions(elsewhere.collect());
-    (0..SHARDS).for_each(|shard| connect(&mut core, upstream_number(shard, region), 0));
+    (0..size.shards).for_each(|shard| connect(&mut core, upstream_number(shard, region), 0));
     Vm { core, region }
 }
 
--- a/crates/tgw-bench/tests/overload.rs
+++ b/crates/tgw-bench/tests/overload.rs
@@ -10,7 +10,7 @@
 
 fn tier(scenario: Scenario, set: &[&str]) -> Figures {
     let set = set.iter().map(|s| (*s).into()).collect();
-    let report = report(scenario, &Options { seeds: SEEDS, vms: None, set }).unwrap();
+    let report = report(scenario, &Options { seeds: SEEDS, set, ..Options::default() }).unwrap();
     report.of(Choice::Tier).unwrap().clone()
 }
 
@@ -25,7 +25,7 @@
 #[test_case(Scenario::DarkAcross)]
 #[test_case(Scenario::RepliesLost)]
 fn the_tier_lies_between_crude_sends_and_the_oracle(scenario: Scenario) {
-    let report = report(scenario, &Options { seeds: SEEDS, vms: None, set: vec![] }).unwrap();
+    let report = report(scenario, &Options { seeds: SEEDS, ..Options::default() }).unwrap();
     let worth = |choice| report.of(choice).unwrap().worth;
     let (crude, tier, oracle) = (worth(Choice::Crude), worth(Choice::Tier), worth(Choice::Oracle));
     assert!(crude < tier && tier <= oracle + 0.01, "{report}");
@@ -56,7 +56,7 @@
 fn budgets_split_over_many_vms_fail_fewer_queries_when_vms_lend() {
     let played = |set: &[&str]| {
         let set = set.iter().map(ToString::to_string).collect();
-        let options = Options { seeds: 1, vms: Some(100), set };
+        let options = Options { seeds: 1, vms: Some(100), set, ..Options::default() };
         report(Scenario::ShedAcross, &options).unwrap().of(Choice::Tier).unwrap().failed
     };
     let (ours, before) = (played(&[]), played(&["lends=no"]));
@@ -75,7 +75,7 @@
 #[test_case(300, 1)]
 fn a_query_of_death_ends_one_upstream_a_shard_and_two_more(vms: usize, seeds: u64) {
     let play =
-        |scenario| report(scenario, &Options { seeds, vms: Some(vms), set: vec![] }).unwrap();
+        |scenario| report(scenario, &Options { seeds, vms: Some(vms), ..Options::default() }).unwrap();
     let (beside, without) = (play(Scenario::QueryOfDeath), play(Scenario::Pauses));
     let tier = beside.of(Choice::Tier).unwrap();
     assert!(tier.ended <= SHARDS as u64 + 2, "{beside}");
@@ -90,7 +90,7 @@
 #[test_case(6, 3)]
 #[test_case(76, 1)]
 fn a_query_of_death_of_many_hosts_ends_one_upstream_more(vms: usize, seeds: u64) {
-    let options = Options { seeds, vms: Some(vms), set: vec![] };
+    let options = Options { seeds, vms: Some(vms), ..Options::default() };
     let report = report(Scenario::QueryOfDeathOfManyHosts, &options).unwrap();
     let tier = report.of(Choice::Tier).unwrap();
     assert!(tier.ended <= SHARDS as u64 + 3, "{report}");
