test(soak): several deadly queries beside several searches, and nothing harmless is ever quarantined

`--searches` and `--deadly` give several of each, the deadly ones at all shards and at the service of single requests by turns. A new check reads the logs of all VMs: each request that one of them ever quarantines must be deadly, without any allowance. `check_deadly` (before: `check_quarantine`) holds the same bounds for each deadly query by its own third end; the other checks are as they were.

--- a/crates/tgw-soak/src/callers.rs
+++ b/crates/tgw-soak/src/callers.rs
@@ -16,22 +16,29 @@
 /// Deadline that a request states in its header.
 const REQUEST_DEADLINE_MS: u64 = 1_400;
 
-/// Path of the query of death: every upstream process that starts to run it ends.
-pub(crate) const DEADLY_PATH: &str = "/all/deadly";
+/// Path and query of a query of death: every upstream process that starts to run it ends. There are several, at all shards
+/// and at the service of the routes to one upstream by turns.
+pub(crate) fn deadly_target(number: u8) -> String {
+    match number {
+        0 => "/all/deadly".into(),
+        _ if number.is_multiple_of(2) => format!("/all/deadly?x={number}"),
+        _ => format!("/safe/deadly?x={number}"),
+    }
+}
 
 /// Route of a request.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Kind {
-    /// To all shards.
-    AllShards,
+    /// To all shards: one of several searches.
+    AllShards(u8),
     /// To one upstream; may be retried.
     Idempotent,
     /// To one upstream; runs at most once.
     AtMostOnce,
     /// To one upstream of the home region; may be retried.
     HomeRegion,
-    /// To all shards; ends every upstream process that starts to run it.
-    Deadly,
+    /// Ends every upstream process that starts to run it: one of several.
+    Deadly(u8),
     /// To one upstream, for a tenant that sends more than its limit.
     Limited,
     /// To one upstream, with an API key that no tenant holds.
@@ -39,13 +46,14 @@
 }
 
 impl Kind {
-    fn path(self) -> &'static str {
+    /// Path and query.
+    pub(crate) fn target(self) -> String {
         match self {
-            Self::AllShards => "/all/q?x=1",
-            Self::Idempotent | Self::Limited | Self::UnknownKey => "/safe/q",
-            Self::AtMostOnce => "/once/q",
-            Self::HomeRegion => "/home/q",
-            Self::Deadly => DEADLY_PATH,
+            Self::AllShards(number) => format!("/all/q?x={}", number + 1),
+            Self::Idempotent | Self::Limited | Self::UnknownKey => "/safe/q".into(),
+            Self::AtMostOnce => "/once/q".into(),
+            Self::HomeRegion => "/home/q".into(),
+            Self::Deadly(number) => deadly_target(number),
         }
     }
 
@@ -134,7 +142,7 @@
         let names = tgw_site_standin::leaf::header_names();
         let request = Request::builder()
             .method(method)
-            .uri(kind.path())
+            .uri(kind.target())
             .header("host", "a.example")
             .header(names.request_id, request_id)
             .header(names.deadline, REQUEST_DEADLINE_MS)
--- a/crates/tgw-soak/src/check.rs
+++ b/crates/tgw-soak/src/check.rs
@@ -5,7 +5,7 @@
         WARMUP_TIME, shards,
     },
     leaving::{self, Leavings},
-    tenants,
+    quarantine, tenants,
 };
 use http::StatusCode;
 use std::{
@@ -27,9 +27,6 @@
 /// Time within which also VMs that were disturbed, and upstreams whose links were, are done with a
 /// leaving. Operators bound neither; for all others [`leaving`] holds their bound.
 const DISTURBED_DRAIN_TIMEOUT: Duration = Duration::from_millis(5_000);
-
-/// Time within which all VMs quarantine a query that has ended three upstreams.
-const QUARANTINE_TIMEOUT: Duration = Duration::from_millis(5_000);
 /// Time within which all VMs know that a failure domain is evacuated.
 const EVACUATION_TIMEOUT: Duration = Duration::from_millis(5_000);
 /// Time after the end of an evacuation by which its upstreams count as warm unless they report
@@ -39,8 +36,6 @@
 const UNANSWERED_COLD_TIMEOUT: Duration = Duration::from_millis(6_000);
 /// Window in which the requests to a cold upstream are counted.
 const RATE_WINDOW: Duration = Duration::from_millis(1_000);
-/// Maximum number of times that a quarantined query may still reach upstreams.
-const MAX_DEADLY_RUNS: usize = 3;
 
 /// Result of a run.
 pub(crate) struct Report {
@@ -99,7 +94,7 @@
         }
     }
     check_recovery(exchanges, environment, &observed.recovery, &mut broken);
-    check_quarantine(exchanges, &runs, (environment, disturbances), &mut broken);
+    quarantine::check_deadly(exchanges, &runs, (environment, disturbances), &mut broken);
     check_unknown_requests(exchanges, &runs, &mut broken);
     check_drained(environment, &mut broken);
     let leavings = leaving::check(observed, &mut broken);
@@ -144,11 +139,8 @@
         broken.push(format!("{request_id}: refused as not run, and ran {count} times"));
     }
     let expected = match kind {
-        Kind::AllShards => "GET /all/q?x=1 ",
-        Kind::Idempotent | Kind::Limited | Kind::UnknownKey => "GET /safe/q ",
-        Kind::AtMostOnce => "POST /once/q order",
-        Kind::Deadly => "GET /all/deadly ",
-        Kind::HomeRegion => "GET /home/q ",
+        Kind::AtMostOnce => format!("POST {} order", kind.target()),
+        _ => format!("GET {} ", kind.target()),
     };
     if let Some(other) = runs.iter().find(|run| **run != expected) {
         broken.push(format!("{request_id}: reached an upstream as {other:?}"));
@@ -162,7 +154,7 @@
     }
     let request_id = &exchange.request_id;
     let wrong = match exchange.kind {
-        Kind::AllShards | Kind::Deadly => check_merged(request_id, answer),
+        Kind::AllShards(_) | Kind::Deadly(_) => check_merged(request_id, answer),
         _ => check_single(request_id, answer),
     };
     if let Some(wrong) = wrong {
@@ -218,7 +210,7 @@
             && (home.clone().any(|(_, _, until)| e.sent_at < *until + REWARM_TIMEOUT)
                 || is_unanswered_at_home(environment, e.sent_at))
     };
-    let is_served = |kind| !matches!(kind, Kind::Deadly | Kind::Limited | Kind::UnknownKey);
+    let is_served = |kind| !matches!(kind, Kind::Deadly(_) | Kind::Limited | Kind::UnknownKey);
     let is_counted = |e: &&Exchange| phase.contains(&e.sent_at) && is_served(e.kind) && !is_cold(e);
     let recent = exchanges.iter().filter(is_counted);
     let recent: Vec<&Exchange> = recent.collect();
@@ -245,30 +237,6 @@
     })
 }
 
-/// Checks that all running and reachable VMs quarantine a query soon after it has ended three
-/// upstreams.
-fn check_quarantine(
-    exchanges: &[Exchange],
-    runs: &BTreeMap<&str, Vec<&str>>,
-    (environment, disturbances): (&Environment, &Disturbances),
-    broken: &mut Vec<String>,
-) {
-    let Some(third) = environment.deadly_ends.get(2) else { return };
-    let is_undisturbed = |e: &&Exchange| {
-        let times = disturbances.get(&e.vm).into_iter().flatten();
-        times.clone().all(|at| *at + QUARANTINE_TIMEOUT < e.sent_at || *at > e.sent_at + e.elapsed)
-    };
-    let late = exchanges
-        .iter()
-        .filter(|e| e.kind == Kind::Deadly && e.sent_at > *third + QUARANTINE_TIMEOUT);
-    let ran =
-        late.filter(is_undisturbed).filter(|e| runs.contains_key(e.request_id.as_str())).count();
-    if ran > MAX_DEADLY_RUNS {
-        let ended = environment.deadly_ends.len();
-        broken.push(format!("a deadly query ran {ran} times once known, {ended} upstreams ended"));
-    }
-}
-
 /// Checks that upstreams ran only requests that a caller sent.
 fn check_unknown_requests(
     exchanges: &[Exchange],
--- a/crates/tgw-soak/src/environment.rs
+++ b/crates/tgw-soak/src/environment.rs
@@ -1,4 +1,4 @@
-use crate::{callers::DEADLY_PATH, fleet::DOMAINS, proxy::Proxy, tenants};
+use crate::{callers::deadly_target, fleet::DOMAINS, proxy::Proxy, tenants};
 use serde_json::{Value, json};
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 use tgw_site_standin::{
@@ -9,6 +9,8 @@
 use tokio::time::Instant;
 
 pub(crate) const SHARD_COUNT: usize = 6;
+/// Maximum number of deadly queries.
+pub(crate) const MAX_DEADLY: u8 = 8;
 /// Maximum number of records in an answer.
 pub(crate) const RESULT_LIMIT: usize = 10;
 /// Minimum share of the shards in a successful answer.
@@ -376,7 +378,9 @@
 async fn start_upstream(service: &str, id: &str) -> anyhow::Result<(Leaf, Proxy)> {
     let leaf = Leaf::bind(service, id, SERVICE_TIME).await?;
     let proxy = Proxy::bind(leaf.addr()).await?;
-    leaf.inject_fault(DEADLY_PATH, Fault::Crashes);
+    for number in 0..MAX_DEADLY {
+        leaf.inject_fault(&deadly_target(number), Fault::Crashes);
+    }
     leaf.abort_on_exit(proxy.abort_handle());
     Ok((leaf, proxy))
 }
--- a/crates/tgw-soak/src/main.rs
+++ b/crates/tgw-soak/src/main.rs
@@ -17,6 +17,8 @@
 mod leaving;
 /// TCP proxy that injects network faults.
 mod proxy;
+/// Checks which requests the VMs quarantine.
+mod quarantine;
 /// Runs one seed.
 mod run;
 /// Schedule of faults drawn from a seed.
@@ -51,6 +53,12 @@
     /// Seconds during which a run injects faults.
     #[arg(long, default_value_t = 10)]
     seconds: u64,
+    /// Searches of all shards that callers repeat.
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u8).range(1..=100))]
+    searches: u8,
+    /// Queries of death; with more than one, each seed has them.
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u8).range(1..=i64::from(environment::MAX_DEADLY)))]
+    deadly: u8,
     /// Path of the tanagergw binary.
     #[arg(long, default_value = "target/release/tanagergw")]
     program: PathBuf,
@@ -103,6 +111,8 @@
     let options = run::Options {
         seed,
         vms: cli.vms,
+        searches: cli.searches,
+        deadly: cli.deadly,
         seconds: cli.seconds,
         program: cli.program.clone(),
         keep: cli.keep,
--- a/crates/tgw-soak/src/run.rs
+++ b/crates/tgw-soak/src/run.rs
@@ -4,6 +4,7 @@
     environment::Environment,
     fleet::{DOMAINS, Fleet},
     proxy::{Mode, Proxy},
+    quarantine,
     schedule::{self, CALM_TIME, Fault},
 };
 use nix::sys::signal::Signal;
@@ -43,6 +44,10 @@
 pub(crate) struct Options {
     pub(crate) seed: u64,
     pub(crate) vms: u8,
+    /// Searches of all shards that callers repeat.
+    pub(crate) searches: u8,
+    /// Queries of death.
+    pub(crate) deadly: u8,
     pub(crate) seconds: u64,
     pub(crate) program: PathBuf,
     pub(crate) logs: PathBuf,
@@ -60,8 +65,10 @@
     undo: Vec<(Instant, Undo)>,
     unexpected_exits: Vec<String>,
     exchanges: Exchanges,
-    /// How often the deadly query was sent.
+    /// How often deadly queries were sent.
     deadly_count: u32,
+    /// Number of deadly queries.
+    deadly: u8,
 }
 
 /// How a fault that lasts for a while is undone.
@@ -95,10 +102,11 @@
     let fleet = Rc::new(RefCell::new(fleet));
     sleep(STARTUP_TIME).await;
     let stop = Rc::new(Cell::new(false));
-    let (exchanges, mut callers) = start_callers(&fleet, options.vms, &stop);
+    let (exchanges, mut callers) = start_callers(&fleet, &options, &stop);
     let span = Duration::from_secs(options.seconds);
     let upstreams = environment.upstreams.len();
-    let steps = schedule::draw(options.seed, span, usize::from(options.vms), upstreams);
+    let steps =
+        schedule::draw(options.seed, span, usize::from(options.vms), upstreams, options.deadly);
     let (disturbances, undo, unexpected_exits) = (Disturbances::new(), Vec::new(), Vec::new());
     let mut run = Run {
         environment,
@@ -110,6 +118,7 @@
         unexpected_exits,
         exchanges,
         deadly_count: 0,
+        deadly: options.deadly,
     };
     let start = Instant::now();
     for step in &steps {
@@ -139,6 +148,7 @@
     };
     let mut report = check::check(&observed);
     report.broken.append(&mut run.unexpected_exits);
+    quarantine::check_harmless(&options.logs, &mut report.broken)?;
     if report.broken.is_empty() && !options.keep {
         drop(run);
         // Only the logs of failed seeds are kept.
@@ -153,11 +163,12 @@
 
 fn start_callers(
     fleet: &Rc<RefCell<Fleet>>,
-    vms: u8,
+    options: &Options,
     stop: &Rc<Cell<bool>>,
 ) -> (Exchanges, JoinSet<()>) {
     let exchanges = Exchanges::default();
     let mut tasks = JoinSet::new();
+    let (vms, searches) = (options.vms, u64::from(options.searches));
     for number in 0..usize::from(vms) * CALLERS_PER_VM {
         let (exchanges, fleet, stop) = (exchanges.clone(), fleet.clone(), stop.clone());
         tasks.spawn_local(async move {
@@ -175,7 +186,7 @@
                 };
                 if open || caller.is_connected() {
                     let kind = match request % 14 {
-                        0 | 1 | 5 | 6 => Kind::AllShards,
+                        0 | 1 | 5 | 6 => Kind::AllShards((request % searches) as u8),
                         2 | 7 => Kind::Idempotent,
                         3 | 8 => Kind::HomeRegion,
                         4 | 9 => Kind::AtMostOnce,
@@ -341,13 +352,14 @@
         Ok(())
     }
 
-    /// Sends the deadly query to a VM on a new connection.
+    /// Sends the next deadly query to a VM on a new connection.
     fn send_deadly(&mut self, vm: usize) {
         let to = self.fleet.borrow().processes[vm].callers_addr();
         let (exchanges, number) = (self.exchanges.clone(), self.deadly_count);
         self.deadly_count += 1;
+        let kind = Kind::Deadly((number % u32::from(self.deadly)) as u8);
         tokio::task::spawn_local(async move {
-            Caller::new(vm).send(to, Kind::Deadly, format!("d{number}"), &exchanges).await;
+            Caller::new(vm).send(to, kind, format!("d{number}"), &exchanges).await;
         });
     }
 
--- a/crates/tgw-soak/src/schedule.rs
+++ b/crates/tgw-soak/src/schedule.rs
@@ -99,7 +99,13 @@
 const EVACUATION_SEED: u64 = 0x6576_6163;
 
 /// Draws the faults of a seed over `span`, in order of time. Indices are below `vms` and `upstreams`.
-pub(crate) fn draw(seed: u64, span: Duration, vms: usize, upstreams: usize) -> Vec<Step> {
+pub(crate) fn draw(
+    seed: u64,
+    span: Duration,
+    vms: usize,
+    upstreams: usize,
+    deadly: u8,
+) -> Vec<Step> {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut steps = Vec::new();
     let mut at = Duration::from_millis(rng.random_range(200..800));
@@ -120,9 +126,10 @@
         let span = Duration::from_millis(rng.random_range(300..2_500));
         Fault::Hold(rng.random_range(0..upstreams), span)
     }));
-    if seed.is_multiple_of(2) {
-        // Every other seed repeats a query of death at random VMs.
-        steps.extend(draw_repeated(seed ^ DEADLY_SEED, DEADLY_INTERVAL_MS, span, |rng| {
+    if seed.is_multiple_of(2) || deadly > 1 {
+        // Every other seed repeats a query of death at random VMs; each seed does if there are several.
+        let interval_ms = DEADLY_INTERVAL_MS / u64::from(deadly);
+        steps.extend(draw_repeated(seed ^ DEADLY_SEED, interval_ms, span, |rng| {
             Fault::Deadly(rng.random_range(0..vms))
         }));
     }
