feat(operate): the list of quarantined requests says which are confirmed

Operators could not tell a request that rests for some seconds, as it may have run beside a deadly one, from one that is known to end upstreams. The list and `tanagergw quarantine` show it; the test of a trial that confirms checks it.

--- a/crates/tgw-gateway/src/quarantine.rs
+++ b/crates/tgw-gateway/src/quarantine.rs
@@ -126,6 +126,8 @@
     /// The request is quarantined at all services, not only at some.
     #[serde(rename = "everywhere")]
     pub at_all_services: bool,
+    /// The request, and not another that ran beside it, is known to end upstreams.
+    pub confirmed: bool,
     /// Number of upstreams that ended under the request, as far as this VM remembers.
     #[serde(rename = "ended")]
     pub upstreams_ended: usize,
@@ -145,6 +147,7 @@
     let shown = quarantined.into_iter().map(|request| QuarantinedRequest {
         fingerprint: request.fingerprint.to_string(),
         at_all_services: request.everywhere,
+        confirmed: request.confirmed,
         upstreams_ended: request.ended_upstreams,
         trials: request.trials,
         next_trial_in_ms: request.retry_after.as_whole_ms(),
--- a/crates/tgw-operate/src/quarantine.rs
+++ b/crates/tgw-operate/src/quarantine.rs
@@ -29,15 +29,16 @@
     let mut out = String::new();
     let _ = writeln!(
         out,
-        "{:<26} {:<10} {:>5} {:>6} {:>9} {:>9}",
-        "fingerprint", "held", "ended", "trials", "trial in", "last seen"
+        "{:<26} {:<10} {:<9} {:>5} {:>6} {:>9} {:>9}",
+        "fingerprint", "held", "state", "ended", "trials", "trial in", "last seen"
     );
     for entry in entries {
         let scope = if entry.at_all_services { "everywhere" } else { "services" };
+        let state = if entry.confirmed { "confirmed" } else { "resting" };
         let (wait, idle) = (entry.next_trial_in_ms / 1_000, entry.last_request_ms / 1_000);
         let _ = writeln!(
             out,
-            "{:<26} {scope:<10} {:>5} {:>6} {wait:>8}s {idle:>8}s",
+            "{:<26} {scope:<10} {state:<9} {:>5} {:>6} {wait:>8}s {idle:>8}s",
             entry.fingerprint, entry.upstreams_ended, entry.trials
         );
     }
--- a/crates/tgw-quarantine/src/evidence.rs
+++ b/crates/tgw-quarantine/src/evidence.rs
@@ -4,8 +4,9 @@
 /// Rounds after which a request is quarantined: the first sends of an attempt, which nothing could prevent, and two
 /// more sends, each made alone and knowing of the round before.
 ///
-/// An innocent request reaches this only if three upstreams end by chance, each within the milliseconds in which it
-/// runs there, without an answer in between. Two rounds would be reached by searches that run beside a query of death.
+/// An innocent request reaches this if three upstreams end by chance, or because of other requests, each within the
+/// milliseconds in which it runs there and without an answer in between; its quarantine is not confirmed then. Two rounds
+/// are reached by many searches that run beside a query of death.
 pub const QUARANTINE_ROUNDS: u8 = 3;
 /// Further rounds for a request that was answered shortly before the first: its answers outweigh as many ends.
 const ANSWERED_ROUNDS: u8 = 3;
--- a/crates/tgw-quarantine/src/quarantined.rs
+++ b/crates/tgw-quarantine/src/quarantined.rs
@@ -9,6 +9,8 @@
     pub fingerprint: Fingerprint,
     /// Whether it is quarantined everywhere, not at some services only.
     pub everywhere: bool,
+    /// Whether it is known that it ends upstreams; otherwise it rests until that is decided.
+    pub confirmed: bool,
     /// Number of upstreams that ended under it, as far as this VM remembers them.
     pub ended_upstreams: usize,
     /// Number of trials.
@@ -42,6 +44,7 @@
     QuarantinedRequest {
         fingerprint,
         everywhere: record.overall.is_quarantined(),
+        confirmed: quarantined.iter().any(|evidence| evidence.is_confirmed()),
         ended_upstreams: record.ended_count(),
         trials: quarantined.iter().map(|evidence| evidence.trials()).max().unwrap_or_default(),
         retry_after: quarantined
--- a/crates/tgw-quarantine/tests/attribution/mod.rs
+++ b/crates/tgw-quarantine/tests/attribution/mod.rs
@@ -54,6 +54,9 @@
         assert!(matches!(tracker.verdict(now, DEADLY), Verdict::Rejected(_)), "{now:?}");
     }
     assert_eq!(tracker.take_confirmed(), [DEADLY], "it is confirmed once");
+    let shown = tracker.quarantined(RESTED);
+    let confirmed: Vec<_> = shown.iter().filter(|request| request.confirmed).collect();
+    assert_eq!(confirmed.len(), 1, "operators see which one it is: {shown:?}");
 }
 
 // Once the deadly one is known for upstreams that it ended alone, the ends that both share no longer count against the
