fix(quarantine): a state with an impossible epoch is ignored

A packet with such an epoch is never sent; a corrupted one that passes the signature is ignored now. Test: a_state_with_an_impossible_epoch_is_ignored, the minimal input of that failure.

--- a/crates/tgw-quarantine/src/evidence.rs
+++ b/crates/tgw-quarantine/src/evidence.rs
@@ -31,6 +31,9 @@
 /// does, and its request would end one upstream more.
 const DECISION_TIMEOUT_MS: Millis = Millis::new(500);
 
+/// Greatest epoch that another VM can have reached. A greater one could not grow any more, and its quarantine never end.
+const MAX_EPOCH: u16 = u16::MAX / 2;
+
 /// Evidence against a request, at one service or at all.
 #[derive(Copy, Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Evidence {
@@ -203,8 +206,9 @@
 
     /// Adopts another VM's state if it is newer, and returns whether it was.
     pub(crate) fn merge(&mut self, now: Millis, state: &QuarantineState) -> bool {
-        let newer = (state.epoch, state.confirmed, state.trials)
-            > (self.epoch, self.confirmed, self.trials);
+        let newer = state.epoch <= MAX_EPOCH
+            && (state.epoch, state.confirmed, state.trials)
+                > (self.epoch, self.confirmed, self.trials);
         if newer {
             if state.epoch > self.epoch {
                 self.began = now;
--- a/crates/tgw-quarantine/tests/reports/mod.rs
+++ b/crates/tgw-quarantine/tests/reports/mod.rs
@@ -117,6 +117,21 @@
     }
 }
 
+// A corrupted packet carries the last epoch but one, and a third round begins the last: no release could follow it.
+#[test]
+fn a_state_with_an_impossible_epoch_is_ignored() {
+    let mut tracker = Tracker::default();
+    let initial = QuarantineState::initial(FINGERPRINT);
+    for epoch in [u16::MAX - 1, u16::MAX] {
+        tracker.merge(LATER, &QuarantineState { epoch, ..initial });
+    }
+    let rounds = Rounds { total: 2, service: 0 };
+    tracker.record_end(LATER, &termination(FINGERPRINT, "s0", 1, rounds));
+    assert!(tracker.is_quarantined(FINGERPRINT));
+    assert!(tracker.release(LATER, FINGERPRINT));
+    assert!(!tracker.is_quarantined(FINGERPRINT));
+}
+
 // A VM is cut off while others quarantine a request, and misses all reports. The states that the others repeat are
 // enough for it, and a state that it has already is not forwarded again.
 #[test]
