test(soak): whatever is quarantined must be one of the deadly queries, by its hash

Cause: the check took a request for harmless only if a log line named its id beside its print. One that no line names, as ordinary requests are logged at most five times a second and VM, would pass in quarantine unseen.

Change: the contents of the deadly queries are hashed as the VMs do it, with the key of their settings; any other content that a log calls quarantined or confirmed breaks the run. Stricter than before.

--- a/crates/tgw-soak/src/callers.rs
+++ b/crates/tgw-soak/src/callers.rs
@@ -16,6 +16,9 @@
 /// Deadline that a request states in its header.
 const REQUEST_DEADLINE_MS: u64 = 1_400;
 
+/// Host that requests name.
+pub(crate) const HOST: &str = "a.example";
+
 /// Path and query of a query of death: every upstream process that starts to run it ends. There are several, at all shards
 /// and at the service of the routes to one upstream by turns.
 pub(crate) fn deadly_target(number: u8) -> String {
@@ -57,6 +60,11 @@
         }
     }
 
+    /// Value of the header with the API key that the caller presents.
+    pub(crate) fn credentials(self) -> String {
+        format!("Token {}", self.key())
+    }
+
     /// The API key that the caller presents.
     fn key(self) -> &'static str {
         match self {
@@ -143,10 +151,10 @@
         let request = Request::builder()
             .method(method)
             .uri(kind.target())
-            .header("host", "a.example")
+            .header("host", HOST)
             .header(names.request_id, request_id)
             .header(names.deadline, REQUEST_DEADLINE_MS)
-            .header(header::AUTHORIZATION, format!("Token {}", kind.key()))
+            .header(header::AUTHORIZATION, kind.credentials())
             .body(Full::new(body))
             .ok()?;
         let response = connection.send_request(request).await.ok()?;
--- a/crates/tgw-soak/src/quarantine.rs
+++ b/crates/tgw-soak/src/quarantine.rs
@@ -1,9 +1,9 @@
 //! What the VMs quarantine: each deadly query soon, and nothing else ever.
 
 use crate::{
-    callers::{Exchange, Kind},
+    callers::{self, Exchange, Kind},
     check::Disturbances,
-    environment::Environment,
+    environment::{Environment, MAX_DEADLY},
 };
 use anyhow::Context;
 use serde_json::Value;
@@ -13,14 +13,16 @@
     path::Path,
     time::Duration,
 };
+use tgw_quarantine::{
+    Fingerprint,
+    fingerprint::{Content, Hasher},
+};
 use tokio::time::Instant;
 
 /// Time within which all VMs quarantine a query that has ended three upstreams.
 const QUARANTINE_TIMEOUT: Duration = Duration::from_millis(5_000);
 /// Maximum number of times that a quarantined query may still reach upstreams.
 const MAX_DEADLY_RUNS: usize = 3;
-/// First letter of the ids of deadly requests.
-const DEADLY_ID: char = 'd';
 
 /// Checks that all running and reachable VMs quarantine each deadly query soon after it has ended three
 /// upstreams.
@@ -69,35 +71,60 @@
 }
 
 /// Checks, by the logs of all VMs, that they quarantined no requests but deadly ones.
+///
+/// # Errors
+///
+/// Logs or settings that cannot be read.
 pub(crate) fn check_harmless(logs: &Path, broken: &mut Vec<String>) -> anyhow::Result<()> {
-    let (mut quarantined, mut harmless) = (BTreeMap::new(), BTreeMap::new());
+    let deadly = deadly_contents(logs)?;
+    let mut harmless = BTreeMap::new();
     for file in fs::read_dir(logs).with_context(|| logs.display().to_string())? {
         let path = file?.path();
-        if path.extension().is_none_or(|extension| extension != "log") {
-            continue;
-        }
-        let text = fs::read(&path).with_context(|| path.display().to_string())?;
-        for line in String::from_utf8_lossy(&text).lines() {
-            // A process that is killed leaves its last line incomplete.
-            let Ok(line) = serde_json::from_str::<Value>(line) else { continue };
-            let field = |name: &str| line[name].as_str().unwrap_or_default().to_owned();
-            let print = field("print");
-            match (field("message").as_str(), field("request")) {
-                ("request quarantined" | "quarantine confirmed", _) => {
-                    quarantined.entry(print).or_insert((path.clone(), field("message")));
+        if path.extension().is_some_and(|extension| extension == "log") {
+            let text = fs::read(&path).with_context(|| path.display().to_string())?;
+            for (print, message) in quarantined(&String::from_utf8_lossy(&text)) {
+                if !deadly.contains(&print.content) {
+                    harmless.insert((print, message), path.clone());
                 }
-                (_, request) if !request.is_empty() && !request.starts_with(DEADLY_ID) => {
-                    harmless.insert(print, request);
-                }
-                _ => {}
             }
         }
     }
-    for (print, (path, message)) in quarantined {
-        if let Some(request) = harmless.get(&print) {
-            let log = path.display();
-            broken.push(format!("{request}: harmless, but {message} as {print} by {log}"));
-        }
+    for ((print, message), path) in harmless {
+        broken.push(format!("{message} though harmless: {print}, {}", path.display()));
     }
     Ok(())
 }
+
+/// The contents of all deadly queries, hashed with the key that the VMs' settings give.
+fn deadly_contents(logs: &Path) -> anyhow::Result<BTreeSet<u64>> {
+    let path = logs.join("vm-1.toml");
+    let text = fs::read_to_string(&path).with_context(|| path.display().to_string())?;
+    let settings = tgw_site::settings::parse(&text)
+        .map_err(|findings| anyhow::anyhow!("{}: {findings:?}", path.display()))?;
+    let hasher = Hasher::new(&settings.gateway.peer.key);
+    let contents = (0..MAX_DEADLY).map(|number| {
+        let kind = Kind::Deadly(number);
+        let (target, credentials) = (kind.target(), kind.credentials());
+        let content = Content {
+            method: "GET",
+            host: callers::HOST,
+            target: &target,
+            credentials: credentials.as_bytes(),
+            body: &[],
+        };
+        hasher.fingerprint(0, &content).content
+    });
+    Ok(contents.collect())
+}
+
+/// The requests that a log says were quarantined, each with the message.
+fn quarantined(log: &str) -> impl Iterator<Item = (Fingerprint, String)> {
+    // A process that is killed leaves its last line incomplete.
+    let lines = log.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
+    lines.filter_map(|line| {
+        let message = line["message"].as_str()?;
+        let is_quarantine = ["request quarantined", "quarantine confirmed"].contains(&message);
+        let print = line["print"].as_str()?.parse().ok()?;
+        is_quarantine.then(|| (print, message.to_owned()))
+    })
+}
