fix(quarantine): ends from before a release prove nothing after it

Callers would see: a harmless search that was released, by operators or by an answered trial, is refused for ten minutes at once when it later runs beside a deadly one.

Cause: a release cleared the rounds, but the upstreams that had ended stayed on the record as ends that the request alone can have ended; with the next quarantine they count as its proof. The same at VMs that learn of the release.

Change: a release discards the ends, here and where it is learnt.

Test: ends_from_before_a_release_prove_nothing, here and at another VM; both failed before (Rejected(597 s), now tried after its rest).

--- a/crates/tgw-quarantine/src/record.rs
+++ b/crates/tgw-quarantine/src/record.rs
@@ -88,15 +88,20 @@
         scopes.into_iter().filter(|(counted, _)| *counted).map(|(_, service)| service).collect()
     }
 
-    /// Clears the evidence at a service, or at all, after an answer; returns whether that ends a quarantine.
+    /// Clears the evidence at a service, or at all; returns whether that ends a quarantine.
     pub(crate) fn clear(&mut self, now: Millis, service: Option<u32>) -> bool {
+        self.discard_ends(service);
+        self.evidence_at_mut(service).clear(now)
+    }
+
+    /// No longer counts any end at a service, or at all: the request was released.
+    pub(crate) fn discard_ends(&mut self, service: Option<u32>) {
         for end in &mut self.ended {
             match service {
                 None => end.counts = false,
                 Some(service) => end.counts_at_service &= end.service != service,
             }
         }
-        self.evidence_at_mut(service).clear(now)
     }
 
     /// Number of remembered upstreams that ended under the request.
@@ -121,14 +126,6 @@
         &mut self.services[at].1
     }
 
-    /// All evidence, with its service; `None` for all services.
-    pub(crate) fn all_evidence_mut(
-        &mut self,
-    ) -> impl Iterator<Item = (Option<u32>, &mut Evidence)> {
-        let services = self.services.iter_mut().map(|(name, evidence)| (Some(*name), evidence));
-        services.chain([(None, &mut self.overall)])
-    }
-
     /// All evidence, with its service; `None` for all services.
     pub(crate) fn all_evidence(&self) -> impl Iterator<Item = (Option<u32>, &Evidence)> {
         let services = self.services.iter().map(|(name, evidence)| (Some(*name), evidence));
--- a/crates/tgw-quarantine/src/tracker.rs
+++ b/crates/tgw-quarantine/src/tracker.rs
@@ -214,6 +214,9 @@
             return Change::Unchanged;
         }
         let after = *evidence;
+        if !after.is_quarantined() {
+            record.discard_ends(state.service);
+        }
         enqueue(&mut self.queued.states, *state);
         if after.is_confirmed() && !before.is_confirmed() {
             self.excuse_others(now, state.fingerprint);
@@ -229,15 +232,14 @@
     /// Releases one caller's request. Returns whether it was quarantined.
     pub fn release(&mut self, now: Millis, fingerprint: Fingerprint) -> bool {
         let Some(record) = self.records.get_mut(fingerprint) else { return false };
-        let quarantined =
-            record.all_evidence_mut().filter(|(_, evidence)| evidence.is_quarantined());
-        let released: SmallVec<[QuarantineState; 1]> = quarantined
-            .map(|(service, evidence)| {
-                evidence.clear(now);
-                evidence.state(
-                    now,
-                    QuarantineState { service, ..QuarantineState::initial(fingerprint) },
-                )
+        let quarantined = record.all_evidence().filter(|(_, evidence)| evidence.is_quarantined());
+        let scopes: SmallVec<[Option<u32>; 2]> = quarantined.map(|(service, _)| service).collect();
+        let released: SmallVec<[QuarantineState; 1]> = scopes
+            .into_iter()
+            .map(|service| {
+                record.clear(now, service);
+                let of = QuarantineState { service, ..QuarantineState::initial(fingerprint) };
+                record.evidence_at(service).state(now, of)
             })
             .collect();
         released.iter().for_each(|state| enqueue(&mut self.queued.states, *state));
--- a/crates/tgw-quarantine/tests/attribution/mod.rs
+++ b/crates/tgw-quarantine/tests/attribution/mod.rs
@@ -124,6 +124,39 @@
     assert_eq!(other.turn(HARMLESS, "s"), None);
 }
 
+/// The harmless one of two requests is confirmed by ends of its own, and the operators release it.
+fn released_by_operators() -> Tracker {
+    let mut tracker = Tracker::default();
+    for round in 0..3 {
+        end(&mut tracker, Millis::ZERO, 100 + u32::from(round), round, &[HARMLESS]);
+    }
+    tracker.verdict(RESTED, HARMLESS);
+    assert_eq!(tracker.take_confirmed(), [HARMLESS]);
+    assert!(tracker.release(RESTED, HARMLESS));
+    tracker
+}
+
+// Operators release a search once its upstreams are mended, or another VM does. Later it runs beside a deadly one: what
+// ended under it before the release would prove it guilty at once.
+#[test_case(false; "here")]
+#[test_case(true; "at another VM")]
+fn ends_from_before_a_release_prove_nothing(elsewhere: bool) {
+    let mut tracker = released_by_operators();
+    if elsewhere {
+        let mut other = Tracker::default();
+        for round in 0..3 {
+            end(&mut other, Millis::ZERO, 100 + u32::from(round), round, &[HARMLESS]);
+        }
+        deliver(RESTED, &mut tracker, &mut other);
+        tracker = other;
+    }
+    let again = RESTED + RESTED + RESTED;
+    for round in 0..3 {
+        end(&mut tracker, again, u32::from(round), round, &[DEADLY, HARMLESS]);
+    }
+    assert_eq!(tracker.verdict(again + RESTED, HARMLESS), Verdict::Limited(2), "it is tried");
+}
+
 // The caller of a popular search reaches any of many VMs, and the one whose trial is due may get none of its requests:
 // ever more VMs may try one that is not confirmed.
 #[test]
