test(quarantine): the largest update fits into a packet

An update has three lists now, of 64 entries each, and a packet is read up to 8 KB. The test fills the queues with the longest values and encodes what is taken from them; it passes on the code as it is.

--- a/crates/tgw-quarantine/tests/reports/mod.rs
+++ b/crates/tgw-quarantine/tests/reports/mod.rs
@@ -117,6 +117,33 @@
     }
 }
 
+// A caller sends hundreds of different deadly requests, which fill the queues. A packet of them that no VM can read would be
+// lost each time it is sent.
+#[test]
+fn the_largest_update_fits_into_a_packet() {
+    const MAX_PACKET_BYTES: usize = 8 << 10;
+    const FRAME_BYTES: usize = 64;
+    let mut tracker = Tracker::default();
+    for number in 0..500_u32 {
+        let fingerprint =
+            Fingerprint { content: u64::MAX - u64::from(number), caller: u32::MAX - number };
+        tracker.record_answer(Millis::ZERO, fingerprint, "s0");
+        for round in 0..7 {
+            let rounds = Rounds { total: round, service: round };
+            let upstream = u32::MAX - number * 8 - u32::from(round);
+            tracker.record_end(LATER, &termination(fingerprint, "s0", upstream, rounds));
+        }
+        let later = LATER + Millis::new(4_000);
+        tracker.verdict(later, fingerprint);
+    }
+    let update = tracker.take_update().unwrap();
+    assert!(
+        update.terminations.len() > 50 && update.states.len() > 50 && update.answers.len() > 50
+    );
+    let bytes = postcard::to_allocvec(&update).unwrap().len();
+    assert!(bytes + FRAME_BYTES <= MAX_PACKET_BYTES, "{bytes} bytes");
+}
+
 // A corrupted packet carries the last epoch but one, and a third round begins the last: no release could follow it.
 #[test]
 fn a_state_with_an_impossible_epoch_is_ignored() {
