fix(forward): a search whose turn comes after its deadline fails at once

Callers would see: a search that has lost two rounds of upstreams shortly before its deadline is held until the deadline, then timed out.

Change: a part whose turn is not before the deadline is given up at once, and the answer says so.

Test: search_whose_turn_comes_after_its_deadline_fails_at_once; before, the plan gave no answer.

--- a/crates/tgw-forward/src/quarantine.rs
+++ b/crates/tgw-forward/src/quarantine.rs
@@ -16,7 +16,7 @@
     Granted(Rounds),
     /// Another send of the request has to end first, or another request that ran on the same upstreams has its turn.
     Wait,
-    /// The request is quarantined.
+    /// The request is quarantined, or its turn comes after its deadline.
     Denied,
 }
 
@@ -102,9 +102,10 @@
             _ => {}
         }
         let turn = core.quarantine.turn(self.fingerprint, &part.service);
-        self.resume_at = turn.filter(|at| !self.answered && *at > now);
-        if self.resume_at.is_some() {
-            return Permission::Wait;
+        let turn = turn.filter(|at| !self.answered && *at > now);
+        self.resume_at = turn.filter(|at| *at < self.deadline);
+        if turn.is_some() {
+            return if self.resume_at.is_some() { Permission::Wait } else { Permission::Denied };
         }
         if let Verdict::Rejected(wait) =
             core.quarantine.part_verdict(now, self.fingerprint, &part.service)
--- a/crates/tgw-forward/tests/quarantine/mod.rs
+++ b/crates/tgw-forward/tests/quarantine/mod.rs
@@ -99,24 +99,47 @@
     assert!((0..4).all(|part| parts.contains(&part)), "{parts:?}");
 }
 
-// Two searches ran on the same upstreams, and either may have terminated them. If the second continued at once as well,
-// both would reach the next upstream together, and its termination would quarantine both.
-#[test]
-fn search_waits_while_another_that_ran_on_the_same_upstreams_continues() {
+/// A search of four shards after its first round.
+fn limited_world() -> World {
     let mut world = World::new(4);
     world.fingerprint.content = 9;
     world.start(&route(shards(4), Safety::Idempotent));
     for index in 0..4 {
         terminate(&mut world, index);
     }
+    world
+}
+
+/// Other VMs report that two upstreams terminated under the requests of this world and under another one, which goes
+/// first.
+fn report_shared_terminations(world: &mut World) {
     let other = Fingerprint { content: 3, caller: 8 };
     for (upstream, total) in [(0, 0), (4, 1)] {
         let rounds = Rounds { total, service: 0 };
-        report_termination(&mut world, "s0", upstream, rounds);
+        report_termination(world, "s0", upstream, rounds);
         let service = hash_name("s0");
         let termination = Termination { fingerprint: other, service, upstream, rounds };
         world.core.quarantine.record_end(world.now, &termination);
     }
+}
+
+// The same shortly before the deadline: its turn comes too late. It would be held until the deadline although nothing
+// can be sent for it any more.
+#[test]
+fn search_whose_turn_comes_after_its_deadline_fails_at_once() {
+    let mut world = limited_world();
+    world.advance(700);
+    report_shared_terminations(&mut world);
+    let answer = terminate(&mut world, 4);
+    assert!(matches!(answer, Some(Answer::Failed(Cause::Quarantined))), "{answer:?}");
+}
+
+// Two searches ran on the same upstreams, and either may have terminated them. If the second continued at once as well,
+// both would reach the next upstream together, and its termination would quarantine both.
+#[test]
+fn search_waits_while_another_that_ran_on_the_same_upstreams_continues() {
+    let mut world = limited_world();
+    report_shared_terminations(&mut world);
     terminate(&mut world, 4);
     assert_eq!(world.orders.len(), 5, "the other one goes first");
     world.advance(99);
