feat(admission): a crate for admission control of queries, asked by each plan before it sends

Cause: a plan sends as soon as enough parts have an upstream with room; nothing decides for the query as a whole. Change: `tgw-admission` with the types of queries, decisions, permits and tickets that release themselves when dropped; `Plan` requests admission, waits for its ticket's wakeup and answers a rejection as refused; the gateway wakes plans by their tickets. Everything is admitted so far.

--- /dev/null
+++ b/crates/tgw-admission/src/capacity.rs
@@ -0,0 +1,1 @@
+//! Evidence of overload, and the limit on queries that run at once.
--- a/crates/tgw-bench/src/forward.rs
+++ b/crates/tgw-bench/src/forward.rs
@@ -122,6 +122,8 @@
             caller_timeout: None,
             new_connection: false,
             retry_spread: query as u32,
+            priority: route.priority,
+            tenant: None,
             fingerprint: Fingerprint { content: query as u64, caller: 0 },
         };
         let mut plan = Plan::new(now, &options);
--- a/crates/tgw-bench/src/overload/run.rs
+++ b/crates/tgw-bench/src/overload/run.rs
@@ -281,6 +281,8 @@
             caller_timeout: Some(left),
             new_connection: false,
             retry_spread: spread,
+            priority: self.routes[usize::from(!query.full)].priority,
+            tenant: None,
             fingerprint: print,
         };
         let plan = Plan::new(now, &options);
--- /dev/null
+++ b/crates/tgw-forward/src/admission.rs
@@ -0,0 +1,135 @@
+use crate::{
+    Core, Plan,
+    answer::is_sufficient,
+    message::{Answer, SendOrder},
+    part::State,
+};
+use tgw_admission::{Decision, Outcome, Permit, Query, Rejection, Ticket};
+use tgw_clock::Millis;
+use tgw_route::{Target, config::Shards};
+use xxhash_rust::xxh3::Xxh3;
+
+/// How far the admission of a request has come.
+#[derive(Debug, Default)]
+pub(crate) enum Stage {
+    /// It was not asked for, as for requests to a single service.
+    #[default]
+    Exempt,
+    /// The query waits.
+    Queued(Ticket),
+    /// The query runs.
+    Admitted(Permit),
+    /// The query was rejected.
+    Rejected(Rejection),
+}
+
+/// Admission of a query as a whole, before anything is sent.
+impl Plan {
+    /// The place of a query that waits for admission.
+    pub fn ticket(&self) -> Option<&Ticket> {
+        match &self.stage {
+            Stage::Queued(ticket) => Some(ticket),
+            Stage::Exempt | Stage::Admitted(_) | Stage::Rejected(_) => None,
+        }
+    }
+
+    /// When the caller of a rejected query may retry.
+    pub(crate) fn rejected_for(&self) -> Option<Millis> {
+        match &self.stage {
+            Stage::Rejected(rejection) => Some(rejection.retry_after),
+            Stage::Exempt | Stage::Admitted(_) | Stage::Queued(_) => None,
+        }
+    }
+
+    /// Requests admission, and makes the first sends if it is granted.
+    pub(crate) fn request_admission(
+        &mut self,
+        now: Millis,
+        core: &mut Core,
+        out: &mut Vec<SendOrder>,
+    ) {
+        let route = self.route.clone();
+        let Target::Shards(shards) = &route.target else {
+            return self.send_first(now, core, out);
+        };
+        let query = Query {
+            group: group(shards),
+            route: route.name.clone(),
+            priority: self.priority,
+            tenant: self.tenant.clone(),
+            arrived: self.started,
+            answer_by: self.answer_by,
+            deadline: self.deadline,
+            max_missing: max_missing(shards),
+            retry_spread: self.retry_spread,
+        };
+        let decision = core.admission.request(now, query, &shards.services);
+        self.apply_decision(now, decision, core, out);
+    }
+
+    /// Asks again for a query that waits.
+    pub(crate) fn poll_admission(
+        &mut self,
+        now: Millis,
+        core: &mut Core,
+        out: &mut Vec<SendOrder>,
+    ) {
+        if let Stage::Queued(ticket) = std::mem::take(&mut self.stage) {
+            let decision = core.admission.poll(now, ticket);
+            self.apply_decision(now, decision, core, out);
+        }
+    }
+
+    fn apply_decision(
+        &mut self,
+        now: Millis,
+        decision: Decision,
+        core: &mut Core,
+        out: &mut Vec<SendOrder>,
+    ) {
+        match decision {
+            Decision::Admitted(permit) => {
+                self.stage = Stage::Admitted(permit);
+                self.send_first(now, core, out);
+            }
+            Decision::Queued(ticket) => self.stage = Stage::Queued(ticket),
+            Decision::Rejected(rejection) => {
+                self.stage = Stage::Rejected(rejection);
+                self.parts.iter_mut().for_each(|part| part.state = State::GivenUp);
+            }
+        }
+    }
+
+    /// Ends the admission of a request that has its answer.
+    pub(crate) fn release_admission(&mut self, now: Millis, answer: &Answer, core: &mut Core) {
+        let outcome = match answer {
+            Answer::Forward(_) | Answer::Merged { .. }
+                if now <= self.started + self.route.target_latency =>
+            {
+                Outcome::InTime
+            }
+            Answer::Forward(_) | Answer::Merged { .. } => Outcome::Late,
+            Answer::Refused { .. } | Answer::Failed(_) | Answer::TimedOut => Outcome::Failed,
+        };
+        match std::mem::take(&mut self.stage) {
+            Stage::Admitted(permit) => core.admission.finish(now, permit, outcome),
+            Stage::Exempt | Stage::Queued(_) | Stage::Rejected(_) => {}
+        }
+    }
+}
+
+/// Identifies a set of shards.
+fn group(shards: &Shards) -> u64 {
+    let mut hasher = Xxh3::new();
+    for service in &shards.services {
+        hasher.update(service.as_bytes());
+        hasher.update(&[0]);
+    }
+    hasher.digest()
+}
+
+/// The number of parts that an answer may miss.
+fn max_missing(shards: &Shards) -> usize {
+    let all = shards.services.len();
+    (0..all).rev().find(|missing| is_sufficient(shards, all - missing, all)).unwrap_or_default()
+}
--- a/crates/tgw-forward/src/answer.rs
+++ b/crates/tgw-forward/src/answer.rs
@@ -102,6 +102,9 @@
             // executed.
             return Answer::Failed(Cause::TooFewParts);
         }
+        if let Some(retry_after) = self.rejected_for() {
+            return Answer::Refused { retry_after, cause: Cause::Overload };
+        }
         if let Some(retry_after) = self.quarantined_for {
             return Answer::Refused { retry_after, cause: Cause::Quarantined };
         }
--- a/crates/tgw-forward/src/core.rs
+++ b/crates/tgw-forward/src/core.rs
@@ -9,6 +9,7 @@
     collections::{BTreeMap, HashMap},
     rc::Rc,
 };
+use tgw_admission::Admission;
 use tgw_clock::Millis;
 use tgw_quarantine::Tracker;
 use tgw_route::{Config, Residency, RoundRobin, Route, Target};
@@ -76,6 +77,8 @@
     pub fleet: Fleet,
     /// Time reserved to deliver an answer.
     pub margin: Margin,
+    /// Admission of queries.
+    pub admission: Admission,
     /// Requests under which upstreams terminated.
     pub quarantine: Tracker,
     budget: Budget,
--- a/crates/tgw-forward/src/lib.rs
+++ b/crates/tgw-forward/src/lib.rs
@@ -5,6 +5,8 @@
 //! budgets for extra sends, and the hedge delays. A [`Plan`] drives one request. Both take the time
 //! as an argument and perform no I/O.
 
+/// Admission of queries before anything is sent.
+mod admission;
 /// When a request is answered, and with what.
 mod answer;
 /// The list of upstreams, kept across outages of the store.
--- a/crates/tgw-forward/src/message.rs
+++ b/crates/tgw-forward/src/message.rs
@@ -162,6 +162,8 @@
     TooFewParts,
     /// The request is quarantined, as upstreams terminate under it.
     Quarantined,
+    /// Callers ask for more queries than the upstreams can serve in time.
+    Overload,
 }
 
 impl Cause {
@@ -175,6 +177,7 @@
             Self::UpstreamsFailed => "upstreams failed",
             Self::TooFewParts => "too few parts",
             Self::Quarantined => "upstreams end under it",
+            Self::Overload => "overload",
         }
     }
 }
--- a/crates/tgw-forward/src/plan.rs
+++ b/crates/tgw-forward/src/plan.rs
@@ -2,12 +2,14 @@
 
 use crate::{
     Core,
+    admission::Stage,
     answer::is_sufficient,
     fleet::Key,
     part::{self, Part, State},
 };
 use smallvec::SmallVec;
 use std::rc::Rc;
+use tgw_admission::Ticket;
 use tgw_clock::Millis;
 use tgw_quarantine::Fingerprint;
 use tgw_route::{Route, Safety, Target};
@@ -35,6 +37,10 @@
     pub new_connection: bool,
     /// A number that differs between requests; spreads the retries of refused callers.
     pub retry_spread: u32,
+    /// The priority of the request: that of its tenant, or else of its route; zero is the highest.
+    pub priority: u32,
+    /// The tenant that it is made for, if any.
+    pub tenant: Option<Rc<str>>,
     /// Equal for requests that differ only in identity and deadline.
     pub fingerprint: Fingerprint,
 }
@@ -43,12 +49,16 @@
 #[derive(Debug)]
 pub struct Plan {
     pub(crate) route: Rc<Route>,
-    started: Millis,
+    pub(crate) started: Millis,
     pub(crate) new_connection: bool,
     /// When an answer leaves without the parts still missing.
     pub(crate) answer_by: Millis,
     pub(crate) deadline: Millis,
     pub(crate) retry_spread: u32,
+    pub(crate) priority: u32,
+    pub(crate) tenant: Option<Rc<str>>,
+    /// How far its admission has come.
+    pub(crate) stage: Stage,
     pub(crate) parts: SmallVec<[Part; 1]>,
     pub(crate) fingerprint: Fingerprint,
     /// Consecutive upstream terminations under the request, as far as this attempt has observed.
@@ -82,6 +92,9 @@
             answer_by: now + route.target_latency,
             deadline: now + (timeout - ANSWER_LEAD_MS),
             retry_spread: options.retry_spread,
+            priority: options.priority,
+            tenant: options.tenant.clone(),
+            stage: Stage::default(),
             route,
             parts: SmallVec::new(),
             fingerprint: options.fingerprint,
@@ -137,10 +150,17 @@
         let waiting = || self.parts.iter().filter(|p| p.waiting());
         let deferred = waiting().filter_map(|p| p.deferred_until);
         let late = waiting().filter_map(|p| p.late_at);
+        let admission = self.ticket().map(Ticket::expires_at);
         let hedges = waiting().filter_map(|p| p.hedge_at).chain(deferred).chain(late);
         let answer = Some(self.answer_by).filter(|at| *at > now && self.parts.len() > 1);
         let turn = self.resume_at.filter(|at| *at > now);
-        hedges.chain(answer).chain(turn).min().unwrap_or(Millis::MAX).min(self.deadline)
+        hedges
+            .chain(answer)
+            .chain(turn)
+            .chain(admission)
+            .min()
+            .unwrap_or(Millis::MAX)
+            .min(self.deadline)
     }
 
     /// Handles one event: appends the sends to be made to `out`, and returns the answer once there
@@ -161,6 +181,7 @@
                 self.handle_send_end(now, part, upstream, result, core, out);
                 self.send_delayed(now, core, out);
             }
+            Event::Tick if self.ticket().is_some() => self.poll_admission(now, core, out),
             Event::Tick => {
                 self.retry_deferred(now, core, out);
                 self.send_hedges(now, core, out);
@@ -168,7 +189,10 @@
             }
         }
         let answer = self.answer_if_due(now, core);
-        self.finished = answer.is_some();
+        if let Some(answer) = &answer {
+            self.finished = true;
+            self.release_admission(now, answer, core);
+        }
         answer
     }
 
@@ -191,9 +215,13 @@
         for part in &self.parts {
             core.count_request(now, &part.service);
         }
-        if !self.check_quarantine(now, core) {
-            return;
+        if self.check_quarantine(now, core) {
+            self.request_admission(now, core, out);
         }
+    }
+
+    /// Makes the first sends.
+    pub(crate) fn send_first(&mut self, now: Millis, core: &mut Core, out: &mut Vec<SendOrder>) {
         if !self.is_feasible(now, core) {
             // Refused before anything is sent, so that the caller may retry and no upstream does
             // useless work.
--- a/crates/tgw-forward/tests/world/mod.rs
+++ b/crates/tgw-forward/tests/world/mod.rs
@@ -120,6 +120,8 @@
             caller_timeout: None,
             new_connection: false,
             retry_spread: 0,
+            priority: route.priority,
+            tenant: None,
             fingerprint: print,
         };
         self.plan = Some(Plan::new(arrived, &options));
--- a/crates/tgw-gateway/src/drive.rs
+++ b/crates/tgw-gateway/src/drive.rs
@@ -36,6 +36,7 @@
     let (mut sends, mut results) = Sends::open(shared.clone(), request.clone());
     let mut orders = Vec::new();
     let mut event = Event::Start;
+    let mut wakeups = shared.waiting.open();
     let answer = loop {
         let now = shared.now();
         let answer = plan.handle(now, event, &mut shared.core.borrow_mut(), &mut orders);
@@ -50,6 +51,8 @@
         for withheld in plan.take_withheld() {
             telemetry::send_withheld(shared, now, &request, &plan, withheld);
         }
+        wakeups.follow(&plan);
+        shared.waiting.notify(shared);
         if let Some(answer) = answer {
             break answer;
         }
@@ -57,6 +60,7 @@
         event = tokio::select! {
             biased;
             ended = results.recv() => ended.unwrap_or(Event::Tick),
+            () = wakeups.next() => Event::Tick,
             () = sleep(Duration::from(wake - now)) => {
                 let late = shared.now() - wake.max(now);
                 shared.core.borrow_mut().margin.record_timer_delay(late);
--- a/crates/tgw-gateway/src/gather.rs
+++ b/crates/tgw-gateway/src/gather.rs
@@ -316,6 +316,8 @@
     let request = hop::unpack_head(shared, head, query.body, fingerprint, query.principal)?;
     let route = request.route.clone()?;
     let options = Options {
+        priority: shared.priority(&route, request.principal.as_ref()),
+        tenant: request.principal.as_ref().map(|principal| principal.tenant.clone()),
         route,
         caller_timeout,
         // The sender's time of delivery accounts for it.
--- a/crates/tgw-gateway/src/handle.rs
+++ b/crates/tgw-gateway/src/handle.rs
@@ -263,6 +263,8 @@
         caller_timeout,
         new_connection: first_on_connection,
         retry_spread: shared.next_number(),
+        priority: shared.priority(&route, outgoing.principal.as_ref()),
+        tenant: outgoing.principal.as_ref().map(|principal| principal.tenant.clone()),
         fingerprint: outgoing.fingerprint,
     };
     let principal = outgoing.principal.clone();
--- a/crates/tgw-gateway/src/lib.rs
+++ b/crates/tgw-gateway/src/lib.rs
@@ -73,6 +73,8 @@
 mod unreadable;
 /// Resets a connection to an upstream where a send is given up.
 mod upstream_exchange;
+/// Queries that wait for admission.
+mod waiting;
 /// Watches of the platform's store.
 mod watch;
 
--- a/crates/tgw-gateway/src/shared.rs
+++ b/crates/tgw-gateway/src/shared.rs
@@ -2,6 +2,7 @@
     Codec, Settings, admission::Admission, agreement::Agreement, authentication::NewestCheck,
     broken::Sends, gather::Gathered, headers, hop::Hops, log::DropCounter, log_limiter::Limiter,
     memory::Budget, metrics::Metrics, packets::Packets, pool::Pools, request_heads::RequestHeads,
+    waiting::Waiting,
 };
 use http::{HeaderMap, Uri};
 use std::{
@@ -106,6 +107,8 @@
     pub(crate) newest_check: NewestCheck,
     /// Admission of tenants' requests.
     pub(crate) admission: Admission,
+    /// Queries that wait for admission on this VM.
+    pub(crate) waiting: Waiting,
     /// Comparison of this VM's lists with those of other VMs.
     pub(crate) agreement: Agreement,
     /// Whether this VM can reach the store.
@@ -172,6 +175,7 @@
             store_reads: StoreReads::default(),
             newest_check: NewestCheck::default(),
             admission,
+            waiting: Waiting::default(),
             agreement: Agreement::default(),
             reachability: RefCell::default(),
             peers_without_store: Cell::new(0),
@@ -194,6 +198,14 @@
         *self.phase.borrow()
     }
 
+    /// The priority of a request: that of its tenant if the configuration states one, or else of its route.
+    pub(crate) fn priority(&self, route: &Route, principal: Option<&Principal>) -> u32 {
+        let config = self.config.borrow();
+        let tenants = config.tenants.as_ref();
+        let tenant = principal.and_then(|principal| tenants?.tenant(&principal.tenant));
+        tenant.and_then(|tenant| tenant.priority).unwrap_or(route.priority)
+    }
+
     /// Whether the balancer may send new callers here.
     pub(crate) fn is_ready(&self) -> bool {
         self.phase() == Phase::Serving
