feat(gateway): a query is rejected where gatherers are full, not made by its small VM

Cause: a gatherer refuses a query in the same words whether it is full or behind in its configuration, and the entry VM then makes the query itself with a tenth of a core. Under overload that brings the small VMs down. Change: a full gatherer answers `Message::Full` with a retry delay that follows its load (`GatherLoad`). The entry asks one more gatherer nearby, and then answers 503 with cause overload and a `Retry-After` spread over one to three times the delay. Queries that wait for admission at a gatherer do not count as running; four times as many as may run are held. Messages that earlier builds cannot decode are followed by the one that these know.

--- a/crates/tgw-gateway/src/drive.rs
+++ b/crates/tgw-gateway/src/drive.rs
@@ -3,6 +3,7 @@
     quarantine,
     shared::Shared,
     telemetry,
+    waiting::Client,
 };
 use std::{rc::Rc, time::Duration};
 use tgw_clock::Millis;
@@ -29,6 +30,7 @@
     mut request: OutgoingRequest,
     arrived: Millis,
     options: &plan::Options,
+    client: Client,
 ) -> Run {
     let mut plan = Plan::new(arrived, options);
     request.deadline = plan.deadline();
@@ -36,7 +38,7 @@
     let (mut sends, mut results) = Sends::open(shared.clone(), request.clone());
     let mut orders = Vec::new();
     let mut event = Event::Start;
-    let mut wakeups = shared.waiting.open();
+    let mut wakeups = shared.waiting.open(client);
     let answer = loop {
         let now = shared.now();
         let answer = plan.handle(now, event, &mut shared.core.borrow_mut(), &mut orders);
--- a/crates/tgw-gateway/src/gather.rs
+++ b/crates/tgw-gateway/src/gather.rs
@@ -1,12 +1,15 @@
 use crate::{
     drive,
     exchange::OutgoingRequest,
+    gather_load::GatherLoad,
     hop,
     packets::MAX_PACKET_BYTES,
     shared::{Phase, Shared},
     telemetry,
+    waiting::Client,
 };
 use http::HeaderValue;
+use smallvec::SmallVec;
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
@@ -38,8 +41,10 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for which a gatherer that did not accept a query is not asked: until membership has detected its failure.
 const SILENCE_MS: Millis = Millis::new(2_000);
-/// Most queries that a whole core gathers at once. At 50 ms each these are 1,300 a second.
-const MAX_GATHERED_PER_CORE: usize = 64;
+/// Most gatherers that are asked to make one query before its caller is rejected because they are full.
+const MAX_GATHERERS_ASKED: usize = 2;
+/// Positions over which the retries of rejected callers are spread, from one to three times the stated delay.
+const RETRY_POSITIONS: u32 = 64;
 /// Time for which the outcome of a query is kept: its packet may be lost, and is then asked for.
 const OUTCOME_RETENTION_MS: Millis = Millis::new(1_000);
 /// Time without a turn of this VM's timers after which the packets that it finds waiting are old: whoever sent them
@@ -59,10 +64,12 @@
     ended: RefCell<HashMap<(SocketAddr, u64), (Millis, Outcome)>>,
     silent: RefCell<HashMap<SocketAddr, Millis>>,
     ticked_at: Cell<Millis>,
+    load: RefCell<GatherLoad>,
 }
 
-impl Default for Gathered {
-    fn default() -> Self {
+impl Gathered {
+    /// The state of a VM with `power` thousandths of a core.
+    pub(crate) fn new(power: u32) -> Self {
         Self {
             // A late message for an earlier process of this VM must not be taken for one to this process.
             next_number: Cell::new(rand::random()),
@@ -71,13 +78,12 @@
             ended: RefCell::default(),
             silent: RefCell::default(),
             ticked_at: Cell::default(),
+            load: RefCell::new(GatherLoad::new(power)),
         }
     }
-}
 
-impl Gathered {
-    /// The number of queries that this VM gathers for others.
-    pub(crate) fn running(&self) -> usize {
+    /// The number of queries that this VM gathers for others, those that wait for admission included.
+    pub(crate) fn held(&self) -> usize {
         self.running.borrow().len()
     }
 
@@ -86,9 +92,22 @@
         self.ticked_at.set(now);
         self.ended.borrow_mut().retain(|_, (at, _)| now - *at < OUTCOME_RETENTION_MS);
         self.silent.borrow_mut().retain(|_, until| now < *until);
+        self.load.borrow_mut().tick();
     }
 }
 
+/// What a gatherer replied to a query.
+enum Reply {
+    /// It made the query.
+    Ended(Outcome),
+    /// It holds as many queries as it may; the caller may retry after this time.
+    Full(Millis),
+    /// It cannot make the query, and did not start it.
+    Unable,
+    /// None in time: it may have started the query.
+    Missing,
+}
+
 /// A query that a gatherer was asked to make. Dropping it before the outcome arrives cancels the query there.
 struct Pending<'a> {
     shared: &'a Shared,
@@ -110,16 +129,17 @@
         self.shared.packets.send(self.gatherer, &Datagram::Gather(message));
     }
 
-    /// Waits until the gatherer accepts the query, and then for its outcome; `None` if it does not accept it.
-    async fn accepted_outcome(&mut self) -> Option<Outcome> {
+    /// Waits until the gatherer accepts the query, and then for its outcome.
+    async fn reply(&mut self) -> Reply {
         match timeout(ACCEPT_TIMEOUT, self.messages.recv()).await {
-            Ok(Some(Message::Ended(_, outcome))) => Some(outcome),
-            Ok(Some(Message::Accepted(_))) => Some(self.outcome().await),
-            Ok(_) => None,
+            Ok(Some(Message::Ended(_, outcome))) => Reply::Ended(outcome),
+            Ok(Some(Message::Accepted(_))) => Reply::Ended(self.outcome().await),
+            Ok(Some(Message::Full(_, retry_after))) => Reply::Full(retry_after),
+            Ok(_) => Reply::Unable,
             Err(_) => {
                 let until = self.shared.now() + SILENCE_MS;
                 self.shared.gathered.silent.borrow_mut().insert(self.gatherer, until);
-                None
+                Reply::Missing
             }
         }
     }
@@ -156,30 +176,68 @@
     if answer_bytes + OVERHEAD_BYTES > MAX_PACKET_BYTES || !options.route.residency.allows(region) {
         return None;
     }
-    let gatherer = {
-        let silent = shared.gathered.silent.borrow();
-        let core = shared.core.borrow();
-        let is_silent = |addr: &SocketAddr| silent.contains_key(addr);
-        core.gathering().choose(shards.services.len(), options.retry_spread, is_silent)?
-    };
-    let query = pack(shared, request, options, arrived)?;
+    let mut asked: SmallVec<[SocketAddr; MAX_GATHERERS_ASKED]> = SmallVec::new();
+    let mut retry_after = None;
+    while let Some(gatherer) = choose(shared, shards.services.len(), options, &asked) {
+        let query = pack(shared, request, options, arrived)?;
+        asked.push(gatherer);
+        match ask(shared, gatherer, query).await {
+            Reply::Ended(outcome) => {
+                let answer = answer_of(outcome);
+                let age = shared.now() - arrived;
+                telemetry::request_gathered(shared, request, options, gatherer, age, &answer);
+                return Some(answer);
+            }
+            // The caller must not be told that a query was not executed which a gatherer may have started.
+            Reply::Missing => return None,
+            // Where gatherers are full, VMs with a tenth of a core would not bear the queries either.
+            Reply::Unable if retry_after.is_some() => break,
+            Reply::Unable => return None,
+            Reply::Full(after) => retry_after = retry_after.max(Some(after)),
+        }
+        let is_late = shared.now() + ACCEPT_TIMEOUT.into() > arrived + options.route.target_latency;
+        if asked.len() == MAX_GATHERERS_ASKED || is_late {
+            break;
+        }
+    }
+    let retry_after = spread(retry_after?, options.retry_spread);
+    let answer = Answer::Refused { retry_after, cause: Cause::Overload };
+    let (gatherer, age) = (*asked.last()?, shared.now() - arrived);
+    telemetry::request_gathered(shared, request, options, gatherer, age, &answer);
+    Some(answer)
+}
+
+/// The gatherer to ask next; `None` if there is none besides those `asked` before.
+fn choose(
+    shared: &Shared,
+    parts: usize,
+    options: &Options,
+    asked: &[SocketAddr],
+) -> Option<SocketAddr> {
+    let silent = shared.gathered.silent.borrow();
+    let core = shared.core.borrow();
+    let is_out = |addr: &SocketAddr| silent.contains_key(addr) || asked.contains(addr);
+    core.gathering().choose(parts, options.retry_spread, is_out)
+}
+
+/// Asks a gatherer to make a query.
+async fn ask(shared: &Shared, gatherer: SocketAddr, query: Query) -> Reply {
     let number = query.number;
     let (sender, messages) = mpsc::unbounded_channel();
     shared.gathered.pending.borrow_mut().insert(number, (gatherer, sender));
     let mut pending = Pending { shared, gatherer, number, messages };
     pending.send(Message::Query(Box::new(query)));
-    let outcome = pending.accepted_outcome().await?;
-    shared.gathered.pending.borrow_mut().remove(&number);
-    let answer = answer_of(outcome);
-    telemetry::request_gathered(
-        shared,
-        request,
-        options,
-        gatherer,
-        shared.now() - arrived,
-        &answer,
-    );
-    Some(answer)
+    let reply = pending.reply().await;
+    if matches!(reply, Reply::Ended(_) | Reply::Full(_)) {
+        shared.gathered.pending.borrow_mut().remove(&number);
+    }
+    reply
+}
+
+/// A delay of one to three times `retry_after`, so that callers rejected together do not return together.
+fn spread(retry_after: Millis, position: u32) -> Millis {
+    let position = f64::from(position % RETRY_POSITIONS) / f64::from(RETRY_POSITIONS);
+    retry_after.mul_f64(1.0 + 2.0 * position)
 }
 
 /// Encodes a query for a packet; `None` if it does not fit into one.
@@ -250,7 +308,10 @@
                 task.abort();
             }
         }
-        Message::Accepted(number) | Message::Refused(number) | Message::Ended(number, _) => {
+        Message::Accepted(number)
+        | Message::Refused(number)
+        | Message::Full(number, _)
+        | Message::Ended(number, _) => {
             let pending = shared.gathered.pending.borrow();
             if let Some((_, sender)) = pending.get(&number).filter(|(host, _)| *host == from) {
                 // The query may just have been answered.
@@ -261,7 +322,11 @@
 }
 
 fn reply(shared: &Shared, to: SocketAddr, message: Message) {
+    let fallback = message.fallback();
     shared.packets.send(to, &Datagram::Gather(message));
+    if let Some(fallback) = fallback {
+        shared.packets.send(to, &Datagram::Gather(fallback));
+    }
 }
 
 fn state_of(shared: &Shared, from: SocketAddr, number: u64) -> Message {
@@ -281,17 +346,30 @@
     if !matches!(known, Message::Refused(_)) {
         return reply(shared, from, known);
     }
-    let Some((request, options, arrived)) = admissible(shared, query) else {
+    if !is_able(shared, query.config) {
+        return reply(shared, from, Message::Refused(number));
+    }
+    let gathered = &shared.gathered;
+    let held = gathered.held();
+    if gathered.load.borrow().is_full(held, shared.waiting.gathered()) {
+        let mut load = gathered.load.borrow_mut();
+        load.record_rejection();
+        return reply(shared, from, Message::Full(number, load.retry_after(held)));
+    }
+    let Some((request, options, arrived)) = decode(shared, query) else {
         return reply(shared, from, Message::Refused(number));
     };
+    let taken_at = shared.now();
     let task = tokio::task::spawn_local({
         let shared = shared.clone();
         async move {
-            let run = drive::run(&shared, request, arrived, &options).await;
+            let run = drive::run(&shared, request, arrived, &options, Client::Vm).await;
             telemetry::query_gathered(&shared, &run, &options.route, from);
             let outcome = outcome_of(run.answer);
             shared.gathered.running.borrow_mut().remove(&key);
-            let ended = (shared.now(), outcome.clone());
+            let now = shared.now();
+            shared.gathered.load.borrow_mut().record_end(now - taken_at);
+            let ended = (now, outcome.clone());
             shared.gathered.ended.borrow_mut().insert(key, ended);
             reply(&shared, from, Message::Ended(number, outcome));
         }
@@ -300,17 +378,16 @@
     reply(shared, from, Message::Accepted(number));
 }
 
-/// The request of a query that this VM can make now.
-fn admissible(shared: &Shared, query: Query) -> Option<(OutgoingRequest, Options, Millis)> {
+/// Whether this VM can make queries for VMs with this version of the configuration.
+fn is_able(shared: &Shared, config: u64) -> bool {
+    let is_stale = shared.now() - shared.gathered.ticked_at.get() > MAX_TICK_GAP_MS;
+    let is_behind = shared.config.borrow().version.unwrap_or_default() < config;
+    shared.phase() == Phase::Serving && shared.is_ready() && !is_stale && !is_behind
+}
+
+/// The request of a query; `None` if it is malformed here.
+fn decode(shared: &Shared, query: Query) -> Option<(OutgoingRequest, Options, Millis)> {
     let now = shared.now();
-    let power = shared.settings.peer.power as usize;
-    let most = (MAX_GATHERED_PER_CORE * power / 1_000).max(1);
-    let is_stale = now - shared.gathered.ticked_at.get() > MAX_TICK_GAP_MS;
-    let is_behind = shared.config.borrow().version.unwrap_or_default() < query.config;
-    let is_full = shared.gathered.running() >= most;
-    if shared.phase() != Phase::Serving || !shared.is_ready() || is_stale || is_behind || is_full {
-        return None;
-    }
     let Query { age, delivery, caller_timeout, fingerprint, .. } = query;
     let head = hop::Head { method: query.method, uri: query.uri, headers: query.headers };
     let request = hop::unpack_head(shared, head, query.body, fingerprint, query.principal)?;
--- a/crates/tgw-gateway/src/handle.rs
+++ b/crates/tgw-gateway/src/handle.rs
@@ -7,6 +7,7 @@
     memory::Reservation,
     shared::{Phase, Shared},
     telemetry,
+    waiting::Client,
 };
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
@@ -272,7 +273,7 @@
     let answer = match handed_over {
         Some(answer) => answer,
         None => {
-            let run = drive::run(shared, outgoing, arrived, &options).await;
+            let run = drive::run(shared, outgoing, arrived, &options, Client::Caller).await;
             telemetry::request_answered(shared, &run, &route, version);
             run.answer
         }
--- a/crates/tgw-gateway/src/lib.rs
+++ b/crates/tgw-gateway/src/lib.rs
@@ -25,6 +25,8 @@
 mod exchange;
 /// Queries that other VMs make for this one, and this VM for others.
 mod gather;
+/// Load of a VM that makes queries for others.
+pub mod gather_load;
 /// Handling of one request.
 mod handle;
 /// HTTP headers of forwarded messages.
--- a/crates/tgw-gateway/src/serve.rs
+++ b/crates/tgw-gateway/src/serve.rs
@@ -155,7 +155,7 @@
         let finish = async {
             // An error means that the task has ended as well.
             let _ = callers.await;
-            while shared.gathered.running() > 0 {
+            while shared.gathered.held() > 0 {
                 sleep(GATHERED_CHECK_INTERVAL).await;
             }
         };
--- a/crates/tgw-gateway/src/shared.rs
+++ b/crates/tgw-gateway/src/shared.rs
@@ -152,6 +152,7 @@
         let world = ReplicatedState::new(settings.heartbeat_interval);
         let mut core = Core::new(settings.place.clone(), settings.retry_budget, policy);
         core.set_headroom(settings.warmup_headroom);
+        let gathered = Gathered::new(settings.peer.power);
         Ok(Rc::new(Self {
             core: RefCell::new(core),
             settings,
@@ -160,7 +161,7 @@
             pools: Pools::default(),
             packets,
             hops: Hops::default(),
-            gathered: Gathered::default(),
+            gathered,
             request_heads: RequestHeads::default(),
             memory,
             hasher,
@@ -316,7 +317,7 @@
         set(&gauges.lines_left_out, self.log_limiter.left_out());
         set(&gauges.lines_dropped, self.dropped_lines.as_ref().map_or(0, DropCounter::count));
         set(&gauges.free_memory_bytes, self.memory.free_bytes() as u64);
-        set(&gauges.gathered, self.gathered.running() as u64);
+        set(&gauges.gathered, self.gathered.held() as u64);
         set(&gauges.limit_accounts, self.admission.accounts() as u64);
         set(&gauges.hosted, self.hops.hosted() as u64);
         let (quarantined, suspected) = core.quarantine.counts();
--- a/crates/tgw-gateway/src/waiting.rs
+++ b/crates/tgw-gateway/src/waiting.rs
@@ -1,25 +1,60 @@
 use crate::shared::Shared;
-use std::{cell::RefCell, collections::HashMap, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+};
 use tgw_forward::Plan;
 use tokio::sync::Notify;
 
+/// For whom this VM makes the sends of a request.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Client {
+    /// For a caller of this VM.
+    Caller,
+    /// For another VM, as its gatherer.
+    Vm,
+}
+
 /// Queries that wait for admission on this VM, by the number of their ticket.
 #[derive(Debug, Default)]
 pub(crate) struct Waiting {
     queries: RefCell<HashMap<u64, Rc<Notify>>>,
+    /// Those of them that are made for other VMs.
+    gathered: Cell<usize>,
 }
 
 /// The wakeups of one query. Dropping it ends them, as when the caller disconnects.
 pub(crate) struct Wakeups<'a> {
     waiting: &'a Waiting,
     notify: Rc<Notify>,
+    client: Client,
     ticket: Option<u64>,
 }
 
 impl Waiting {
     /// Opens the wakeups of one query.
-    pub(crate) fn open(&self) -> Wakeups<'_> {
-        Wakeups { waiting: self, notify: Rc::default(), ticket: None }
+    pub(crate) fn open(&self, client: Client) -> Wakeups<'_> {
+        Wakeups { waiting: self, notify: Rc::default(), client, ticket: None }
+    }
+
+    /// The number of queries of other VMs that wait here.
+    pub(crate) fn gathered(&self) -> usize {
+        self.gathered.get()
+    }
+
+    fn insert(&self, number: u64, client: Client, notify: Rc<Notify>) {
+        self.queries.borrow_mut().insert(number, notify);
+        if client == Client::Vm {
+            self.gathered.set(self.gathered.get() + 1);
+        }
+    }
+
+    fn remove(&self, number: u64, client: Client) {
+        self.queries.borrow_mut().remove(&number);
+        if client == Client::Vm {
+            self.gathered.set(self.gathered.get().saturating_sub(1));
+        }
     }
 
     /// Wakes the queries whose decision may have changed.
@@ -41,12 +76,11 @@
         if ticket == self.ticket {
             return;
         }
-        let mut queries = self.waiting.queries.borrow_mut();
         if let Some(number) = self.ticket {
-            queries.remove(&number);
+            self.waiting.remove(number, self.client);
         }
         if let Some(number) = ticket {
-            queries.insert(number, self.notify.clone());
+            self.waiting.insert(number, self.client, self.notify.clone());
         }
         self.ticket = ticket;
     }
@@ -60,7 +94,7 @@
 impl Drop for Wakeups<'_> {
     fn drop(&mut self) {
         if let Some(number) = self.ticket {
-            self.waiting.queries.borrow_mut().remove(&number);
+            self.waiting.remove(number, self.client);
         }
     }
 }
--- a/crates/tgw-gateway/tests/gateway.rs
+++ b/crates/tgw-gateway/tests/gateway.rs
@@ -1,4 +1,4 @@
-//! Tests of the limits of a process: its log and its memory for bodies.
+//! Tests of the limits of a process: its log, its memory for bodies, and the queries that it gathers.
 
 #![allow(clippy::expect_used, clippy::unwrap_used, clippy::panic)] // A test fails by panic.
 
@@ -8,6 +8,7 @@
 };
 use tgw_clock::Millis;
 use tgw_gateway::{
+    gather_load::GatherLoad,
     log::{self, BUFFER_LINES, Category, Limiter, Log},
     memory::Budget,
 };
@@ -74,3 +75,34 @@
     drop((first, second));
     assert_eq!(budget.free_bytes(), 1_000);
 }
+
+// Guards against a gatherer that rejects queries while its processor is free, because others wait for admission there,
+// and against one that holds any number of waiting ones.
+#[test]
+fn waiting_queries_are_bounded_but_do_not_count_as_running() {
+    let load = GatherLoad::new(500);
+    assert!(!load.is_full(31, 0));
+    assert!(load.is_full(32, 0));
+    assert!(!load.is_full(127, 100));
+    assert!(load.is_full(128, 128));
+    assert!(GatherLoad::new(0).is_full(1, 0), "a VM without stated power takes one at a time");
+}
+
+// Guards against callers of a full gatherer that return at a fixed interval and sustain the overload: the delay has to
+// grow with the queries' duration and with the callers that are expected back, within bounds, and shrink again.
+#[test]
+fn retry_delay_follows_the_load_of_a_gatherer() {
+    let mut load = GatherLoad::new(1_000);
+    assert_eq!(load.retry_after(64), Millis::new(50));
+    for _ in 0..100 {
+        load.record_end(Millis::new(200));
+    }
+    let slow = load.retry_after(64);
+    assert!(slow > Millis::new(190) && slow <= Millis::new(200), "{slow}");
+    (0..128).for_each(|_| load.record_rejection());
+    assert!(load.retry_after(64) > slow + Millis::new(190));
+    (0..10_000).for_each(|_| load.record_rejection());
+    assert_eq!(load.retry_after(64), Millis::new(650));
+    (0..200).for_each(|_| load.tick());
+    assert_eq!(load.retry_after(64), slow);
+}
--- a/crates/tgw-spread/src/gather.rs
+++ b/crates/tgw-spread/src/gather.rs
@@ -22,6 +22,29 @@
     Ended(u64, Outcome),
     /// The answer to the query with this number is not needed any more.
     Cancelled(u64),
+    /// The query with this number was not started, and will not be, as the gatherer holds as many as it may; its caller
+    /// may retry after this time. Spreading the retries is left to the sender.
+    Full(u64, Millis),
+}
+
+impl Message {
+    /// What VMs of builds that cannot decode this message are told instead; `None` if all builds can. It is sent after
+    /// the message, so that VMs which decode both act on the first.
+    pub fn fallback(&self) -> Option<Self> {
+        match self {
+            Self::Full(number, _) => Some(Self::Refused(*number)),
+            Self::Ended(number, Outcome::Refused { retry_after, cause: Cause::Overload }) => {
+                let outcome = Outcome::Refused { retry_after: *retry_after, cause: Cause::Full };
+                Some(Self::Ended(*number, outcome))
+            }
+            Self::Query(_)
+            | Self::Accepted(_)
+            | Self::Refused(_)
+            | Self::Probe(_)
+            | Self::Ended(..)
+            | Self::Cancelled(_) => None,
+        }
+    }
 }
 
 /// A query.
--- a/crates/tgw-spread/tests/spread.rs
+++ b/crates/tgw-spread/tests/spread.rs
@@ -5,6 +5,7 @@
 mod agreement;
 mod evacuations;
 mod freshness;
+mod gather;
 mod start;
 mod upstreams;
 
