feat(gateway): metrics and log lines of admission

Cause: an operator cannot see which queries wait or are rejected, by which decision, and since when a VM is overloaded. Change: counts of offered, admitted (at once, after a wait) and rejected queries by priority and reason, queries that wait now, their waits, and the level of overload. One line for each rejection (at most 200 a second, apart from those about failures) and for each change of the level; the line of an answer tells how long it waited. `Plan` gets the accessors `rejection` and `is_admitted` and keeps its rejection after the answer. Waiting queries are woken on each tick too, as time alone may admit them.

--- a/crates/tgw-forward/src/admission.rs
+++ b/crates/tgw-forward/src/admission.rs
@@ -33,14 +33,24 @@
         }
     }
 
-    /// When the caller of a rejected query may retry.
-    pub(crate) fn rejected_for(&self) -> Option<Millis> {
+    /// Whether the query was admitted and runs.
+    pub fn is_admitted(&self) -> bool {
+        matches!(self.stage, Stage::Admitted(_))
+    }
+
+    /// Why the query was rejected; `None` if it was not.
+    pub fn rejection(&self) -> Option<Rejection> {
         match &self.stage {
-            Stage::Rejected(rejection) => Some(rejection.retry_after),
+            Stage::Rejected(rejection) => Some(*rejection),
             Stage::Exempt | Stage::Admitted(_) | Stage::Queued(_) => None,
         }
     }
 
+    /// When the caller of a rejected query may retry.
+    pub(crate) fn rejected_for(&self) -> Option<Millis> {
+        self.rejection().map(|rejection| rejection.retry_after)
+    }
+
     /// Requests admission, and makes the first sends if it is granted.
     pub(crate) fn request_admission(
         &mut self,
@@ -102,6 +112,9 @@
 
     /// Ends the admission of a request that has its answer.
     pub(crate) fn release_admission(&mut self, now: Millis, answer: &Answer, core: &mut Core) {
+        if self.rejection().is_some() {
+            return;
+        }
         let outcome = match answer {
             Answer::Forward(_) | Answer::Merged { .. }
                 if now <= self.started + self.route.target_latency =>
--- a/crates/tgw-gateway/src/drive.rs
+++ b/crates/tgw-gateway/src/drive.rs
@@ -1,4 +1,5 @@
 use crate::{
+    admission_progress::Progress,
     exchange::{self, OutgoingRequest},
     quarantine,
     shared::Shared,
@@ -22,6 +23,8 @@
     pub(crate) request: Rc<OutgoingRequest>,
     pub(crate) plan: Plan,
     pub(crate) answer: Answer,
+    /// How long it waited for admission; `None` if it did not.
+    pub(crate) waited: Option<Millis>,
 }
 
 /// Makes the sends of a request that arrived at `arrived`, until its answer. Dropping the future cancels the sends.
@@ -38,6 +41,7 @@
     let (mut sends, mut results) = Sends::open(shared.clone(), request.clone());
     let mut orders = Vec::new();
     let mut event = Event::Start;
+    let mut admission = Progress::new(shared, request.clone(), options);
     let mut wakeups = shared.waiting.open(client);
     let answer = loop {
         let now = shared.now();
@@ -53,6 +57,7 @@
         for withheld in plan.take_withheld() {
             telemetry::send_withheld(shared, now, &request, &plan, withheld);
         }
+        admission.follow(now, &plan, answer.as_ref());
         wakeups.follow(&plan);
         shared.waiting.notify(shared);
         if let Some(answer) = answer {
@@ -74,7 +79,9 @@
     if plan.released() {
         quarantine::trial_answered(shared, options.fingerprint);
     }
-    Run { request, plan, answer }
+    let waited = admission.waited();
+    drop(admission);
+    Run { request, plan, answer, waited }
 }
 
 /// The sends of one request. Dropping it before the answer, as when the caller disconnects, cancels
--- a/crates/tgw-gateway/src/gather.rs
+++ b/crates/tgw-gateway/src/gather.rs
@@ -1,4 +1,5 @@
 use crate::{
+    admission_progress::{Reason, Rejected},
     drive,
     exchange::OutgoingRequest,
     gather_load::GatherLoad,
@@ -203,6 +204,10 @@
     let retry_after = spread(retry_after?, options.retry_spread);
     let answer = Answer::Refused { retry_after, cause: Cause::Overload };
     let (gatherer, age) = (*asked.last()?, shared.now() - arrived);
+    let rejected =
+        Rejected { reason: Reason::GathererFull, retry_after: Some(retry_after), waited: None };
+    shared.metrics.count_query_offered(options.priority);
+    telemetry::query_rejected(shared, request, options, rejected);
     telemetry::request_gathered(shared, request, options, gatherer, age, &answer);
     Some(answer)
 }
--- a/crates/tgw-gateway/src/lib.rs
+++ b/crates/tgw-gateway/src/lib.rs
@@ -7,6 +7,8 @@
 
 /// Admission of requests within the limits of their tenants.
 mod admission;
+/// How the admission of each query goes, for metrics and log lines.
+mod admission_progress;
 /// Comparison of this VM's lists with those of other VMs.
 mod agreement;
 /// Who a request is made for.
--- a/crates/tgw-gateway/src/log_limiter.rs
+++ b/crates/tgw-gateway/src/log_limiter.rs
@@ -16,6 +16,12 @@
 /// hide any of them.
 const CRASH_LINES: u32 = 100;
 
+/// Lines per interval about rejected queries. Under overload they are more than those about failures, which they must
+/// not displace.
+const REJECTION_LINES: u32 = 200;
+/// Lines per interval about changes of the level of overload.
+const LEVEL_LINES: u32 = 4;
+
 /// Category of a log line about a request; each has its own limit.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
 pub enum Category {
@@ -27,6 +33,10 @@
     Outcome,
     /// An upstream that ended under a send, or a send to an upstream whose entry is missing.
     Crash,
+    /// A query that was rejected before anything was sent.
+    Rejection,
+    /// A change of the level of overload.
+    Level,
 }
 
 /// Limits the number of log lines about requests.
@@ -37,7 +47,7 @@
 #[derive(Debug, Default)]
 pub struct Limiter {
     interval: Cell<u64>,
-    written: [Cell<u32>; 4],
+    written: [Cell<u32>; 6],
     left_out: Cell<u32>,
     left_out_total: Cell<u64>,
 }
@@ -51,6 +61,8 @@
             Category::Detail => (&self.written[1], DETAIL_LINES),
             Category::Outcome => (&self.written[2], OUTCOME_LINES),
             Category::Crash => (&self.written[3], CRASH_LINES),
+            Category::Rejection => (&self.written[4], REJECTION_LINES),
+            Category::Level => (&self.written[5], LEVEL_LINES),
         };
         let written = counter.get();
         if written < limit {
--- a/crates/tgw-gateway/src/metrics.rs
+++ b/crates/tgw-gateway/src/metrics.rs
@@ -1,7 +1,8 @@
+use crate::admission_progress::Reason;
 use anyhow::Context;
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Histogram, Meter, MeterProvider},
+    metrics::{Counter, Histogram, Meter, MeterProvider, UpDownCounter},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
@@ -22,6 +23,10 @@
 const LATENCY_BOUNDS_MS: [f64; 12] =
     [10.0, 20.0, 40.0, 60.0, 80.0, 100.0, 150.0, 200.0, 300.0, 400.0, 800.0, 2_000.0];
 
+/// Upper bounds of the histogram of waits for admission in ms: fractions of the same targets.
+const WAIT_BOUNDS_MS: [f64; 10] =
+    [5.0, 10.0, 20.0, 40.0, 60.0, 100.0, 150.0, 300.0, 600.0, 1_200.0];
+
 /// Values of the gauges, which are read whenever metrics are collected.
 #[derive(Debug, Default)]
 pub(crate) struct Gauges {
@@ -50,6 +55,8 @@
     pub(crate) limit_accounts: AtomicU64,
     /// Memory free for bodies.
     pub(crate) free_memory_bytes: AtomicU64,
+    /// 1 while queries compete for upstreams, else 0.
+    pub(crate) overloaded: AtomicU64,
     /// 1 while the balancer may send callers, else 0.
     pub(crate) ready: AtomicU64,
     /// Upstream entries that cannot be decoded.
@@ -62,7 +69,7 @@
 
 type Gauge = (&'static str, &'static str, fn(&Gauges) -> &AtomicU64);
 
-const GAUGES: [Gauge; 17] = [
+const GAUGES: [Gauge; 18] = [
     ("tgw_config_version", "version of the configuration in force", |g| &g.config),
     ("tgw_config_since_ms", "when it came into force, in ms since the start", |g| &g.config_since),
     ("tgw_upstreams", "upstreams known", |g| &g.upstreams),
@@ -85,6 +92,7 @@
     ("tgw_requests_suspected", "requests under which an upstream ended, held back or not", |g| {
         &g.suspected
     }),
+    ("tgw_overloaded", "1 while queries compete for upstreams", |g| &g.overloaded),
     ("tgw_ready", "1 while the balancer may send callers", |g| &g.ready),
 ];
 
@@ -100,6 +108,11 @@
     upstream_ends: Counter<u64>,
     store_calls: Counter<u64>,
     handed_over: Counter<u64>,
+    queries_offered: Counter<u64>,
+    queries_admitted: Counter<u64>,
+    queries_rejected: Counter<u64>,
+    queries_waiting: UpDownCounter<i64>,
+    query_waits: Histogram<f64>,
 }
 
 impl Metrics {
@@ -127,6 +140,14 @@
             upstream_ends: meter.u64_counter("tgw_upstreams_ended").build(),
             store_calls: meter.u64_counter("tgw_store_calls").build(),
             handed_over: meter.u64_counter("tgw_queries_handed_over").build(),
+            queries_offered: meter.u64_counter("tgw_queries_offered").build(),
+            queries_admitted: meter.u64_counter("tgw_queries_admitted").build(),
+            queries_rejected: meter.u64_counter("tgw_queries_rejected").build(),
+            queries_waiting: meter.i64_up_down_counter("tgw_queries_waiting").build(),
+            query_waits: meter
+                .f64_histogram("tgw_query_wait_ms")
+                .with_boundaries(WAIT_BOUNDS_MS.into())
+                .build(),
             gauges,
             registry,
             _provider: provider,
@@ -152,6 +173,42 @@
         self.handed_over.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a query that asks for admission.
+    pub(crate) fn count_query_offered(&self, priority: u32) {
+        self.queries_offered.add(1, &[priority_label(priority)]);
+    }
+
+    /// Counts a query that was admitted, after a wait if it had to.
+    pub(crate) fn count_query_admitted(&self, priority: u32, waited: Option<Millis>) {
+        let when = if waited.is_some() { "after a wait" } else { "at once" };
+        self.queries_admitted.add(1, &[priority_label(priority), KeyValue::new("when", when)]);
+        self.record_wait(priority, waited, "admitted");
+    }
+
+    /// Counts a query that was rejected, after a wait if it had to.
+    pub(crate) fn count_query_rejected(
+        &self,
+        priority: u32,
+        reason: Reason,
+        waited: Option<Millis>,
+    ) {
+        let reason = KeyValue::new("reason", reason.to_string());
+        self.queries_rejected.add(1, &[priority_label(priority), reason]);
+        self.record_wait(priority, waited, "rejected");
+    }
+
+    fn record_wait(&self, priority: u32, waited: Option<Millis>, end: &'static str) {
+        if let Some(waited) = waited {
+            let labels = [priority_label(priority), KeyValue::new("end", end)];
+            self.query_waits.record(waited.as_f64(), &labels);
+        }
+    }
+
+    /// Counts queries that begin to wait for admission, or that no longer do if `change` is negative.
+    pub(crate) fn add_query_waiting(&self, priority: u32, change: i64) {
+        self.queries_waiting.add(change, &[priority_label(priority)]);
+    }
+
     /// Counts a send.
     pub(crate) fn count_send(&self, trigger: Trigger, distance: Distance, hop: Hop) {
         let trigger = match trigger {
@@ -206,6 +263,18 @@
     }
 }
 
+/// The label of a priority. Configurations may state any number; the labels stay few.
+fn priority_label(priority: u32) -> KeyValue {
+    let text = match priority {
+        0 => "0",
+        1 => "1",
+        2 => "2",
+        3 => "3",
+        _ => "other",
+    };
+    KeyValue::new("priority", text)
+}
+
 fn register(meter: &Meter, (name, help, read): Gauge, gauges: Arc<Gauges>) {
     meter
         .u64_observable_gauge(name)
--- a/crates/tgw-gateway/src/peers.rs
+++ b/crates/tgw-gateway/src/peers.rs
@@ -146,6 +146,7 @@
                     self.compare_lists();
                     self.shared.admission.tick(self.shared.now());
                     self.shared.gathered.tick(self.shared.now());
+                    self.shared.check_overload();
                 }
             }
             self.recount_if_due();
--- a/crates/tgw-gateway/src/shared.rs
+++ b/crates/tgw-gateway/src/shared.rs
@@ -2,7 +2,7 @@
     Codec, Settings, admission::Admission, agreement::Agreement, authentication::NewestCheck,
     broken::Sends, gather::Gathered, headers, hop::Hops, log::DropCounter, log_limiter::Limiter,
     memory::Budget, metrics::Metrics, packets::Packets, pool::Pools, request_heads::RequestHeads,
-    waiting::Waiting,
+    telemetry, waiting::Waiting,
 };
 use http::{HeaderMap, Uri};
 use std::{
@@ -33,6 +33,14 @@
     Closing,
 }
 
+/// Whether queries compete for upstreams on this VM.
+#[derive(Copy, Clone, Debug, Default)]
+pub(crate) struct Overload {
+    pub(crate) is_overloaded: bool,
+    /// When that last changed.
+    pub(crate) since: Millis,
+}
+
 /// What this VM reads from the store without errors.
 #[derive(Debug, Default)]
 pub(crate) struct StoreReads {
@@ -109,6 +117,8 @@
     pub(crate) admission: Admission,
     /// Queries that wait for admission on this VM.
     pub(crate) waiting: Waiting,
+    /// The level of overload as of the last tick.
+    pub(crate) overload: Cell<Overload>,
     /// Comparison of this VM's lists with those of other VMs.
     pub(crate) agreement: Agreement,
     /// Whether this VM can reach the store.
@@ -177,6 +187,7 @@
             newest_check: NewestCheck::default(),
             admission,
             waiting: Waiting::default(),
+            overload: Cell::default(),
             agreement: Agreement::default(),
             reachability: RefCell::default(),
             peers_without_store: Cell::new(0),
@@ -301,6 +312,19 @@
         }
     }
 
+    /// Periodic work, each 100 ms: wakes queries that time alone admits or rejects, and logs a change of the level of
+    /// overload.
+    pub(crate) fn check_overload(&self) {
+        self.waiting.notify(self);
+        let now = self.now();
+        let is_overloaded = self.core.borrow().admission.is_overloaded(now);
+        let before = self.overload.get();
+        if is_overloaded != before.is_overloaded {
+            self.overload.set(Overload { is_overloaded, since: now });
+            telemetry::overload_changed(self, now, is_overloaded, now - before.since);
+        }
+    }
+
     /// Updates the gauges.
     pub(crate) fn update_gauges(&self) {
         let gauges = &self.metrics.gauges;
@@ -323,6 +347,7 @@
         let (quarantined, suspected) = core.quarantine.counts();
         set(&gauges.quarantined, quarantined as u64);
         set(&gauges.suspected, suspected as u64);
+        set(&gauges.overloaded, u64::from(self.overload.get().is_overloaded));
         set(&gauges.ready, u64::from(self.is_ready()));
     }
 
--- a/crates/tgw-gateway/src/telemetry.rs
+++ b/crates/tgw-gateway/src/telemetry.rs
@@ -1,6 +1,8 @@
 //! Log lines and counts about requests and sends: what was decided, on which inputs, and how old
 //! the inputs were.
 
+/// Rejected queries and the level of overload.
+mod overload;
 /// Requests and their answers.
 mod requests;
 
@@ -20,6 +22,7 @@
     upstream::{Distance, Entry, SendOutcome},
 };
 
+pub(crate) use overload::{overload_changed, query_rejected};
 pub(crate) use requests::{
     query_gathered, request_abandoned, request_answered, request_gathered, request_not_admitted,
     request_unauthenticated, request_unconfigured, request_unread, request_unrouted,
--- a/crates/tgw-gateway/src/telemetry/requests.rs
+++ b/crates/tgw-gateway/src/telemetry/requests.rs
@@ -11,13 +11,13 @@
 use http::HeaderValue;
 use std::net::SocketAddr;
 use tgw_clock::Millis;
-use tgw_forward::plan::{self, Answer};
+use tgw_forward::plan::{self, Answer, Cause};
 use tgw_route::{Route, Target};
 
 /// Counts and logs the answer to a request.
 pub(crate) fn request_answered(shared: &Shared, run: &Run, route: &Route, version: u64) {
     let now = shared.now();
-    let Run { request, plan, answer } = run;
+    let Run { request, plan, answer, waited } = run;
     let (outcome, cause, complete) = describe(answer);
     shared.metrics.count_request(&route.name, outcome, cause, plan.age(now));
     let late = plan.age(now) > route.target_latency;
@@ -41,6 +41,7 @@
         got,
         parts,
         late,
+        waited_ms = waited.map(Millis::as_whole_ms),
         age_ms = plan.age(now).as_whole_ms(),
         "request"
     );
@@ -103,9 +104,13 @@
 /// Logs the answer to a query that this VM made for another one, which counts the request.
 pub(crate) fn query_gathered(shared: &Shared, run: &Run, route: &Route, from: SocketAddr) {
     let now = shared.now();
-    let Run { request, plan, answer } = run;
+    let Run { request, plan, answer, waited } = run;
     let (outcome, cause, complete) = describe(answer);
-    let category = if complete { Category::Routine } else { Category::Outcome };
+    let category = match answer {
+        Answer::Refused { cause: Cause::Overload, .. } => Category::Rejection,
+        _ if complete => Category::Routine,
+        _ => Category::Outcome,
+    };
     if !shared.log_limiter.allows(now, category) {
         return;
     }
@@ -120,6 +125,7 @@
         sends,
         got,
         parts,
+        waited_ms = waited.map(Millis::as_whole_ms),
         age_ms = plan.age(now).as_whole_ms(),
         "query gathered"
     );
--- a/crates/tgw-gateway/src/waiting.rs
+++ b/crates/tgw-gateway/src/waiting.rs
@@ -38,6 +38,11 @@
         Wakeups { waiting: self, notify: Rc::default(), client, ticket: None }
     }
 
+    /// The number of queries that wait here.
+    pub(crate) fn len(&self) -> usize {
+        self.queries.borrow().len()
+    }
+
     /// The number of queries of other VMs that wait here.
     pub(crate) fn gathered(&self) -> usize {
         self.gathered.get()
--- a/crates/tgw-gateway/tests/gateway.rs
+++ b/crates/tgw-gateway/tests/gateway.rs
@@ -63,6 +63,19 @@
     assert!(limiter.allows(now + Millis::new(1_000), Category::Detail));
 }
 
+// Guards against rejected queries displacing the lines that name the cause of a failure, and the lines that say since
+// when the VM is overloaded.
+#[test]
+fn lines_about_rejections_displace_neither_outcomes_nor_levels() {
+    let limiter = Limiter::default();
+    let now = Millis::new(5_500);
+    let rejections = (0..10_000).filter(|_| limiter.allows(now, Category::Rejection)).count();
+    assert!(rejections < 500, "{rejections} in a second");
+    assert!((0..250).all(|_| limiter.allows(now, Category::Outcome)));
+    assert!(limiter.allows(now, Category::Level));
+    assert_eq!(limiter.left_out(), 10_000 - rejections as u64);
+}
+
 // Guards against the process being killed for lack of memory. Callers send bodies until the budget
 // is used up; the next reservation fails, and succeeds once another one is released.
 #[test]
