feat(operate): explain why a query was rejected or waited

Change: the timeline tells the reason of a rejection, priority, tenant, VM, whether that VM was overloaded, and the retry delay; the wait of an admitted query; and changes of the level of overload in its context. The losses get tables of rejections by reason and by priority and tenant, and a row of requests that waited.

--- a/crates/tgw-operate/src/losses.rs
+++ b/crates/tgw-operate/src/losses.rs
@@ -3,7 +3,7 @@
 use crate::log::{self, Line, seconds_of_day};
 use serde::Serialize;
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     fmt::{self, Display, Formatter},
     io,
     path::Path,
@@ -58,6 +58,12 @@
     pub upstreams: BTreeMap<String, Count>,
     /// By kind of a further send that was withheld, and the reason.
     pub withheld: BTreeMap<String, Count>,
+    /// By reason of the rejection of a query before anything was sent.
+    pub rejections: BTreeMap<String, Count>,
+    /// By priority and tenant of a rejected query.
+    pub rejected: BTreeMap<String, Count>,
+    /// Requests that waited for admission.
+    pub waited: Count,
     /// Log lines that VMs dropped. The counts are too low where this is not zero.
     pub left_out: u64,
 }
@@ -116,6 +122,9 @@
 impl Losses {
     fn count_request(&mut self, line: &Line, outcome: Outcome) {
         self.all.add(outcome);
+        if line.optional_number("waited_ms").is_some() {
+            self.waited.add(outcome);
+        }
         let cause = match line.text("cause") {
             "" => line.text("outcome"),
             cause => cause,
@@ -129,9 +138,14 @@
 
     fn count_sends(&mut self, lines: &[Line], lost: &HashMap<&str, Outcome>) {
         // A request that fails in the same way several times counts once.
-        let mut seen = std::collections::BTreeSet::new();
+        let mut seen = BTreeSet::new();
         for line in lines {
             let Some(outcome) = lost.get(line.text("request")).copied() else { continue };
+            let request = line.text("request");
+            if line.message() == "query rejected" {
+                self.count_rejection(line, outcome, &mut seen);
+                continue;
+            }
             let (table, name) = match line.message() {
                 "send ended" => {
                     let result = format!("{} {}", line.text("upstream"), line.text("result"));
@@ -142,7 +156,6 @@
                 }
                 _ => continue,
             };
-            let request = line.text("request");
             if seen.insert((request, name.clone())) {
                 table.entry(name).or_default().add(outcome);
             }
@@ -152,6 +165,25 @@
             }
         }
     }
+
+    fn count_rejection<'a>(
+        &mut self,
+        line: &'a Line,
+        outcome: Outcome,
+        seen: &mut BTreeSet<(&'a str, String)>,
+    ) {
+        let reason = line.text("reason").to_owned();
+        if !seen.insert((line.text("request"), reason.clone())) {
+            return;
+        }
+        self.rejections.entry(reason).or_default().add(outcome);
+        let priority = line.number("priority");
+        let class = match line.text("tenant") {
+            "" => format!("priority {priority}"),
+            tenant => format!("priority {priority}, {tenant}"),
+        };
+        self.rejected.entry(class).or_default().add(outcome);
+    }
 }
 
 impl Display for Losses {
@@ -161,6 +193,9 @@
         }
         write_header(f, "requests not served as they should be")?;
         write_row(f, "all", &self.all)?;
+        if self.waited.total() > 0 {
+            write_row(f, "after a wait for admission", &self.waited)?;
+        }
         let windows: Vec<(String, Count)> =
             self.windows.iter().map(|(at, count)| (format_clock(*at), *count)).collect();
         for (title, rows) in [
@@ -169,6 +204,8 @@
             ("service with a failed or withheld send", top_rows(&self.services)),
             ("upstream and how a send to it ended", top_rows(&self.upstreams)),
             ("further send withheld", top_rows(&self.withheld)),
+            ("query rejected: reason", top_rows(&self.rejections)),
+            ("query rejected: priority and tenant", top_rows(&self.rejected)),
         ] {
             write_header(f, title)?;
             rows.iter().try_for_each(|(name, count)| write_row(f, name, count))?;
--- a/crates/tgw-operate/src/timeline.rs
+++ b/crates/tgw-operate/src/timeline.rs
@@ -8,7 +8,7 @@
 };
 
 /// Messages about a VM's state that help to explain its decisions.
-const STATE_MESSAGES: [&str; 14] = [
+const STATE_MESSAGES: [&str; 15] = [
     "start",
     "stop",
     "reload",
@@ -21,6 +21,7 @@
     "upstreams listed",
     "VMs counted",
     "this VM was paused",
+    "level of overload changed",
     "watching the platform's store for the failure domain",
     LINES_DROPPED_MESSAGE,
 ];
@@ -30,6 +31,10 @@
 const LINES_DROPPED_MESSAGE: &str = "log lines left out in the last interval";
 /// Message of a VM under one or more of whose sends an upstream process ended.
 const UPSTREAM_ENDED_MESSAGE: &str = "upstream ended under a send";
+/// Message of a query that was rejected before anything was sent.
+const REJECTED_MESSAGE: &str = "query rejected";
+/// Reason of a rejection by the VM that took the request, as the gatherers that it asked were full.
+const GATHERER_FULL_REASON: &str = "gatherer full";
 /// Message of a send to a retained upstream: "doubted" is one kept although its entry in the store is
 /// missing. It may have left, which can explain how the request ended.
 const RETAINED_SEND_MESSAGE: &str = "send to a doubted upstream";
@@ -187,7 +192,15 @@
             _ => "no VM logged an answer: the VM ended while the request ran".into(),
         };
     };
+    let rejection = own.iter().rev().find(|l| l.message() == REJECTED_MESSAGE);
     let reason = match end.text("cause") {
+        "overload" => rejection.map_or_else(
+            || "its query was rejected by a decision that no VM logged here".into(),
+            |line| rejection_cause(line),
+        ),
+        _ if end.text("outcome") == "timed out" && rejection.is_some() => {
+            "it waited for admission until its deadline".into()
+        }
         "no route" => format!("no route takes it in configuration {}", end.number("config")),
         "no configuration" => "the VM knew no configuration: the store had not answered".into(),
         "no upstream" => {
@@ -242,11 +255,50 @@
     } else {
         String::new()
     };
+    let is_gatherer_full = rejection.is_some_and(|l| l.text("reason") == GATHERER_FULL_REASON);
     let gathered = match end.text("gatherer") {
         "" => String::new(),
+        gatherer if is_gatherer_full => format!(" ({gatherer} was asked last)"),
         gatherer => format!(" (made by {gatherer}, see its line \"query gathered\")"),
     };
-    format!("{outcome} after {age_ms} ms{missing_parts}: {reason}{not_retried}{gathered}")
+    let waited = wait_before_sends(own);
+    format!("{outcome} after {age_ms} ms{missing_parts}: {reason}{waited}{not_retried}{gathered}")
+}
+
+/// Why a query was rejected before anything was sent, for whom, and when its caller may retry.
+fn rejection_cause(line: &Line) -> String {
+    let reason = match line.text("reason") {
+        "backlog" => "the queries ahead of it took longer than its latency target left".into(),
+        "expired" => format!(
+            "it waited {} ms, and could no longer be served within its latency target",
+            line.number("waited_ms")
+        ),
+        "displaced" => "the queue was full, and it was the last in order".into(),
+        GATHERER_FULL_REASON => {
+            "the gatherers that were asked held as many queries as they may".into()
+        }
+        reason => reason.to_owned(),
+    };
+    let tenant = match line.text("tenant") {
+        "" => String::new(),
+        tenant => format!(" of tenant {tenant}"),
+    };
+    let level = if line.flag("overloaded") { "overloaded" } else { "not overloaded" };
+    format!(
+        "{reason}; a query of priority {}{tenant}, rejected by {}, which was {level}; its caller may retry after {} ms",
+        line.number("priority"),
+        line.vm,
+        line.number("retry_ms")
+    )
+}
+
+/// How long an admitted query waited, by the line of the VM that made it.
+fn wait_before_sends(own: &[&Line]) -> String {
+    if own.iter().any(|l| l.message() == REJECTED_MESSAGE) {
+        return String::new();
+    }
+    let waited = own.iter().rev().find_map(|l| l.optional_number("waited_ms"));
+    waited.map_or_else(String::new, |ms| format!("; waited {ms} ms for admission"))
 }
 
 /// The VM that counts a tenant's requests.
--- a/crates/tgw-operate/tests/operate/losses.rs
+++ b/crates/tgw-operate/tests/operate/losses.rs
@@ -34,6 +34,32 @@
     assert!(text.contains("00:01:02"), "{text}");
 }
 
+const OVERLOAD_LOG: &str = r#"
+{"timestamp":"2026-01-01T00:01:03.5Z","message":"query rejected","request":"a","priority":1,"tenant":"mill","reason":"backlog","waited_ms":0}
+{"timestamp":"2026-01-01T00:01:03.5Z","message":"query rejected","request":"a","priority":1,"tenant":"mill","reason":"backlog","waited_ms":0}
+{"timestamp":"2026-01-01T00:01:03.5Z","message":"request","request":"a","outcome":"refused","cause":"overload","got":0,"parts":9}
+{"timestamp":"2026-01-01T00:01:03.6Z","message":"query rejected","request":"b","priority":0,"reason":"expired","waited_ms":40}
+{"timestamp":"2026-01-01T00:01:03.6Z","message":"request","request":"b","outcome":"refused","cause":"overload","got":0,"parts":9,"waited_ms":40}
+{"timestamp":"2026-01-01T00:01:03.7Z","message":"request","request":"c","outcome":"merged","cause":"","got":9,"parts":9,"late":true,"waited_ms":30}
+{"timestamp":"2026-01-01T00:01:03.8Z","message":"request","request":"d","outcome":"merged","cause":"","got":9,"parts":9,"late":false,"waited_ms":30}
+"#;
+
+// Guards against an overload whose tables name neither the decisions nor the tenants that they met.
+#[test]
+fn rejections_are_counted_by_reason_and_tenant() {
+    let file = log_file("losses-overload.log", OVERLOAD_LOG);
+    let losses = losses::read(&[file], &Options::default()).unwrap();
+    let one = Count { refused: 1, ..Count::default() };
+    assert_eq!(losses.causes["overload"], Count { refused: 2, ..Count::default() });
+    assert_eq!(losses.rejections["backlog"], one);
+    assert_eq!(losses.rejections["expired"], one);
+    assert_eq!(losses.rejected["priority 1, mill"], one);
+    assert_eq!(losses.rejected["priority 0"], one);
+    assert_eq!(losses.waited, Count { refused: 1, late: 1, ..Count::default() });
+    let text = losses.to_string();
+    assert!(text.contains("query rejected: reason"), "{text}");
+}
+
 // Half of a day's requests only probe which configuration is in force. Where they find no route, thousands of harmless
 // refusals hide the few requests that callers really lost.
 #[test]
--- a/crates/tgw-operate/tests/operate/timeline.rs
+++ b/crates/tgw-operate/tests/operate/timeline.rs
@@ -24,6 +24,17 @@
 {"timestamp":"T11","message":"request","request":"limited","tenant":"mill","outcome":"refused","cause":"over its tenant's limit","counted_by":"10.0.0.9:7803","retry_ms":90}
 {"timestamp":"T11","message":"request","request":"strange","config":5,"outcome":"refused","cause":"unknown API key"}
 {"timestamp":"T12","message":"request","request":"handed","gatherer":"10.0.0.8:7803","outcome":"failed","cause":"upstreams failed","got":0,"parts":9,"age_ms":210}
+{"timestamp":"T13","message":"query rejected","request":"behind","route":"all","priority":1,"tenant":"mill","reason":"backlog","retry_ms":420,"waited_ms":0,"overloaded":true}
+{"timestamp":"T13","message":"request","request":"behind","outcome":"refused","cause":"overload","got":0,"parts":9,"age_ms":1}
+{"timestamp":"T14","message":"query rejected","request":"tired","route":"all","priority":0,"reason":"expired","retry_ms":70,"waited_ms":61,"overloaded":true}
+{"timestamp":"T14","message":"request","request":"tired","outcome":"refused","cause":"overload","got":0,"parts":9,"waited_ms":61,"age_ms":61}
+{"timestamp":"T15","message":"query rejected","request":"crowded","route":"all","priority":2,"reason":"gatherer full","retry_ms":150,"waited_ms":0,"overloaded":false}
+{"timestamp":"T15","message":"request","request":"crowded","gatherer":"10.0.0.8:7803","outcome":"refused","cause":"overload","got":0,"parts":9,"age_ms":4}
+{"timestamp":"T16","message":"request","request":"elsewhere","gatherer":"10.0.0.8:7803","outcome":"refused","cause":"overload","got":0,"parts":9,"age_ms":4}
+{"timestamp":"T17","message":"query gathered","request":"queued","outcome":"merged","got":9,"parts":9,"waited_ms":32,"age_ms":80}
+{"timestamp":"T17","message":"request","request":"queued","gatherer":"10.0.0.8:7803","outcome":"merged","cause":"","got":9,"parts":9,"age_ms":82}
+{"timestamp":"T18","message":"query rejected","request":"held","route":"all","priority":1,"reason":"deadline","waited_ms":900,"overloaded":true}
+{"timestamp":"T18","message":"request","request":"held","outcome":"timed out","cause":"","got":0,"parts":9,"age_ms":900}
 "#;
 
 /// Writes a log file into the test folder and returns its path.
@@ -47,6 +58,12 @@
 #[test_case("limited", "refused after 0 ms: mill was over its limit, by the count of 10.0.0.9:7803"; "a limit")]
 #[test_case("strange", "refused after 0 ms: no tenant holds its API key in configuration 5"; "an unknown key")]
 #[test_case("handed", "failed after 210 ms: nothing went wrong at upstreams (made by 10.0.0.8:7803, see its line \"query gathered\")"; "a query that another VM made")]
+#[test_case("behind", "refused after 1 ms: the queries ahead of it took longer than its latency target left; a query of priority 1 of tenant mill, rejected by vm-1, which was overloaded; its caller may retry after 420 ms"; "a backlog")]
+#[test_case("tired", "refused after 61 ms: it waited 61 ms, and could no longer be served within its latency target; a query of priority 0, rejected by vm-1, which was overloaded; its caller may retry after 70 ms"; "a wait that was too long")]
+#[test_case("crowded", "refused after 4 ms: the gatherers that were asked held as many queries as they may; a query of priority 2, rejected by vm-1, which was not overloaded; its caller may retry after 150 ms (10.0.0.8:7803 was asked last)"; "full gatherers")]
+#[test_case("elsewhere", "refused after 4 ms: its query was rejected by a decision that no VM logged here (made by 10.0.0.8:7803, see its line \"query gathered\")"; "a rejection without its line")]
+#[test_case("queued", "merged after 82 ms: nothing went wrong at upstreams; waited 32 ms for admission (made by 10.0.0.8:7803, see its line \"query gathered\")"; "a wait before an answer")]
+#[test_case("held", "timed out after 900 ms: it waited for admission until its deadline"; "a wait until the deadline")]
 #[test_case("nobody", "no VM logged this request: it reached none, or its lines were left out; --at tells what the VMs did then"; "an id that no VM saw")]
 fn cause_is_derived_from_the_log_lines(request: &str, cause: &str) {
     let path = log_file(&format!("vm-{request}.log"), LOG);
