--- a/crates/tgw-soak/src/callers.rs
+++ b/crates/tgw-soak/src/callers.rs
@@ -1,4 +1,7 @@
-use crate::tenants;
+use crate::{
+    overload,
+    tenants::{self, Tenant},
+};
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
@@ -46,6 +49,8 @@
     Limited,
     /// To one upstream, with an API key that no tenant holds.
     UnknownKey,
+    /// To all shards, for this one of the tenants of the overload.
+    Load(u8),
 }
 
 impl Kind {
@@ -57,6 +62,7 @@
             Self::AtMostOnce => "/once/q".into(),
             Self::HomeRegion => "/home/q".into(),
             Self::Deadly(number) => deadly_target(number),
+            Self::Load(_) => "/all/load".into(),
         }
     }
 
@@ -68,9 +74,17 @@
     /// The API key that the caller presents.
     fn key(self) -> &'static str {
         match self {
-            Self::Limited => tenants::LIMITED.key,
             Self::UnknownKey => tenants::UNKNOWN_KEY,
-            _ => tenants::USUAL.key,
+            _ => self.tenant().key,
+        }
+    }
+
+    /// The tenant for which the caller sends.
+    pub(crate) fn tenant(self) -> &'static Tenant {
+        match self {
+            Self::Limited => &tenants::LIMITED,
+            Self::Load(index) => &overload::LOADS[usize::from(index)].tenant,
+            _ => &tenants::USUAL,
         }
     }
 }
--- a/crates/tgw-soak/src/check.rs
+++ b/crates/tgw-soak/src/check.rs
@@ -5,7 +5,7 @@
         WARMUP_TIME, shards,
     },
     leaving::{self, Leavings},
-    quarantine, tenants,
+    overload, quarantine, tenants,
 };
 use http::StatusCode;
 use std::{
@@ -44,15 +44,18 @@
     pub(crate) refused: usize,
     pub(crate) runs: usize,
     pub(crate) leavings: Leavings,
+    /// How the tenants of the overload were served, if the run has one.
+    pub(crate) overload: Option<overload::Summary>,
     pub(crate) broken: Vec<String>,
 }
 
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { asked, served, refused, runs, leavings, broken } = self;
+        let Self { asked, served, refused, runs, leavings, overload, broken } = self;
         let broken = broken.len();
         write!(f, "{asked} asked, {served} served, {refused} refused, {runs} ran, ")?;
-        write!(f, "{leavings}, {broken} broken")
+        write!(f, "{leavings}, {broken} broken")?;
+        overload.iter().try_for_each(|summary| write!(f, "\n{summary}"))
     }
 }
 
@@ -68,6 +71,8 @@
     pub(crate) out_of_contact: &'a Disturbances,
     /// When nearly all requests must be served again.
     pub(crate) recovery: Range<Instant>,
+    /// When tenants asked for more than the upstreams could serve, if the run has an overload.
+    pub(crate) burst: Option<Range<Instant>>,
 }
 
 /// Checks all guarantees against what callers and upstreams observed.
@@ -102,6 +107,10 @@
     check_evacuated(environment, &mut broken);
     check_cold(environment, &mut broken);
     tenants::check(exchanges, environment, &mut broken);
+    let overload = observed
+        .burst
+        .as_ref()
+        .map(|burst| overload::check(exchanges, burst, &observed.recovery, &mut broken));
     broken.truncate(MAX_REPORTED);
     let status = |code: StatusCode| {
         exchanges.iter().filter(|e| e.answer.as_ref().is_some_and(|a| a.status == code)).count()
@@ -112,6 +121,7 @@
         refused: status(StatusCode::SERVICE_UNAVAILABLE),
         runs: runs.values().map(Vec::len).sum(),
         leavings,
+        overload,
         broken,
     }
 }
@@ -154,7 +164,7 @@
     }
     let request_id = &exchange.request_id;
     let wrong = match exchange.kind {
-        Kind::AllShards(_) | Kind::Deadly(_) => check_merged(request_id, answer),
+        Kind::AllShards(_) | Kind::Deadly(_) | Kind::Load(_) => check_merged(request_id, answer),
         _ => check_single(request_id, answer),
     };
     if let Some(wrong) = wrong {
--- a/crates/tgw-soak/src/environment.rs
+++ b/crates/tgw-soak/src/environment.rs
@@ -1,4 +1,4 @@
-use crate::{callers::deadly_target, fleet::DOMAINS, proxy::Proxy, tenants};
+use crate::{callers::deadly_target, fleet::DOMAINS, proxy::Proxy};
 use serde_json::{Value, json};
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 use tgw_site_standin::{
@@ -102,6 +102,8 @@
 pub(crate) struct Environment {
     pub(crate) store: Store,
     pub(crate) upstreams: Vec<Upstream>,
+    /// Tenants of the configuration.
+    tenants: Vec<Value>,
     config_version: u64,
     last_number: u32,
     /// Requests that ran, by upstream id.
@@ -128,7 +130,8 @@
 }
 
 impl Environment {
-    pub(crate) async fn new() -> anyhow::Result<Self> {
+    /// Starts the store and the upstreams, with the configuration of these tenants.
+    pub(crate) async fn new(tenants: Vec<Value>) -> anyhow::Result<Self> {
         let store = Store::bind().await?;
         store.set_page_objects(PAGE_OBJECTS);
         store.set_reply_delay(STORE_REPLY_DELAY);
@@ -136,6 +139,7 @@
         let mut environment = Self {
             store,
             upstreams,
+            tenants,
             config_version: 0,
             last_number: 0,
             runs,
@@ -294,7 +298,7 @@
                 );
             }
         }
-        let document = files::with_tenants(document, &tenants::documents());
+        let document = files::with_tenants(document, &self.tenants);
         self.store.put("config", "main", &document);
     }
 
--- a/crates/tgw-soak/src/leaving.rs
+++ b/crates/tgw-soak/src/leaving.rs
@@ -58,7 +58,8 @@
         }
     }
     leavings.last_requests.sort();
-    if leavings.last_requests.is_empty() {
+    // In a run with a burst no upstream leaves.
+    if leavings.last_requests.is_empty() && observed.burst.is_none() {
         broken.push("no request after a leaving shows that the bound was kept".into());
     }
     leavings
--- a/crates/tgw-soak/src/main.rs
+++ b/crates/tgw-soak/src/main.rs
@@ -15,6 +15,8 @@
 mod fleet;
 /// The bound on requests to upstreams that leave.
 mod leaving;
+/// Load beyond the upstreams' capacity, and how its tenants are served.
+mod overload;
 /// TCP proxy that injects network faults.
 mod proxy;
 /// Checks which requests the VMs quarantine.
@@ -59,6 +61,10 @@
     /// Queries of death; with more than one, each seed has them.
     #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u8).range(1..=i64::from(environment::MAX_DEADLY)))]
     deadly: u8,
+    /// Instead of faults, tenants ask for more than the upstreams can serve, one of them far more than the others; the
+    /// burst ends with `--seconds`.
+    #[arg(long)]
+    overload: bool,
     /// Path of the tanagergw binary.
     #[arg(long, default_value = "target/release/tanagergw")]
     program: PathBuf,
@@ -114,6 +120,7 @@
         searches: cli.searches,
         deadly: cli.deadly,
         seconds: cli.seconds,
+        overload: cli.overload,
         program: cli.program.clone(),
         keep: cli.keep,
         logs: cli.logs.join(format!("seed-{seed}")),
--- a/crates/tgw-soak/src/run.rs
+++ b/crates/tgw-soak/src/run.rs
@@ -3,9 +3,11 @@
     check::{self, Disturbances, Report},
     environment::Environment,
     fleet::{DOMAINS, Fleet},
+    overload,
     proxy::{Mode, Proxy},
     quarantine,
     schedule::{self, CALM_TIME, Fault},
+    tenants,
 };
 use nix::sys::signal::Signal;
 use std::{
@@ -49,6 +51,8 @@
     /// Queries of death.
     pub(crate) deadly: u8,
     pub(crate) seconds: u64,
+    /// Load beyond the capacity of the upstreams instead of faults.
+    pub(crate) overload: bool,
     pub(crate) program: PathBuf,
     pub(crate) logs: PathBuf,
     pub(crate) keep: bool,
@@ -89,7 +93,14 @@
 
 /// Starts a fleet, injects the faults of the seed, and checks the guarantees.
 pub(crate) async fn run(options: Options) -> anyhow::Result<Report> {
-    let environment = Environment::new().await?;
+    let mut tenants = tenants::documents().to_vec();
+    if options.overload {
+        tenants.extend(overload::documents());
+    }
+    let environment = Environment::new(tenants).await?;
+    if options.overload {
+        overload::set_speeds(options.seed, &environment);
+    }
     let mut store_proxies = Vec::new();
     for _ in 0..options.vms {
         store_proxies.push(Proxy::bind(environment.addr()).await?);
@@ -105,8 +116,11 @@
     let (exchanges, mut callers) = start_callers(&fleet, &options, &stop);
     let span = Duration::from_secs(options.seconds);
     let upstreams = environment.upstreams.len();
-    let steps =
-        schedule::draw(options.seed, span, usize::from(options.vms), upstreams, options.deadly);
+    let steps = if options.overload {
+        Vec::new()
+    } else {
+        schedule::draw(options.seed, span, usize::from(options.vms), upstreams, options.deadly)
+    };
     let (disturbances, undo, unexpected_exits) = (Disturbances::new(), Vec::new(), Vec::new());
     let mut run = Run {
         environment,
@@ -121,18 +135,26 @@
         deadly: options.deadly,
     };
     let start = Instant::now();
+    let burst = options.overload.then(|| overload::burst(start, span));
+    if let Some(burst) = &burst {
+        let callers_stop = (&run.exchanges, &stop);
+        overload::start(options.seed, burst, &run.fleet, callers_stop, &mut callers);
+    }
     for step in &steps {
         run.advance_until(start + step.at).await?;
         run.inject(step.fault).await?;
     }
     let calm_from = start + span + RECOVERY_TIME;
-    run.advance_until(calm_from + CALM_DELAY).await?;
-    let calm_steps = schedule::draw_calm(options.seed, upstreams);
+    run.advance_until(calm_from).await?;
+    let calm_steps =
+        if options.overload { Vec::new() } else { schedule::draw_calm(options.seed, upstreams) };
     for step in &calm_steps {
         run.advance_until(calm_from + CALM_DELAY + step.at).await?;
         run.inject(step.fault).await?;
     }
-    run.advance_until(calm_from + CALM_DELAY + CALM_TIME + CALM_END_TIME).await?;
+    if !options.overload {
+        run.advance_until(calm_from + CALM_DELAY + CALM_TIME + CALM_END_TIME).await?;
+    }
     // A request aborted here would count as run but never sent, so callers finish first.
     stop.set(true);
     while callers.join_next().await.is_some() {}
@@ -145,6 +167,7 @@
         disturbances: &run.disturbances,
         out_of_contact: &run.out_of_contact,
         recovery: recovered..calm_from,
+        burst,
     };
     let mut report = check::check(&observed);
     report.broken.append(&mut run.unexpected_exits);
--- a/crates/tgw-soak/src/tenants.rs
+++ b/crates/tgw-soak/src/tenants.rs
@@ -70,7 +70,7 @@
 }
 
 fn wrong_identity(run: &Run, kind: Option<Kind>) -> Option<String> {
-    let tenant = if kind == Some(Kind::Limited) { LIMITED.name } else { USUAL.name };
+    let tenant = kind.map_or(USUAL.name, |kind| kind.tenant().name);
     let Run { request_id, tenant: told, credentials, .. } = run;
     if kind == Some(Kind::UnknownKey) {
         return Some(format!("{request_id}: ran with an unknown key"));
