--- a/crates/tgw-admission/src/lib.rs
+++ b/crates/tgw-admission/src/lib.rs
@@ -7,13 +7,18 @@
 mod admission;
 /// Evidence of overload, and the limit on queries that run at once.
 pub mod capacity;
+/// The queries over one set of services, and what is known of each service.
+mod group;
 /// Permits and places in the queue that are released when dropped.
 mod permit;
 /// Queries that ask for admission, and the decisions.
 mod query;
 /// Order and fairness among queries that wait.
 pub mod queue;
+/// Weights of the decisions.
+mod settings;
 
 pub use admission::Admission;
 pub use permit::{Permit, Ticket};
 pub use query::{Decision, Outcome, Query, Reason, Rejection, Reply};
+pub use settings::Settings;
--- a/crates/tgw-admission/src/query.rs
+++ b/crates/tgw-admission/src/query.rs
@@ -76,6 +76,8 @@
 pub struct Reply<'a> {
     /// The service of the part.
     pub service: &'a str,
+    /// Tells the upstreams of the service apart.
+    pub upstream: u64,
     /// The route of the query.
     pub route: &'a str,
     /// When the part was sent.
