feat(forward): replies feed the admission of queries

Tells the admission control of each reply, each shed send, and the parts in flight when a query fails. While upstreams are overloaded, no hedges, no retries that an answer does not need and no lent sends are made. The policy gets `admission` (a switch) and `admission_wait` (the share of the latency target that a request may wait).

--- a/crates/tgw-forward/src/admission.rs
+++ b/crates/tgw-forward/src/admission.rs
@@ -1,10 +1,12 @@
 use crate::{
     Core, Plan,
     answer::is_sufficient,
-    message::{Answer, SendOrder},
-    part::State,
+    fleet::Key,
+    message::{Answer, SendOrder, SendResult},
+    part::{Part, State},
+    upstream::Distance,
 };
-use tgw_admission::{Decision, Outcome, Permit, Query, Rejection, Ticket};
+use tgw_admission::{Decision, Outcome, Permit, Query, Rejection, Reply, Ticket};
 use tgw_clock::Millis;
 use tgw_route::{Target, config::Shards};
 use xxhash_rust::xxh3::Xxh3;
@@ -100,6 +102,57 @@
         }
     }
 
+    /// Tells the admission control what the end of a send shows about the load of its service.
+    pub(crate) fn record_load_evidence(
+        &self,
+        now: Millis,
+        index: usize,
+        upstream: Key,
+        result: &SendResult,
+        core: &mut Core,
+    ) {
+        let Some(part) = self.parts.get(index) else { return };
+        match result {
+            SendResult::Answered(_) => {
+                let Some(sent_at) = part.sent_at(upstream) else { return };
+                let reply = self.reply(part, (upstream, sent_at), core);
+                core.admission.record_reply(now, &reply);
+            }
+            SendResult::Declined => core.admission.record_shed(now, &part.service),
+            SendResult::NotConnected
+            | SendResult::PeerRefused
+            | SendResult::Broken
+            | SendResult::Terminated
+            | SendResult::TimedOut => {}
+        }
+    }
+
+    fn reply<'a>(
+        &'a self,
+        part: &'a Part,
+        (upstream, sent_at): (Key, Millis),
+        core: &Core,
+    ) -> Reply<'a> {
+        let distance = core.fleet.get(upstream).map_or(Distance::OtherRegion, |u| u.distance);
+        Reply {
+            service: &part.service,
+            upstream: upstream.number(),
+            route: &self.route.name,
+            sent_at,
+            round_trip_ms: distance.assumed_round_trip_ms(),
+        }
+    }
+
+    /// Tells the admission control which parts of a failed query are still in flight: on a VM with
+    /// few queries, these are most of its evidence.
+    fn record_pending(&self, now: Millis, core: &mut Core) {
+        for part in self.parts.iter().filter(|part| part.waiting() && part.in_flight > 0) {
+            let Some(sent) = part.sent_at.last().copied() else { continue };
+            let pending = self.reply(part, sent, core);
+            core.admission.record_pending(now, &pending);
+        }
+    }
+
     /// Ends the admission of a request that has its answer.
     pub(crate) fn release_admission(&mut self, now: Millis, answer: &Answer, core: &mut Core) {
         let outcome = match answer {
@@ -111,6 +164,9 @@
             Answer::Forward(_) | Answer::Merged { .. } => Outcome::Late,
             Answer::Refused { .. } | Answer::Failed(_) | Answer::TimedOut => Outcome::Failed,
         };
+        if outcome == Outcome::Failed {
+            self.record_pending(now, core);
+        }
         match std::mem::take(&mut self.stage) {
             Stage::Admitted(permit) => core.admission.finish(now, permit, outcome),
             Stage::Exempt | Stage::Queued(_) | Stage::Rejected(_) => {}
--- a/crates/tgw-forward/src/core.rs
+++ b/crates/tgw-forward/src/core.rs
@@ -9,7 +9,7 @@
     collections::{BTreeMap, HashMap},
     rc::Rc,
 };
-use tgw_admission::Admission;
+use tgw_admission::{Admission, Settings};
 use tgw_clock::Millis;
 use tgw_quarantine::Tracker;
 use tgw_route::{Config, Residency, RoundRobin, Route, Target};
@@ -103,6 +103,10 @@
             fleet: Fleet::new(place, policy),
             budget,
             policy,
+            admission: Admission::new(Settings {
+                enabled: policy.admission,
+                wait_share: policy.admission_wait,
+            }),
             vms: Vms { all: ASSUMED_VMS, in_region: 1 },
             ..Self::default()
         }
@@ -276,9 +280,10 @@
     /// Takes one extra send to a service from this VM's budget for another VM whose own is
     /// exhausted. Each VM charges what it lends to its own share, so that the total over all VMs
     /// holds even if some die. While this VM's own answers fail for lack of extra sends, it lends
-    /// little.
+    /// little, and while upstreams are overloaded nothing.
     pub fn lend(&mut self, now: Millis, service: &Rc<str>) -> bool {
-        self.spend(now, service, Trigger::Retry, Requirement::Optional)
+        !self.admission.is_overloaded(now)
+            && self.spend(now, service, Trigger::Retry, Requirement::Optional)
     }
 
     /// Returns one extra send to the budget because it reached no upstream.
--- a/crates/tgw-forward/src/fleet.rs
+++ b/crates/tgw-forward/src/fleet.rs
@@ -21,6 +21,13 @@
 #[display("{_0}")]
 pub struct Key(u64);
 
+impl Key {
+    /// Its number within this process.
+    pub(crate) fn number(self) -> u64 {
+        self.0
+    }
+}
+
 /// Handle of one send, passed back when the send ends.
 #[derive(Copy, Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Ticket {
--- a/crates/tgw-forward/src/message.rs
+++ b/crates/tgw-forward/src/message.rs
@@ -214,4 +214,7 @@
     /// The request is quarantined, as upstreams terminate under it.
     #[display("upstreams end under it")]
     Quarantined,
+    /// Other queries wait for the upstreams, and the answer does not need the part.
+    #[display("overload")]
+    Overload,
 }
--- a/crates/tgw-forward/src/part.rs
+++ b/crates/tgw-forward/src/part.rs
@@ -56,6 +56,8 @@
     pub(crate) delayed: Option<Trigger>,
     /// For each send, the upstream terminations known for the request when it was made.
     pub(crate) seen: SmallVec<[(Key, Rounds); 2]>,
+    /// When each send was made.
+    pub(crate) sent_at: SmallVec<[(Key, Millis); 2]>,
     /// The send that was withheld last, with its reason.
     pub(crate) last_withheld: Option<Withheld>,
 }
@@ -95,6 +97,7 @@
             deferred_until: None,
             delayed: None,
             seen: SmallVec::new(),
+            sent_at: SmallVec::new(),
             last_withheld: None,
         }
     }
@@ -133,6 +136,11 @@
         sent.map(|(_, seen)| *seen).unwrap_or_default()
     }
 
+    /// When it was last sent to `upstream`.
+    pub(crate) fn sent_at(&self, upstream: Key) -> Option<Millis> {
+        self.sent_at.iter().rev().find(|(key, _)| *key == upstream).map(|(_, at)| *at)
+    }
+
     /// Records that an upstream declined the part without execution: the send does not count
     /// towards the route's attempts.
     pub(crate) fn record_declined(&mut self, upstream: Key) {
@@ -170,6 +178,11 @@
         let last_resort = || pick(&self.tried);
         let reason = || core.fleet.unavailable_reason(now, &self.service, core.scope(route));
         let choice = untried.or_else(last_resort).ok_or_else(reason)?;
+        let optional =
+            self.sends > 0 && (trigger == Trigger::Hedge || requirement == Requirement::Optional);
+        if optional && core.admission.is_overloaded(now) {
+            return Err(Reason::Overload);
+        }
         let allowed = self.sends == 0 || core.spend(now, &self.service, trigger, requirement);
         let lendable = choice.hop == Hop::Peer
             && requirement == Requirement::Required
--- a/crates/tgw-forward/src/plan.rs
+++ b/crates/tgw-forward/src/plan.rs
@@ -255,6 +255,7 @@
         out: &mut Vec<SendOrder>,
     ) {
         let idempotent = self.route.safety == Safety::Idempotent;
+        self.record_load_evidence(now, index, upstream, &result, core);
         let Some(part) = self.parts.get_mut(index) else { return };
         part.in_flight = part.in_flight.saturating_sub(1);
         let mut retry = idempotent;
--- a/crates/tgw-forward/src/policy.rs
+++ b/crates/tgw-forward/src/policy.rs
@@ -53,6 +53,11 @@
     /// it one search, sent again each 0.7 s, terminated 150 upstreams of 30 in 18 s and left 0.01
     /// of the worth of all others.
     pub quarantine: bool,
+    /// Let queries wait or reject them while upstreams are overloaded.
+    pub admission: bool,
+    /// Fraction of the shortest latency target of a service that a request may wait at its upstream
+    /// before the service counts as overloaded.
+    pub admission_wait: f64,
     /// Limit on concurrent sends to one upstream through other VMs: as many as an upstream has
     /// slots. Sends that would queue there do better elsewhere; twice as many differ by less than
     /// two runs of a day do.
@@ -113,6 +118,8 @@
             judged: true,
             lends: true,
             quarantine: true,
+            admission: true,
+            admission_wait: 0.3,
             peer_most: 4.0,
             warm_holders: 1.0,
             load_weight: 0.5,
@@ -149,7 +156,7 @@
 }
 
 impl Policy {
-    fn parameters(&mut self) -> [(&'static str, Parameter<'_>); 29] {
+    fn parameters(&mut self) -> [(&'static str, Parameter<'_>); 31] {
         use Parameter::{Switch, Weight};
         [
             ("hedges", Switch(&mut self.hedges)),
@@ -169,6 +176,8 @@
             ("judged", Switch(&mut self.judged)),
             ("lends", Switch(&mut self.lends)),
             ("quarantine", Switch(&mut self.quarantine)),
+            ("admission", Switch(&mut self.admission)),
+            ("admission_wait", Weight(&mut self.admission_wait)),
             ("peer_most", Weight(&mut self.peer_most)),
             ("load_weight", Weight(&mut self.load_weight)),
             ("warm_holders", Weight(&mut self.warm_holders)),
--- a/crates/tgw-forward/src/sends.rs
+++ b/crates/tgw-forward/src/sends.rs
@@ -92,6 +92,7 @@
         }
         part.tried.push(key);
         part.seen.push((key, seen));
+        part.sent_at.push((key, now));
         part.tries += 1;
         part.sends += 1;
         part.in_flight += 1;
