--- a/crates/tgw-bench/src/overload/run.rs
+++ b/crates/tgw-bench/src/overload/run.rs
@@ -74,6 +74,7 @@
             late: false,
             judged: false,
             quarantine: false,
+            admission: false,
             ..Policy::default()
         }
     }
@@ -164,6 +165,8 @@
     routes: [Rc<Route>; 2],
     pub(super) vms: Vec<Vm>,
     running: BTreeMap<usize, Running>,
+    /// The queries that wait for admission, by VM and number of their ticket.
+    waiting: BTreeMap<(usize, u64), usize>,
     queries: BTreeMap<usize, Query>,
     heap: BinaryHeap<Reverse<(Millis, u64)>>,
     pub(super) events: BTreeMap<u64, Event>,
@@ -215,6 +218,7 @@
             routes: routes(size),
             vms: (0..size.vms).map(|v| start_vm(v % REGIONS, size, policy)).collect(),
             running: BTreeMap::new(),
+            waiting: BTreeMap::new(),
             queries: BTreeMap::new(),
             heap: BinaryHeap::new(),
             events: BTreeMap::new(),
@@ -303,6 +307,7 @@
         let mut orders = Vec::new();
         let core = &mut self.vms[vm].core;
         let answer = running.plan.handle(now, event, core, &mut orders);
+        self.wake_waiting(now, vm);
         self.forward_updates(now, vm);
         let late = running.plan.take_late_upstreams();
         for order in orders {
@@ -312,11 +317,25 @@
         if let Some(answer) = answer {
             return self.answered(now, &running, &answer);
         }
+        if let Some(ticket) = running.plan.ticket() {
+            self.waiting.insert((vm, ticket.number()), number);
+        }
         running.wake = running.plan.next_wakeup(now);
         self.schedule(running.wake, Event::Wake(number));
         self.running.insert(number, running);
     }
 
+    /// Wakes the queries of a VM whose admission was decided.
+    fn wake_waiting(&mut self, now: Millis, vm: usize) {
+        for ticket in self.vms[vm].core.admission.take_wakeups() {
+            let Some(number) = self.waiting.remove(&(vm, ticket)) else { continue };
+            if let Some(running) = self.running.get_mut(&number) {
+                running.wake = now;
+                self.schedule(now, Event::Wake(number));
+            }
+        }
+    }
+
     fn answered(&mut self, now: Millis, running: &Running, answer: &Answer) {
         let retry_at = match answer {
             Answer::Merged { .. } | Answer::Forward(_) => None,
@@ -348,6 +367,7 @@
         self.vms = (0..size.vms).map(|v| start_vm(v % REGIONS, size, policy)).collect();
         self.events.retain(|_, event| matches!(event, Event::Arrive(_)));
         let now = Millis::from_f64(FAULT_START_S * 1_000.0);
+        self.waiting.clear();
         for (_, running) in std::mem::take(&mut self.running) {
             let vm = self.rng.random_range(0..self.size.vms);
             match running.query.retry(now, vm) {
--- a/crates/tgw-bench/src/overload/scenario.rs
+++ b/crates/tgw-bench/src/overload/scenario.rs
@@ -41,6 +41,12 @@
     /// Three times the usual requests.
     #[display("burst")]
     Burst,
+    /// Five times the usual requests.
+    #[display("burst-of-five")]
+    BurstOfFive,
+    /// More requests than the upstreams bear, while 0.3 of them are three times slower.
+    #[display("burst-on-slow")]
+    BurstOnSlow,
     /// A caller repeats a query that ends each upstream that begins to run it.
     #[display("query-of-death")]
     QueryOfDeath,
@@ -54,7 +60,7 @@
 
 impl Scenario {
     /// All scenarios.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 12] = [
         Self::Pauses,
         Self::ShedAcross,
         Self::SlowAcross,
@@ -62,6 +68,8 @@
         Self::RepliesLost,
         Self::FleetRestart,
         Self::Burst,
+        Self::BurstOfFive,
+        Self::BurstOnSlow,
         Self::QueryOfDeath,
         Self::QueryOfDeathOfManyHosts,
         Self::QueriesOfDeath,
@@ -78,7 +86,8 @@
             Self::ShedAcross => 17.0 / 30.0,
             Self::SlowAcross | Self::DarkAcross => 0.15,
             Self::RepliesLost => 0.5,
-            Self::Pauses | Self::FleetRestart | Self::Burst => 0.0,
+            Self::BurstOnSlow => 0.3,
+            Self::Pauses | Self::FleetRestart | Self::Burst | Self::BurstOfFive => 0.0,
             Self::QueryOfDeath | Self::QueryOfDeathOfManyHosts | Self::QueriesOfDeath => 0.0,
         }
     }
@@ -112,6 +121,15 @@
         start + known..end + 1_000.0
     }
 
+    /// Factor on the service time of the affected upstreams during the fault.
+    pub(super) fn slowdown_factor(self) -> f64 {
+        match self {
+            Self::SlowAcross => 10.0,
+            Self::BurstOnSlow => 3.0,
+            _ => 1.0,
+        }
+    }
+
     /// Length of a run, in ms.
     pub(super) fn duration_ms(self) -> f64 {
         self.fault_period().end + RECOVERY_S * 1_000.0
@@ -119,6 +137,12 @@
 
     /// Factor on the usual request rate during the fault.
     pub(super) fn load_factor(self) -> f64 {
-        if self == Self::Burst { 3.0 } else { 1.0 }
+        match self {
+            Self::Burst => 3.0,
+            Self::BurstOfFive => 5.0,
+            // The upstreams bear 2.4 times the usual requests without the slow ones.
+            Self::BurstOnSlow => 2.4,
+            _ => 1.0,
+        }
     }
 }
--- a/crates/tgw-bench/src/overload/upstream.rs
+++ b/crates/tgw-bench/src/overload/upstream.rs
@@ -10,9 +10,7 @@
 /// Length and interval of an upstream's pauses, in ms.
 const PAUSE_MS: f64 = 250.0;
 const PAUSE_INTERVAL_MS: f64 = 6_000.0;
-/// Effects of the faults: factor on the service time, share of requests shed, share of replies
-/// lost.
-const SLOWDOWN_FACTOR: f64 = 10.0;
+/// Effects of the faults: share of requests shed, share of replies lost.
 const SHED_RATIO: f64 = 0.6;
 const LOST_REPLY_RATIO: f64 = 0.4;
 /// Share of load reports that are distorted by other work on the machine, and the factor by which
@@ -103,7 +101,7 @@
             return Outcome::Shed;
         }
         let cold = if at < self.down_until + COLD_DURATION_MS { COLD_FACTOR } else { 1.0 };
-        let slower = if fault == Some(Scenario::SlowAcross) { SLOWDOWN_FACTOR } else { cold };
+        let slower = fault.map_or(1.0, Scenario::slowdown_factor) * cold;
         let free = self.free.iter().copied().fold(f64::MAX, f64::min);
         let end = Millis::from_f64(self.finish(free.max(at), work * slower));
         let lost = fault == Some(Scenario::RepliesLost) && draw < LOST_REPLY_RATIO;
@@ -117,8 +115,7 @@
         let held = self.ends.iter().filter(|end| **end > at).count();
         let running = held.min(SLOTS);
         let noise = if draw < NOISY_REPORT_RATIO { NOISE_FACTOR } else { 1.0 };
-        let slower =
-            if self.fault(at) == Some(Scenario::SlowAcross) { SLOWDOWN_FACTOR } else { 1.0 };
+        let slower = self.fault(at).map_or(1.0, Scenario::slowdown_factor);
         Load {
             running: running as u32,
             waiting: (held - running) as u32,
