feat(admission): waiting queries are ordered by priority, use of tenants and time left

Cause: the queue admits first come, first served; a hot tenant takes the room of 79 others, and queries with the shortest targets expire first. Change: the order is by priority, then by the decayed use of the tenant over its weight in steps of one query, then by the time until which a query can start. Of each eight admissions one goes to the entry that has waited the largest fraction of its time, two to tenants served less than 0.3 as often as all, if there are any. 256 entries; the last in order is displaced. Use decays within 4 s; accounts of 4,096 tenants at most are kept until they have decayed.

--- a/crates/tgw-admission/src/queue.rs
+++ b/crates/tgw-admission/src/queue.rs
@@ -1,8 +1,25 @@
 //! Order and fairness among queries that wait for admission.
+//!
+//! A query waits by its priority, then by the recent use of its tenant, then by the time it has left. Some of the
+//! admissions go by [`aging`] instead, so that neither the last priority nor any tenant is starved. The state is
+//! bounded: [`CAPACITY`] entries, and the tenants with recent use.
 
-use std::{collections::VecDeque, rc::Rc};
+/// The use of tenants, and how many of their queries were served.
+mod account;
+/// Admissions out of order, for entries that the order would starve.
+mod aging;
+/// The order of admission.
+mod order;
+
+use account::Accounts;
+use aging::{Slot, waited_fraction};
+use order::Waiting;
+use std::{cmp::Ordering, rc::Rc};
 use tgw_clock::Millis;
 
+/// The number of entries at most.
+pub const CAPACITY: usize = 256;
+
 /// A query that waits.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Entry {
@@ -16,56 +33,177 @@
     pub queued_at: Millis,
     /// The last time at which it can start and still meet its latency target.
     pub start_by: Millis,
-    /// Its work relative to other queries of the queue.
+    /// Its work relative to other queries of the queue; about 1 for a usual query.
     pub cost: f64,
 }
 
 /// The queries that wait for one limit.
 #[derive(Debug, Default)]
 pub struct Queue {
-    entries: VecDeque<Entry>,
+    /// Sorted by account, then by [`order::Place`].
+    waiting: Vec<Waiting>,
+    accounts: Accounts,
+    admissions: u64,
+    /// The latest time seen: a clock that goes back by a tick neither revives entries nor undoes decay.
+    latest: Millis,
 }
 
 impl Queue {
     /// Adds an entry; returns the one that has to leave if the queue is full, which may be the new one.
-    pub fn push(&mut self, _now: Millis, entry: Entry) -> Option<Entry> {
-        self.entries.push_back(entry);
-        None
+    ///
+    /// The entry that leaves is one whose time to start has passed, else the last in order.
+    pub fn push(&mut self, now: Millis, entry: Entry) -> Option<Entry> {
+        let now = self.advance(now);
+        let account = self.accounts.open(entry.tenant.as_ref());
+        let waiting = Waiting::new(account, entry);
+        let at = self.waiting.partition_point(|other| other.place() <= waiting.place());
+        self.waiting.insert(at, waiting);
+        if self.waiting.len() <= CAPACITY {
+            return None;
+        }
+        let passed = self.waiting.iter().position(|waiting| !waiting.can_start(now));
+        let leaving = passed.or_else(|| self.last(now))?;
+        Some(self.lose(leaving))
     }
 
     /// Removes the entry that is admitted next, and charges its cost to its tenant.
-    pub fn pop(&mut self, _now: Millis) -> Option<Entry> {
-        self.entries.pop_front()
+    ///
+    /// Entries whose time to start has passed are not admitted; [`Queue::expire`] returns them.
+    pub fn pop(&mut self, now: Millis) -> Option<Entry> {
+        let now = self.advance(now);
+        let chosen = match Slot::of(self.admissions) {
+            Slot::Aging => self.longest_waiting(now),
+            Slot::Underserved => self.underserved(now).or_else(|| self.first(now)),
+            Slot::Order => self.first(now),
+        }?;
+        self.admissions = self.admissions.wrapping_add(1);
+        let waiting = self.take(chosen);
+        self.accounts.record_served(waiting.account, waiting.cost);
+        Some(waiting.entry)
     }
 
-    /// Removes an entry that no longer waits.
+    /// Removes an entry that no longer waits, as when its caller disconnects.
     pub fn remove(&mut self, number: u64) -> Option<Entry> {
-        let at = self.entries.iter().position(|entry| entry.number == number)?;
-        self.entries.remove(at)
+        let at = self.waiting.iter().position(|waiting| waiting.entry.number == number)?;
+        Some(self.take(at).entry)
     }
 
     /// Removes the entries whose time to start has passed.
     pub fn expire(&mut self, now: Millis) -> Vec<Entry> {
-        let (kept, expired) = self.entries.drain(..).partition(|entry| now <= entry.start_by);
-        self.entries = kept;
-        Vec::from(expired)
+        let now = self.advance(now);
+        let accounts = &mut self.accounts;
+        let expired = self.waiting.extract_if(.., |waiting| !waiting.can_start(now));
+        let lost = |waiting: Waiting| {
+            accounts.close(waiting.account);
+            accounts.record_lost(waiting.account);
+            waiting.entry
+        };
+        expired.map(lost).collect()
     }
 
-    /// The cost of the entries that would be admitted before `entry`.
-    pub fn cost_ahead(&self, _now: Millis, _entry: &Entry) -> f64 {
-        self.entries.iter().map(|entry| entry.cost).sum()
+    /// The cost of the entries that would be admitted before `entry`, which may wait or not, apart from aging.
+    pub fn cost_ahead(&self, now: Millis, entry: &Entry) -> f64 {
+        let now = now.max(self.latest);
+        let account = self.accounts.find(entry.tenant.as_ref());
+        let target = order::key_of(&self.waiting, &self.accounts, now, account, entry);
+        let ahead =
+            order::keys(&self.waiting, &self.accounts, now).filter(|(_, key)| *key < target);
+        ahead.filter_map(|(at, _)| self.waiting.get(at)).map(|waiting| waiting.cost).sum()
     }
 
     /// Charges a tenant for a query that was admitted without waiting.
-    pub fn record_use(&mut self, _now: Millis, _tenant: Option<&Rc<str>>, _cost: f64) {}
+    pub fn record_use(&mut self, now: Millis, tenant: Option<&Rc<str>>, cost: f64) {
+        self.advance(now);
+        let account = self.accounts.open(tenant);
+        self.accounts.close(account);
+        self.accounts.record_served(account, order::valid_cost(cost));
+    }
+
+    /// Counts a query of a tenant that was rejected without having waited.
+    pub fn record_rejection(&mut self, now: Millis, tenant: Option<&Rc<str>>) {
+        self.advance(now);
+        let account = self.accounts.open(tenant);
+        self.accounts.close(account);
+        self.accounts.record_lost(account);
+    }
+
+    /// Whether a tenant is served so much less often than all that [`Queue::pop`] takes its entries out of order.
+    ///
+    /// [`Queue::cost_ahead`] does not apply to its entries.
+    pub fn is_underserved(&self, tenant: Option<&Rc<str>>) -> bool {
+        self.accounts.find(tenant).is_some_and(|account| self.accounts.is_underserved(account))
+    }
+
+    /// Sets the weights of tenants, in place of those set before; 1 for tenants that are not among them.
+    pub fn set_weights(&mut self, weights: impl IntoIterator<Item = (Rc<str>, f64)>) {
+        self.accounts.set_weights(weights);
+    }
 
     /// The number of entries.
     pub fn len(&self) -> usize {
-        self.entries.len()
+        self.waiting.len()
     }
 
     /// Whether nothing waits.
     pub fn is_empty(&self) -> bool {
-        self.entries.is_empty()
+        self.waiting.is_empty()
+    }
+
+    /// The number of tenants with recent use or waiting entries.
+    pub fn tenants(&self) -> usize {
+        self.accounts.len()
     }
+
+    fn advance(&mut self, now: Millis) -> Millis {
+        self.latest = self.latest.max(now);
+        self.accounts.advance(self.latest);
+        self.latest
+    }
+
+    fn first(&self, now: Millis) -> Option<usize> {
+        let keys = order::keys(&self.waiting, &self.accounts, now);
+        keys.min_by_key(|(_, key)| *key).map(|(at, _)| at)
+    }
+
+    fn last(&self, now: Millis) -> Option<usize> {
+        let keys = order::keys(&self.waiting, &self.accounts, now);
+        keys.max_by_key(|(_, key)| *key).map(|(at, _)| at)
+    }
+
+    fn longest_waiting(&self, now: Millis) -> Option<usize> {
+        let entries = self.waiting.iter().enumerate();
+        let live = entries.filter(|(_, waiting)| waiting.can_start(now));
+        live.max_by(|a, b| compare_waits(now, a.1, b.1)).map(|(at, _)| at)
+    }
+
+    /// The entry of the tenant with the smallest share of its queries served, if any is underserved.
+    fn underserved(&self, now: Millis) -> Option<usize> {
+        let entries = self.waiting.iter().enumerate();
+        let live = entries.filter(|(_, waiting)| waiting.can_start(now));
+        let candidates = live.filter(|(_, w)| self.accounts.is_underserved(w.account));
+        let served = |waiting: &Waiting| self.accounts.served_fraction(waiting.account);
+        let least = candidates.min_by(|a, b| {
+            let by_share = served(a.1).total_cmp(&served(b.1));
+            by_share.then_with(|| compare_waits(now, b.1, a.1))
+        });
+        least.map(|(at, _)| at)
+    }
+
+    fn take(&mut self, at: usize) -> Waiting {
+        let waiting = self.waiting.remove(at);
+        self.accounts.close(waiting.account);
+        waiting
+    }
+
+    fn lose(&mut self, at: usize) -> Entry {
+        let waiting = self.take(at);
+        self.accounts.record_lost(waiting.account);
+        waiting.entry
+    }
+}
+
+/// Orders by the fraction of its time that an entry has waited; of equal ones, the earlier number is the greater.
+fn compare_waits(now: Millis, a: &Waiting, b: &Waiting) -> Ordering {
+    let by_fraction = waited_fraction(now, &a.entry).total_cmp(&waited_fraction(now, &b.entry));
+    by_fraction.then_with(|| b.entry.number.cmp(&a.entry.number))
 }
