feat(bench): slopes of the queue of waiting queries

Change: rows of `bench slopes` for push with pop and for the work ahead of a query, by entries and tenants.

--- a/crates/tgw-bench/src/slopes.rs
+++ b/crates/tgw-bench/src/slopes.rs
@@ -6,9 +6,11 @@
 use std::{
     collections::BTreeMap,
     net::{Ipv4Addr, SocketAddr},
+    rc::Rc,
     sync::Arc,
     time::Instant,
 };
+use tgw_admission::queue::{Entry, Queue};
 use tgw_clock::Millis;
 use tgw_dispatch::leaf::{Key, Operation, Outcome};
 use tgw_node::{
@@ -43,6 +45,7 @@
     costs.extend(forward::costs());
     costs.extend(frames());
     costs.extend(documents());
+    costs.extend(waiting());
     costs
 }
 
@@ -259,6 +262,49 @@
     ]
 }
 
+/// Time to order queries that wait for admission, by entries and tenants.
+fn waiting() -> Vec<Cost> {
+    let value = |(entries, tenants): (u64, u64)| {
+        (format!("{entries} entries, {tenants} tenants"), queue_times(entries, tenants))
+    };
+    let found = [(16, 16), (256, 80), (256, 4096)].map(value);
+    let of = |what, pick: usize| Cost {
+        what,
+        unit: "µs",
+        values: found.iter().map(|(size, times)| (size.clone(), times[pick])).collect(),
+    };
+    vec![of("waiting queries, push and pop", 0), of("waiting queries, work ahead of one", 1)]
+}
+
+/// The µs of a push with a pop, and of asking for the work ahead, in a queue that stays at `entries`.
+fn queue_times(entries: u64, tenants: u64) -> [f64; 2] {
+    const ROUNDS: u64 = 100_000;
+    let entry = |number: u64| Entry {
+        number,
+        priority: (number % 3) as u32,
+        tenant: Some(Rc::from(format!("tenant-{}", number * 7 % tenants))),
+        queued_at: Millis::new(number),
+        start_by: Millis::new(number + 2000 + number * 13 % 200),
+        cost: 1.0,
+    };
+    let mut queue = Queue::default();
+    for entry in (1..entries).map(entry) {
+        queue.push(entry.queued_at, entry);
+    }
+    let (mut turns, mut ahead) = (0.0, 0.0);
+    for entry in (entries..entries + ROUNDS).map(entry) {
+        let now = entry.queued_at;
+        let start = Instant::now();
+        std::hint::black_box(queue.cost_ahead(now, &entry));
+        ahead += start.elapsed().as_secs_f64();
+        let start = Instant::now();
+        queue.push(now, entry);
+        std::hint::black_box(queue.pop(now));
+        turns += start.elapsed().as_secs_f64();
+    }
+    [turns, ahead].map(|spent| spent * 1e6 / ROUNDS as f64)
+}
+
 fn catalog_parts(services: u16) -> Vec<tgw_topology::catalog::ServiceUpdate> {
     catalog(services).changed_since(0)
 }
