feat(admission): use of tenants counts over the VMs of a region

Cause: each VM knows only the use that it admitted itself, so a tenant that spreads its queries gets a share at each VM. Change: `Queue::usage` gives the 16 heaviest tenants with their use, `Queue::apply_usage` takes that of other VMs in place of their earlier report; it decays like own use. The age of a report is its delay beyond the fastest one from the same VM, as clocks are not synchronized. Reports that are replayed, older than 2 s, ahead by more than 500 ms or out of range are ignored. Bounded: 64 VMs. The exchange between VMs is not wired yet. Without each of the checks, of drift, of forgetting and of replacing, a test fails.

--- a/crates/tgw-admission/src/queue.rs
+++ b/crates/tgw-admission/src/queue.rs
@@ -10,12 +10,17 @@
 mod aging;
 /// The order of admission.
 mod order;
+/// The use of tenants at other VMs.
+mod usage;
+
+pub use usage::Usage;
 
 use account::Accounts;
 use aging::{Slot, step, waited_fraction};
 use order::Waiting;
 use std::{cmp::Ordering, rc::Rc};
 use tgw_clock::Millis;
+use usage::Reports;
 
 /// The number of entries at most.
 pub const CAPACITY: usize = 256;
@@ -47,6 +52,7 @@
     /// Sorted by account, then by [`order::Place`].
     waiting: Vec<Waiting>,
     accounts: Accounts,
+    reports: Reports,
     admissions: u64,
     /// The latest time seen: a clock that goes back by a tick neither revives entries nor undoes decay.
     latest: Millis,
@@ -144,6 +150,21 @@
         self.accounts.set_weights(weights);
     }
 
+    /// The recent use of the heaviest tenants at this VM, for the other VMs of its region.
+    pub fn usage(&self, now: Millis) -> Usage {
+        let now = now.max(self.latest);
+        Usage::heaviest(now, self.accounts.used(now))
+    }
+
+    /// Adds the use that another VM reports, in place of its earlier report; returns whether it was taken.
+    ///
+    /// Ignored are reports that are not newer than the last one of the VM, older than 2 s, from the future or
+    /// malformed. The use decays like that at this VM.
+    pub fn apply_usage(&mut self, now: Millis, from_vm: u64, usage: &Usage) -> bool {
+        let now = self.advance(now);
+        self.reports.apply(now, from_vm, usage, &mut self.accounts)
+    }
+
     /// The number of entries.
     pub fn len(&self) -> usize {
         self.waiting.len()
@@ -161,7 +182,10 @@
 
     fn advance(&mut self, now: Millis) -> Millis {
         self.latest = self.latest.max(now);
-        self.accounts.advance(self.latest);
+        if self.accounts.advance(self.latest) {
+            self.reports.forget(self.latest, &mut self.accounts);
+            self.accounts.sweep();
+        }
         self.latest
     }
 
--- a/crates/tgw-admission/src/queue/account.rs
+++ b/crates/tgw-admission/src/queue/account.rs
@@ -56,19 +56,43 @@
 struct State {
     /// None if the position is free.
     tenant: Option<Rc<str>>,
+    /// The use at this VM.
     used: f64,
+    /// The use at other VMs.
+    remote: f64,
     weight: f64,
     counts: Counts,
-    waiting: usize,
+    /// The entries and reports that refer to it.
+    references: usize,
 }
 
 impl State {
     fn new(tenant: Option<Rc<str>>, weight: f64) -> Self {
-        Self { tenant, used: 0.0, weight, counts: Counts::default(), waiting: 0 }
+        Self { tenant, used: 0.0, remote: 0.0, weight, counts: Counts::default(), references: 0 }
     }
 
     fn is_decayed(&self) -> bool {
-        self.waiting == 0 && self.used < DROPPED && self.counts.ended < DROPPED
+        self.references == 0 && self.used < DROPPED && self.counts.ended < DROPPED
+    }
+}
+
+/// The use of a tenant at one time, and its weight.
+#[derive(Copy, Clone, Debug)]
+pub(super) struct Share {
+    own: f64,
+    remote: f64,
+    weight: f64,
+}
+
+impl Share {
+    /// Adds use at this VM, as [`Accounts::record_served`] does.
+    pub(super) fn charge(&mut self, cost: f64) {
+        self.own += cost;
+    }
+
+    /// The use by weight.
+    pub(super) fn weighted(&self) -> f64 {
+        (self.own + self.remote) / self.weight
     }
 }
 
@@ -103,15 +127,21 @@
     pub(super) fn open(&mut self, tenant: Option<&Rc<str>>) -> Account {
         let account = self.find(tenant).unwrap_or_else(|| self.create(tenant));
         if let Some(state) = self.state_mut(account) {
-            state.waiting += 1;
+            state.references += 1;
         }
         account
     }
 
+    /// As [`Accounts::open`], unless there are as many accounts as there may be.
+    pub(super) fn open_if_room(&mut self, tenant: Option<&Rc<str>>) -> Option<Account> {
+        let exists = tenant.is_none_or(|tenant| self.by_tenant.contains_key(tenant));
+        (exists || !self.is_full()).then(|| self.open(tenant))
+    }
+
     /// Undoes one [`Accounts::open`].
     pub(super) fn close(&mut self, account: Account) {
         if let Some(state) = self.state_mut(account) {
-            state.waiting = state.waiting.saturating_sub(1);
+            state.references = state.references.saturating_sub(1);
         }
     }
 
@@ -152,34 +182,58 @@
         self.state(account).map_or(1.0, |state| state.counts.served_fraction())
     }
 
-    /// The use of an account, decayed by `decay`, and its weight.
-    pub(super) fn use_and_weight(&self, account: Option<Account>, decay: f64) -> (f64, f64) {
+    /// The use and the weight of an account, decayed by `decay`.
+    pub(super) fn share(&self, account: Option<Account>, decay: f64) -> Share {
         let state = account.and_then(|account| self.state(account));
-        state.map_or((0.0, 1.0), |state| (state.used * decay, state.weight))
+        state.map_or(Share { own: 0.0, remote: 0.0, weight: 1.0 }, |state| Share {
+            own: state.used * decay,
+            remote: state.remote * decay,
+            weight: state.weight,
+        })
+    }
+
+    /// The tenants with their use at this VM.
+    pub(super) fn used(&self, now: Millis) -> impl Iterator<Item = (Option<Rc<str>>, f64)> {
+        let decay = self.decay(now);
+        self.states.iter().map(move |state| (state.tenant.clone(), state.used * decay))
+    }
+
+    /// Sets the use at other VMs, of which an account may have several, in place of that set before.
+    pub(super) fn set_remote(&mut self, used: impl Iterator<Item = (Account, f64)>) {
+        for state in &mut self.states {
+            state.remote = 0.0;
+        }
+        for (account, used) in used {
+            if let Some(state) = self.state_mut(account) {
+                state.remote += used;
+            }
+        }
     }
 
     /// The factor by which use decays until `now`.
     pub(super) fn decay(&self, now: Millis) -> f64 {
-        decay_over(tick_of(now).saturating_sub(self.tick), USE_DECAY)
+        decay_by(tick_of(now).saturating_sub(self.tick), USE_DECAY)
     }
 
-    /// Decays all accounts until `now`, and drops those of which nothing is left.
-    pub(super) fn advance(&mut self, now: Millis) {
+    /// Decays all accounts until `now`; returns whether it is time for [`Accounts::sweep`].
+    pub(super) fn advance(&mut self, now: Millis) -> bool {
         let ticks = tick_of(now).saturating_sub(self.tick);
         if ticks == 0 {
-            return;
+            return false;
         }
-        let (use_factor, count_factor) = (self.decay(now), decay_over(ticks, COUNT_DECAY));
+        let (use_factor, count_factor) = (self.decay(now), decay_by(ticks, COUNT_DECAY));
         self.total.decay(count_factor);
         for state in &mut self.states {
             state.used *= use_factor;
+            state.remote *= use_factor;
             state.counts.decay(count_factor);
         }
         self.tick += ticks;
-        if self.tick - self.swept >= SWEEP_TICKS {
+        let is_due = self.tick - self.swept >= SWEEP_TICKS;
+        if is_due {
             self.swept = self.tick;
-            self.sweep();
         }
+        is_due
     }
 
     /// Sets the weights of tenants, in place of those set before.
@@ -217,7 +271,8 @@
         account
     }
 
-    fn sweep(&mut self) {
+    /// Drops the accounts of which nothing is left.
+    pub(super) fn sweep(&mut self) {
         let (states, free) = (&mut self.states, &mut self.free);
         self.by_tenant.retain(|_, account| {
             let Some(state) = states.get_mut(*account as usize).filter(|s| s.is_decayed()) else {
@@ -242,7 +297,12 @@
     now.as_whole_ms() / TICK_MS
 }
 
-fn decay_over(ticks: u64, constant: Millis) -> f64 {
+/// The factor by which use decays over a duration.
+pub(super) fn decay_over(duration: Millis) -> f64 {
+    decay_by(tick_of(duration), USE_DECAY)
+}
+
+fn decay_by(ticks: u64, constant: Millis) -> f64 {
     (-(ticks as f64) * TICK_MS as f64 / constant.as_f64()).exp()
 }
 
--- a/crates/tgw-admission/src/queue/order.rs
+++ b/crates/tgw-admission/src/queue/order.rs
@@ -1,6 +1,6 @@
 use super::{
     Entry,
-    account::{Account, Accounts},
+    account::{Account, Accounts, Share},
 };
 use tgw_clock::Millis;
 
@@ -71,15 +71,15 @@
 ) -> impl Iterator<Item = (usize, Key)> + 'a {
     let decay = accounts.decay(now);
     let mut current = None;
-    let (mut used, mut weight) = (0.0, 1.0);
+    let mut share = accounts.share(None, decay);
     let live = waiting.iter().enumerate().filter(move |(_, waiting)| waiting.can_start(now));
     live.map(move |(at, waiting)| {
         if current != Some(waiting.account) {
             current = Some(waiting.account);
-            (used, weight) = accounts.use_and_weight(Some(waiting.account), decay);
+            share = accounts.share(current, decay);
         }
-        let key = key(&waiting.entry, used, weight);
-        used += waiting.cost;
+        let key = key(&waiting.entry, &share);
+        share.charge(waiting.cost);
         (at, key)
     })
 }
@@ -92,19 +92,19 @@
     account: Option<Account>,
     entry: &Entry,
 ) -> Key {
-    let (mut used, weight) = accounts.use_and_weight(account, accounts.decay(now));
+    let mut share = accounts.share(account, accounts.decay(now));
     let own = waiting.iter().filter(|other| Some(other.account) == account && other.can_start(now));
     for other in own.take_while(|other| place(&other.entry) < place(entry)) {
-        used += other.cost;
+        share.charge(other.cost);
     }
-    key(entry, used, weight)
+    key(entry, &share)
 }
 
 fn place(entry: &Entry) -> Place {
     (entry.priority, entry.start_by, entry.number)
 }
 
-fn key(entry: &Entry, used: f64, weight: f64) -> Key {
-    let level = (used / (weight * LEVEL_USE)) as u64;
+fn key(entry: &Entry, share: &Share) -> Key {
+    let level = (share.weighted() / LEVEL_USE) as u64;
     Key { priority: entry.priority, level, start_by: entry.start_by, number: entry.number }
 }
--- a/crates/tgw-admission/tests/queue/mod.rs
+++ b/crates/tgw-admission/tests/queue/mod.rs
@@ -4,6 +4,7 @@
 mod model;
 mod order;
 mod properties;
+mod usage;
 
 use std::rc::Rc;
 use tgw_admission::queue::{Entry, Queue};
--- a/crates/tgw-admission/tests/queue/model.rs
+++ b/crates/tgw-admission/tests/queue/model.rs
@@ -1,7 +1,7 @@
 //! A server that runs one query at a time, at a fixed rate, fed from the queue.
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
-use std::{collections::BTreeMap, rc::Rc};
+use std::rc::Rc;
 use tgw_admission::queue::{Entry, Queue};
 use tgw_clock::Millis;
 
@@ -35,35 +35,66 @@
     }
 }
 
-/// Plays random arrivals for `seconds` on a server that needs `work_ms` for a query; figures by caller.
-pub(super) fn play(callers: &[Caller], work_ms: f64, seconds: u64, seed: u64) -> Vec<Figures> {
-    let mut rng = StdRng::seed_from_u64(seed);
-    let mut queue = Queue::default();
-    let mut figures = vec![Figures::default(); callers.len()];
-    let mut of_number = BTreeMap::new();
-    let (mut number, mut free_at) = (0, 0.0);
-    for now_ms in 0..seconds * 1000 {
+/// One VM with its callers.
+pub(super) struct Server {
+    pub(super) queue: Queue,
+    pub(super) figures: Vec<Figures>,
+    callers: Vec<Caller>,
+    work_ms: f64,
+    free_at: f64,
+    /// The caller of each query, by its number.
+    caller_of: Vec<usize>,
+    rng: StdRng,
+}
+
+impl Server {
+    pub(super) fn new(callers: &[Caller], work_ms: f64, seed: u64) -> Self {
+        Self {
+            queue: Queue::default(),
+            figures: vec![Figures::default(); callers.len()],
+            callers: callers.to_vec(),
+            work_ms,
+            free_at: 0.0,
+            caller_of: Vec::new(),
+            rng: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Plays the ms from `now_ms` on.
+    pub(super) fn step(&mut self, now_ms: u64) {
         let now = Millis::new(now_ms);
-        for (index, caller) in callers.iter().enumerate() {
-            if rng.random::<f64>() >= caller.per_s / 1000.0 {
+        for (index, caller) in self.callers.iter().enumerate() {
+            if self.rng.random::<f64>() >= caller.per_s / 1000.0 {
                 continue;
             }
-            number += 1;
-            of_number.insert(number, index);
-            figures[index].asked += 1;
-            let tenant = caller.tenant.clone();
-            let (priority, start_by) = (caller.priority, now + caller.patience);
-            queue
-                .push(now, Entry { number, priority, tenant, queued_at: now, start_by, cost: 1.0 });
+            self.figures[index].asked += 1;
+            let entry = Entry {
+                number: self.caller_of.len() as u64,
+                priority: caller.priority,
+                tenant: caller.tenant.clone(),
+                queued_at: now,
+                start_by: now + caller.patience,
+                cost: 1.0,
+            };
+            self.caller_of.push(index);
+            self.queue.push(now, entry);
         }
-        queue.expire(now);
-        while free_at <= now_ms as f64 {
-            let Some(entry) = queue.pop(now) else { break };
-            free_at = free_at.max(now_ms as f64 - 1.0) + work_ms;
-            figures[of_number[&entry.number]].served += 1;
+        self.queue.expire(now);
+        while self.free_at <= now_ms as f64 {
+            let Some(entry) = self.queue.pop(now) else { break };
+            self.free_at = self.free_at.max(now_ms as f64 - 1.0) + self.work_ms;
+            self.figures[self.caller_of[entry.number as usize]].served += 1;
         }
     }
-    figures
+}
+
+/// Plays random arrivals for `seconds` on a server that needs `work_ms` for a query; figures by caller.
+pub(super) fn play(callers: &[Caller], work_ms: f64, seconds: u64, seed: u64) -> Vec<Figures> {
+    let mut server = Server::new(callers, work_ms, seed);
+    for now_ms in 0..seconds * 1000 {
+        server.step(now_ms);
+    }
+    server.figures
 }
 
 /// The figures of several callers together.
--- a/crates/tgw-admission/tests/queue/properties.rs
+++ b/crates/tgw-admission/tests/queue/properties.rs
@@ -4,7 +4,7 @@
     collections::{BTreeMap, BTreeSet},
     rc::Rc,
 };
-use tgw_admission::queue::{CAPACITY, Entry, Queue};
+use tgw_admission::queue::{CAPACITY, Entry, Queue, Usage};
 use tgw_clock::Millis;
 
 #[derive(Clone, Debug)]
@@ -62,6 +62,9 @@
     for (number, cost) in uses.iter().enumerate() {
         queue.record_use(ms(0), Some(&format!("t{number}").into()), *cost);
     }
+    let remote =
+        uses.iter().rev().zip(1..).map(|(used, number)| (Some(format!("t{number}").into()), *used));
+    queue.apply_usage(ms(0), 9, &Usage { taken_at: ms(0), tenants: remote.collect() });
     let numbered = (0..).zip(pushes);
     let entries: Vec<Entry> = numbered.filter_map(|(n, step)| waiting(n, ms(0), step)).collect();
     for entry in &entries {
