fix(admission): aging compares the time waited in quarters

Cause: an entry of the last priority is preferred only in the last sixteenth of its time. For a target of 300 ms these are 19 ms; at 100 admissions a second one is aged each 80 ms, so most entries miss theirs. Change: the fractions are compared in quarters.

--- a/crates/tgw-admission/src/queue/aging.rs
+++ b/crates/tgw-admission/src/queue/aging.rs
@@ -5,8 +5,10 @@
 const CYCLE: u64 = 8;
 
 /// The fractions of waited time that count as alike. While urgent queries alone exceed the capacity, some of them have
-/// always waited for all of their time; compared exactly, they would take the admissions that are meant for others.
-const FRACTION_STEP: f64 = 1.0 / 16.0;
+/// always waited for all of their time; compared exactly, they would take the admissions that are meant for others. The
+/// last step has to be as long as the time between aged admissions: 80 ms at 100 admissions a second, of a target of
+/// 300 ms.
+const FRACTION_STEP: f64 = 0.25;
 
 /// By which rule an admission is made.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
