feat(admission): whether a query can start in time takes aging into account

Cause: admission is to reject on arrival what cannot be served in time. Judged by the work ahead in order, queries of the last priority are all rejected while urgent ones fill the queue, and none waits that could age.

--- a/crates/tgw-admission/src/queue.rs
+++ b/crates/tgw-admission/src/queue.rs
@@ -122,6 +122,20 @@
         ahead.filter_map(|(at, _)| self.waiting.get(at)).map(|waiting| waiting.cost).sum()
     }
 
+    /// Whether `entry`, which may wait or not, can probably start in time while `cost_per_ms` is admitted: in order, by
+    /// aging, or because its tenant is underserved. Rejecting by [`Queue::cost_ahead`] alone would starve the last
+    /// priority on arrival. True if the rate is not known, that is not a positive number.
+    pub fn can_start(&self, now: Millis, entry: &Entry, cost_per_ms: f64) -> bool {
+        let now = now.max(self.latest);
+        let affordable = (entry.start_by - now).as_f64() * cost_per_ms;
+        let is_in_time = |ahead: f64| ahead <= affordable || affordable.is_nan();
+        let is_rate_known = cost_per_ms > 0.0;
+        !is_rate_known
+            || is_in_time(self.cost_ahead(now, entry))
+            || is_in_time(self.cost_ahead_by_aging(now, entry))
+            || self.is_underserved(entry.tenant.as_ref())
+    }
+
     /// Charges a tenant for a query that was admitted without waiting.
     pub fn record_use(&mut self, now: Millis, tenant: Option<&Rc<str>>, cost: f64) {
         self.advance(now);
@@ -139,8 +153,6 @@
     }
 
     /// Whether a tenant is served so much less often than all that [`Queue::pop`] takes its entries out of order.
-    ///
-    /// [`Queue::cost_ahead`] does not apply to its entries.
     pub fn is_underserved(&self, tenant: Option<&Rc<str>>) -> bool {
         self.accounts.find(tenant).is_some_and(|account| self.accounts.is_underserved(account))
     }
@@ -214,6 +226,17 @@
         Some(last.0)
     }
 
+    /// The cost of the entries that would be admitted before `entry` if aging alone admitted it.
+    fn cost_ahead_by_aging(&self, now: Millis, entry: &Entry) -> f64 {
+        let is_before = |other: &Entry| {
+            let by_time = (other.start_by, other.number) < (entry.start_by, entry.number);
+            other.priority >= entry.priority && by_time
+        };
+        let live = self.waiting.iter().filter(|waiting| waiting.can_start(now));
+        let before = live.filter(|waiting| is_before(&waiting.entry));
+        aging::CYCLE as f64 * before.map(|waiting| waiting.cost).sum::<f64>()
+    }
+
     fn longest_waiting(&self, now: Millis) -> Option<usize> {
         let entries = self.waiting.iter().enumerate();
         let live = entries.filter(|(_, waiting)| waiting.can_start(now));
--- a/crates/tgw-admission/src/queue/aging.rs
+++ b/crates/tgw-admission/src/queue/aging.rs
@@ -2,7 +2,7 @@
 use tgw_clock::Millis;
 
 /// Admissions in one cycle of [`Slot`]s.
-const CYCLE: u64 = 8;
+pub(super) const CYCLE: u64 = 8;
 
 /// The fractions of waited time that count as alike. While urgent queries alone exceed the capacity, some of them have
 /// always waited for all of their time; compared exactly, they would take the admissions that are meant for others. The
--- a/crates/tgw-admission/tests/queue/loads.rs
+++ b/crates/tgw-admission/tests/queue/loads.rs
@@ -1,5 +1,10 @@
-use super::model::{Caller, Figures, play, sum};
+use super::{
+    entry,
+    model::{Caller, Figures, Server, play, sum},
+    ms,
+};
 use test_case::test_case;
+use tgw_admission::queue::Queue;
 
 /// Of a server that serves 100 queries a second.
 const WORK_MS: f64 = 10.0;
@@ -110,3 +115,28 @@
     let (least, all) = (least(&figures), sum(&figures).fraction());
     assert!(least >= 0.25 * all, "least {least} of {all}, {figures:?}");
 }
+
+/// Guards against a last priority, or a tenant, that is starved because its queries are rejected on arrival, so that
+/// none waits that could age.
+#[test_case("a", "b"; "two tenants")]
+#[test_case("", ""; "without tenants")]
+fn rejection_on_arrival_does_not_starve(urgent_tenant: &str, tenant: &str) {
+    let callers = [Caller::new(urgent_tenant, 0, 180.0, 400), Caller::new(tenant, 2, 100.0, 300)];
+    let mut server = Server::new(&callers, WORK_MS, 1).rejecting();
+    (0..60_000).for_each(|now| server.step(now));
+    let [urgent, last] = [0, 1].map(|caller: usize| server.figures[caller].served as f64 / 6000.0);
+    assert!(urgent >= 0.85 && last >= 0.08, "{urgent} and {last} of the capacity");
+}
+
+/// Guards against a rejection where nothing is known about the rate, or nothing waits.
+#[test]
+fn queries_are_not_rejected_without_a_rate_or_a_backlog() {
+    let mut queue = Queue::default();
+    assert!(queue.can_start(ms(0), &entry(900, 5, "", 0), 1.0));
+    for number in 0..100 {
+        queue.push(ms(0), entry(number, 0, "", 100));
+    }
+    let can_start = |rate: f64| queue.can_start(ms(0), &entry(900, 0, "", 200), rate);
+    let rates = [0.0, -1.0, f64::NAN, 1e-9, 0.4, 0.6, f64::INFINITY];
+    assert_eq!(rates.map(can_start), [true, true, true, false, false, true, true]);
+}
--- a/crates/tgw-admission/tests/queue/model.rs
+++ b/crates/tgw-admission/tests/queue/model.rs
@@ -42,6 +42,8 @@
     callers: Vec<Caller>,
     work_ms: f64,
     free_at: f64,
+    /// Whether queries that cannot start in time are rejected on arrival.
+    rejects: bool,
     /// The caller of each query, by its number.
     caller_of: Vec<usize>,
     rng: StdRng,
@@ -55,11 +57,16 @@
             callers: callers.to_vec(),
             work_ms,
             free_at: 0.0,
+            rejects: false,
             caller_of: Vec::new(),
             rng: StdRng::seed_from_u64(seed),
         }
     }
 
+    pub(super) fn rejecting(self) -> Self {
+        Self { rejects: true, ..self }
+    }
+
     /// Plays the ms from `now_ms` on.
     pub(super) fn step(&mut self, now_ms: u64) {
         let now = Millis::new(now_ms);
@@ -77,7 +84,11 @@
                 cost: 1.0,
             };
             self.caller_of.push(index);
-            self.queue.push(now, entry);
+            if self.rejects && !self.queue.can_start(now, &entry, 1.0 / self.work_ms) {
+                self.queue.record_rejection(now, entry.tenant.as_ref());
+            } else {
+                self.queue.push(now, entry);
+            }
         }
         self.queue.expire(now);
         while self.free_at <= now_ms as f64 {
