--- a/crates/tgw-admission/tests/admission.rs
+++ b/crates/tgw-admission/tests/admission.rs
@@ -4,6 +4,7 @@
 
 mod facade;
 mod load;
+mod queue;
 
 use load::Load;
 use tgw_clock::Millis;
