feat(admission): retries of callers that can no longer be in time do not take the place of others

Change: callers state the time that they have left. Timeouts that many requests of a route state are those of first attempts; one below them shows a retry, whose latency target counts from the first attempt. Hedges are made under overload again: they avoid the pause of an upstream that would make a whole query late.

--- a/crates/tgw-admission/src/admission.rs
+++ b/crates/tgw-admission/src/admission.rs
@@ -1,5 +1,6 @@
 use crate::{
     Decision, Outcome, Permit, Query, Reason, Rejection, Reply, Settings, Ticket,
+    attempts::Attempts,
     capacity::UsualWork,
     group::{Group, Left, Service},
     permit::DropList,
@@ -36,6 +37,7 @@
     groups: HashMap<u64, Group>,
     services: HashMap<Rc<str>, Service>,
     usual: UsualWork,
+    attempts: Attempts,
     running: HashMap<u64, Running>,
     waiting: HashMap<u64, Waiting>,
     wakeups: SmallVec<[u64; 4]>,
@@ -47,6 +49,11 @@
         Self { settings, ..Self::default() }
     }
 
+    /// The time since the first attempt of a caller that states `timeout`; zero if this probably is its first one.
+    pub fn elapsed(&mut self, route: &Rc<str>, timeout: Millis) -> Millis {
+        self.attempts.record(route, timeout)
+    }
+
     /// Decides on a query over `services` before anything is sent.
     pub fn request(&mut self, now: Millis, query: Query, services: &[Rc<str>]) -> Decision {
         self.collect_dropped(now);
--- a/crates/tgw-admission/src/lib.rs
+++ b/crates/tgw-admission/src/lib.rs
@@ -5,6 +5,8 @@
 //! queries that wait. Times are arguments; no I/O.
 
 mod admission;
+/// Retries of callers, recognized by the time that they have left.
+mod attempts;
 /// Evidence of overload, and the limit on queries that run at once.
 pub mod capacity;
 /// The queries over one set of services, and what is known of each service.
--- a/crates/tgw-forward/src/admission.rs
+++ b/crates/tgw-forward/src/admission.rs
@@ -64,13 +64,18 @@
         let Target::Shards(shards) = &route.target else {
             return self.send_first(now, core, out);
         };
+        // A retry that can no longer meet the target which its caller began with must not take the place of one that can.
+        let elapsed = self
+            .caller_timeout
+            .map_or(Millis::ZERO, |timeout| core.admission.elapsed(&route.name, timeout))
+            .min(self.started);
         let query = Query {
             group: group(shards),
             route: route.name.clone(),
             priority: self.priority,
             tenant: self.tenant.clone(),
-            arrived: self.started,
-            answer_by: self.answer_by,
+            arrived: self.started - elapsed,
+            answer_by: self.answer_by - elapsed,
             deadline: self.deadline,
             max_missing: max_missing(shards),
             retry_spread: self.retry_spread,
--- a/crates/tgw-forward/src/part.rs
+++ b/crates/tgw-forward/src/part.rs
@@ -179,7 +179,7 @@
         let reason = || core.fleet.unavailable_reason(now, &self.service, core.scope(route));
         let choice = untried.or_else(last_resort).ok_or_else(reason)?;
         let optional =
-            self.sends > 0 && (trigger == Trigger::Hedge || requirement == Requirement::Optional);
+            self.sends > 0 && trigger != Trigger::Hedge && requirement == Requirement::Optional;
         if optional && core.admission.is_overloaded(now) {
             return Err(Reason::Overload);
         }
--- a/crates/tgw-forward/src/plan.rs
+++ b/crates/tgw-forward/src/plan.rs
@@ -50,6 +50,7 @@
 pub struct Plan {
     pub(crate) route: Rc<Route>,
     pub(crate) started: Millis,
+    pub(crate) caller_timeout: Option<Millis>,
     pub(crate) new_connection: bool,
     /// When an answer leaves without the parts still missing.
     pub(crate) answer_by: Millis,
@@ -88,6 +89,7 @@
         let timeout = options.caller_timeout.unwrap_or(route.timeout).min(route.timeout);
         Self {
             started: now,
+            caller_timeout: options.caller_timeout,
             new_connection: options.new_connection,
             answer_by: now + route.target_latency,
             deadline: now + (timeout - ANSWER_LEAD_MS),
