fix(admission): rounding rejected the last priority while no limit was in force

What callers saw: the first search of the least urgent route at a VM answered 503 without any overload. Cause: the share of a priority was worked out from decayed counts and came out just below one.

--- a/crates/tgw-admission/src/group.rs
+++ b/crates/tgw-admission/src/group.rs
@@ -221,6 +221,9 @@
 
     /// Whether a query is among the share that is admitted.
     pub(crate) fn take_share(&mut self, priority: u32) -> bool {
+        if self.limit.share() >= 1.0 {
+            return true;
+        }
         let priority = priority.min(MAX_PRIORITY);
         let share = self.admitted_share(priority);
         if share >= 1.0 {
