feat(admission): urgent queries do not wait for less urgent ones that run

Cause: an urgent search with a target of 100 ms waited until a search of 400 ms had ended, or was rejected at once. Change: the limit counts queries of the same or a higher priority; it shrinks if all together are too many. Whether a query can start in time takes aging and underserved tenants into account; rejected queries count for their tenant.

--- a/crates/tgw-admission/src/admission.rs
+++ b/crates/tgw-admission/src/admission.rs
@@ -15,6 +15,7 @@
 struct Running {
     group: u64,
     route: Rc<str>,
+    priority: u32,
     started: Millis,
     target: Millis,
 }
@@ -72,9 +73,10 @@
         };
         if !group.take_share(query.priority) {
             group.limit.record_use();
-            return reject(group, &query, Reason::Backlog);
+            return reject(now, group, &query, Reason::Backlog);
         }
-        if group.queue.is_empty() && group.limit.has_room(group.running) {
+        let is_next = group.queue.highest_priority().is_none_or(|waiting| waiting > query.priority);
+        if is_next && group.has_room(query.priority) {
             group.queue.record_use(now, query.tenant.as_ref(), 1.0);
             return Decision::Admitted(self.start(now, number, &query));
         }
@@ -88,13 +90,12 @@
             start_by,
             cost: 1.0,
         };
-        let ahead = group.queue.cost_ahead(now, &entry);
-        if now + group.backlog(ahead) > start_by {
-            return reject(group, &query, Reason::Backlog);
+        if start_by < now || !group.queue.can_start(now, &entry, group.completion_rate()) {
+            return reject(now, group, &query, Reason::Backlog);
         }
         if let Some(displaced) = group.queue.push(now, entry) {
             if displaced.number == number {
-                return reject(group, &query, Reason::Displaced);
+                return reject(now, group, &query, Reason::Displaced);
             }
             self.leave(displaced.number, Left::Rejected(Reason::Displaced));
         }
@@ -118,7 +119,7 @@
                 Decision::Admitted(Permit { number, list: self.dropped.clone() })
             }
             Some(Left::Rejected(reason)) => match self.groups.get_mut(&group) {
-                Some(group) => reject(group, &query, reason),
+                Some(group) => rejection(group, &query, reason),
                 None => Decision::Rejected(Rejection { retry_after: Millis::ZERO, reason }),
             },
             None => {
@@ -130,10 +131,11 @@
 
     /// Takes the end of an admitted query.
     pub fn finish(&mut self, now: Millis, permit: Permit, outcome: Outcome) {
-        if let Some(Running { group, route, started, target }) = self.running.remove(&permit.number)
+        if let Some(Running { group, route, priority, started, target }) =
+            self.running.remove(&permit.number)
         {
             if let Some(group) = self.groups.get_mut(&group) {
-                group.running = group.running.saturating_sub(1);
+                group.record_release(priority);
                 if outcome != Outcome::Failed {
                     group.record_end(&route, now - started, target);
                 }
@@ -195,11 +197,12 @@
 
     fn record_start(&mut self, now: Millis, number: u64, query: &Query) {
         if let Some(group) = self.groups.get_mut(&query.group) {
-            group.running += 1;
+            group.record_start(query.priority);
         }
         let running = Running {
             group: query.group,
             route: query.route.clone(),
+            priority: query.priority,
             started: now,
             target: query.answer_by - query.arrived,
         };
@@ -215,8 +218,7 @@
             self.leave(entry.number, Left::Rejected(Reason::Expired));
         }
         while let Some(group) = self.groups.get_mut(&id)
-            && !group.queue.is_empty()
-            && group.limit.has_room(group.running)
+            && group.queue.highest_priority().is_some_and(|priority| group.has_room(priority))
             && let Some(entry) = group.queue.pop(now)
         {
             let query = self.waiting.get(&entry.number).map(|waiting| waiting.query.clone());
@@ -261,15 +263,21 @@
     }
 
     fn release(&mut self, now: Millis, number: u64) {
-        let Some(Running { group, .. }) = self.running.remove(&number) else { return };
+        let Some(Running { group, priority, .. }) = self.running.remove(&number) else { return };
         if let Some(group) = self.groups.get_mut(&group) {
-            group.running = group.running.saturating_sub(1);
+            group.record_release(priority);
         }
         self.update(now, group);
     }
 }
 
-fn reject(group: &mut Group, query: &Query, reason: Reason) -> Decision {
+/// Rejects a query that did not wait.
+fn reject(now: Millis, group: &mut Group, query: &Query, reason: Reason) -> Decision {
+    group.queue.record_rejection(now, query.tenant.as_ref());
+    rejection(group, query, reason)
+}
+
+fn rejection(group: &mut Group, query: &Query, reason: Reason) -> Decision {
     let retry_after = group.retry_after(query.retry_spread);
     Decision::Rejected(Rejection { retry_after, reason })
 }
--- a/crates/tgw-admission/src/group.rs
+++ b/crates/tgw-admission/src/group.rs
@@ -86,7 +86,8 @@
 pub(crate) struct Group {
     pub(crate) limit: Limit,
     pub(crate) queue: Queue,
-    pub(crate) running: usize,
+    /// Queries that run, by priority.
+    running: BTreeMap<u32, usize>,
     services: Vec<Rc<str>>,
     /// The least number of parts that an answer of any route may miss.
     max_missing: Option<usize>,
@@ -236,6 +237,29 @@
         admitted
     }
 
+    /// Whether one more query of a priority may start. Less urgent queries that run do not count: an urgent one does not
+    /// wait for them, and the limit shrinks if both are too many.
+    pub(crate) fn has_room(&self, priority: u32) -> bool {
+        let priority = priority.min(MAX_PRIORITY);
+        self.limit.has_room(self.running.range(..=priority).map(|(_, running)| running).sum())
+    }
+
+    /// Counts a query that starts.
+    pub(crate) fn record_start(&mut self, priority: u32) {
+        *self.running.entry(priority.min(MAX_PRIORITY)).or_default() += 1;
+    }
+
+    /// Counts the end of a query that started.
+    pub(crate) fn record_release(&mut self, priority: u32) {
+        let running = self.running.entry(priority.min(MAX_PRIORITY)).or_default();
+        *running = running.saturating_sub(1);
+    }
+
+    /// Queries that end a ms while the limit is in force.
+    pub(crate) fn completion_rate(&self) -> f64 {
+        self.limit.value().unwrap_or(f64::MAX).max(1.0) / self.duration().as_f64()
+    }
+
     /// Time until the queries that wait ahead of one, and the one itself, have started.
     pub(crate) fn backlog(&self, ahead: f64) -> Millis {
         let limit = self.limit.value().unwrap_or(f64::MAX);
--- a/crates/tgw-admission/src/queue.rs
+++ b/crates/tgw-admission/src/queue.rs
@@ -177,6 +177,11 @@
         self.reports.apply(now, from_vm, usage, &mut self.accounts)
     }
 
+    /// The highest priority among the entries.
+    pub fn highest_priority(&self) -> Option<u32> {
+        self.waiting.iter().map(|waiting| waiting.entry.priority).min()
+    }
+
     /// The number of entries.
     pub fn len(&self) -> usize {
         self.waiting.len()
