feat(admission): the priority of a tenant goes first, then that of its route

Cause: a tenant's priority replaced that of the route, so that the urgent searches of a tenant had no precedence over its usual ones: where all tenants of a deployment state a priority, those of routes were not read at all. Change: queries are ordered by the priority of their tenant and then by that of their route.

--- a/crates/tgw-admission/src/group.rs
+++ b/crates/tgw-admission/src/group.rs
@@ -25,7 +25,7 @@
 /// Weight of one query in the shares of the priorities.
 const ASKED_WEIGHT: f64 = 0.05;
 /// Priorities from this one are alike.
-const MAX_PRIORITY: u32 = 7;
+const MAX_PRIORITY: u32 = 255;
 /// Replies of each service, on average, from which the lowest-capacity one is known.
 const MIN_REPLIES_PER_SERVICE: usize = 3;
 /// Services that must agree on a queue that builds up: fewer may pause together.
--- a/crates/tgw-admission/tests/admission.rs
+++ b/crates/tgw-admission/tests/admission.rs
@@ -51,3 +51,17 @@
     let (_, rejected) = load.run(500, 10, |_| 0);
     assert_eq!(rejected, 0);
 }
+
+/// Guards against urgent queries that wait until less urgent ones have ended.
+#[test]
+fn an_urgent_query_does_not_wait_for_less_urgent_ones() {
+    let mut load = Load::new(4);
+    load.run(1_000, 10, |_| 20);
+    load.run(2_000, 10, |_| 180);
+    assert!(load.admission.is_overloaded(load.now));
+    let (_, rejected) = load.run(100, 10, |_| 180);
+    assert!(rejected > 0);
+    load.priority = 0;
+    let (admitted, rejected) = load.run(10, 10, |_| 180);
+    assert_eq!((admitted, rejected), (1, 0));
+}
--- a/crates/tgw-admission/tests/load/mod.rs
+++ b/crates/tgw-admission/tests/load/mod.rs
@@ -11,6 +11,8 @@
     pub(crate) now: Millis,
     /// An upstream to which all requests of the first services go, which waits there.
     pub(crate) slow: Option<(u64, usize)>,
+    /// The priority of its queries.
+    pub(crate) priority: u32,
     services: Vec<Rc<str>>,
     running: Vec<(Millis, (u64, Millis), Permit)>,
 }
@@ -19,7 +21,14 @@
     pub(crate) fn new(services: usize) -> Self {
         let services = (0..services).map(|s| format!("s{s}").into()).collect();
         let now = Millis::new(10_000);
-        Self { admission: Admission::default(), now, slow: None, services, running: Vec::new() }
+        Self {
+            admission: Admission::default(),
+            now,
+            slow: None,
+            priority: 1,
+            services,
+            running: Vec::new(),
+        }
     }
 
     /// Runs a query each `gap` ms, whose replies take the latency that `latency` gives for its number;
@@ -38,7 +47,7 @@
             let query = Query {
                 group: 1,
                 route: "full".into(),
-                priority: 1,
+                priority: self.priority,
                 tenant: None,
                 arrived,
                 answer_by: arrived + target,
--- a/crates/tgw-forward/src/admission.rs
+++ b/crates/tgw-forward/src/admission.rs
@@ -11,6 +11,9 @@
 use tgw_route::{Target, config::Shards};
 use xxhash_rust::xxh3::Xxh3;
 
+/// Priorities from this one are alike.
+const MAX_PRIORITY: u32 = 15;
+
 /// How far the admission of a request has come.
 #[derive(Debug, Default)]
 pub(crate) enum Stage {
@@ -72,7 +75,7 @@
         let query = Query {
             group: group(shards),
             route: route.name.clone(),
-            priority: self.priority,
+            priority: rank(self.priority, route.priority),
             tenant: self.tenant.clone(),
             arrived: self.started - elapsed,
             answer_by: self.answer_by - elapsed,
@@ -192,6 +195,12 @@
     }
 }
 
+/// Orders queries by the priority of their tenant, then by that of their route; zero is the highest. A tenant without a
+/// priority has that of the route.
+fn rank(priority: u32, route_priority: u32) -> u32 {
+    priority.min(MAX_PRIORITY) * (MAX_PRIORITY + 1) + route_priority.min(MAX_PRIORITY)
+}
+
 /// Identifies a set of shards.
 fn group(shards: &Shards) -> u64 {
     let mut hasher = Xxh3::new();
--- a/crates/tgw-forward/src/part.rs
+++ b/crates/tgw-forward/src/part.rs
@@ -178,6 +178,7 @@
         let last_resort = || pick(&self.tried);
         let reason = || core.fleet.unavailable_reason(now, &self.service, core.scope(route));
         let choice = untried.or_else(last_resort).ok_or_else(reason)?;
+        // A hedge avoids a pause of an upstream that would make the whole query late, and its work with it.
         let optional =
             self.sends > 0 && trigger != Trigger::Hedge && requirement == Requirement::Optional;
         if optional && core.admission.is_overloaded(now) {
