fix(admission): the allowed wait follows the most urgent routes

Cause: the wait that counts as overload followed the shortest target of all routes, there that of the less urgent one. Change: it follows the shortest target among the routes of the highest priority; a less urgent one with a shorter target bounds it by half of its target. One more service than before must agree on a standing queue.

--- a/crates/tgw-admission/src/group.rs
+++ b/crates/tgw-admission/src/group.rs
@@ -13,6 +13,8 @@
 /// Fraction of the allowed wait that the limit aims at: a wait is not over as soon as the limit
 /// shrinks, and fewer queries waiting at the upstreams serve as many.
 const TARGET_FACTOR: f64 = 0.5;
+/// Fraction of the latency target of a route of a lower priority that a request may wait at its upstream.
+const MAX_WAIT_FACTOR: f64 = 0.5;
 /// Time in ms over which replies are counted.
 const RATE_PERIOD_MS: f64 = 300.0;
 /// Weight of one query in the mean duration of the queries.
@@ -38,12 +40,21 @@
 /// Time for which the latency target of a route counts after its last query.
 const TARGET_RETENTION_MS: Millis = Millis::new(60_000);
 
+/// What the queries of one route expect of a service.
+#[derive(Copy, Clone, Debug)]
+struct Target {
+    latency: Millis,
+    /// The highest priority among its recent queries.
+    priority: u32,
+    asked_at: Millis,
+}
+
 /// The upstreams of one service.
 #[derive(Debug, Default)]
 pub(crate) struct Service {
     pub(crate) queue: StandingQueue,
-    /// Latency targets of the routes that ask for it, and when they last did.
-    targets: BTreeMap<Rc<str>, (Millis, Millis)>,
+    /// What the routes that ask for it expect.
+    targets: BTreeMap<Rc<str>, Target>,
     /// Replies, decayed.
     replies: f64,
     replied_at: Millis,
@@ -51,19 +62,26 @@
 
 impl Service {
     pub(crate) fn record_query(&mut self, now: Millis, query: &Query) {
-        let target = query.answer_by - query.arrived;
-        self.targets.insert(query.route.clone(), (target, now));
-    }
-
-    /// The shortest latency target of its routes, in ms.
-    fn shortest_target(&self, now: Millis) -> f64 {
-        let recent = self.targets.values().filter(|(_, at)| now - *at <= TARGET_RETENTION_MS);
-        recent.map(|(target, _)| target.as_f64()).fold(f64::MAX, f64::min)
+        let latency = query.answer_by - query.arrived;
+        let priority = query.priority;
+        let asked = Target { latency, priority, asked_at: now };
+        let known = self.targets.entry(query.route.clone()).or_insert(asked);
+        let is_recent = now - known.asked_at <= TARGET_RETENTION_MS;
+        let priority = if is_recent { known.priority.min(priority) } else { priority };
+        *known = Target { priority, ..asked };
     }
 
-    /// The wait that the targets of its routes allow, in ms.
+    /// The wait in ms that the targets of its routes allow: `share` of the shortest target among those of the highest
+    /// priority. A route of a lower priority with a shorter target bounds it less tightly, or the more urgent ones would
+    /// be rejected for its sake.
     pub(crate) fn allowed_wait(&self, now: Millis, share: f64) -> f64 {
-        self.shortest_target(now) * share
+        let recent = || self.targets.values().filter(|t| now - t.asked_at <= TARGET_RETENTION_MS);
+        let highest = recent().map(|target| target.priority).min();
+        let latency = |target: &Target| target.latency.as_f64();
+        let urgent = recent().filter(|target| Some(target.priority) == highest).map(latency);
+        let shortest = recent().map(latency).fold(f64::MAX, f64::min);
+        let urgent = urgent.fold(f64::MAX, f64::min);
+        (urgent * share).min(shortest * share.max(MAX_WAIT_FACTOR))
     }
 
     pub(crate) fn record_reply(&mut self, now: Millis) {
@@ -169,7 +187,7 @@
         }
         let max_missing = self.max_missing.unwrap_or_default();
         let half = (self.services.len() / 2).max(max_missing);
-        standing > max_missing || (building_up > half && building_up >= MIN_AGREEING_SERVICES)
+        standing > max_missing + 1 || (building_up > half && building_up >= MIN_AGREEING_SERVICES)
     }
 
     /// Queries a ms that its services reply to.
--- a/crates/tgw-admission/tests/admission.rs
+++ b/crates/tgw-admission/tests/admission.rs
@@ -65,3 +65,19 @@
     let (admitted, rejected) = load.run(10, 10, |_| 180);
     assert_eq!((admitted, rejected), (1, 0));
 }
+
+/// Guards against queries that are rejected for the sake of a less urgent route with a shorter target.
+#[test]
+fn a_less_urgent_route_does_not_bound_the_wait_of_urgent_ones() {
+    let rejected_beside = |priority: u32| {
+        let mut load = Load::new(4);
+        load.run(1_000, 10, |_| 20);
+        load.priority = priority;
+        load.route = ("short", Millis::new(100));
+        load.run(10, 10, |_| 20);
+        (load.priority, load.route) = (1, ("full", Millis::new(200)));
+        load.run(3_000, 10, |_| 65).1
+    };
+    assert_eq!(rejected_beside(2), 0);
+    assert!(rejected_beside(0) > 0);
+}
--- a/crates/tgw-admission/tests/load/mod.rs
+++ b/crates/tgw-admission/tests/load/mod.rs
@@ -13,6 +13,8 @@
     pub(crate) slow: Option<(u64, usize)>,
     /// The priority of its queries.
     pub(crate) priority: u32,
+    /// The route of its queries and their latency target.
+    pub(crate) route: (&'static str, Millis),
     services: Vec<Rc<str>>,
     running: Vec<(Millis, (u64, Millis), Permit)>,
 }
@@ -26,6 +28,7 @@
             now,
             slow: None,
             priority: 1,
+            route: ("full", Millis::new(200)),
             services,
             running: Vec::new(),
         }
@@ -43,10 +46,10 @@
         for number in 0..duration / gap {
             self.now += Millis::new(gap);
             self.end_due();
-            let (arrived, target) = (self.now, Millis::new(200));
+            let (arrived, (route, target)) = (self.now, self.route);
             let query = Query {
                 group: 1,
-                route: "full".into(),
+                route: route.into(),
                 priority: self.priority,
                 tenant: None,
                 arrived,
