fix(admission): steps of use widen with the use

Cause: tenants are compared in steps of one query, but the use of a tenant with a steady rate varies by about its root. Tenants within their share are ordered by chance, and those with short targets expire while others have time. Change: the step is the root of the use.

--- a/crates/tgw-admission/src/queue/order.rs
+++ b/crates/tgw-admission/src/queue/order.rs
@@ -8,9 +8,6 @@
 /// single query is charged for minutes.
 const COSTS: (f64, f64) = (0.01, 1000.0);
 
-/// The use within which tenants are alike, in usual queries: among them the time left decides.
-const LEVEL_USE: f64 = 1.0;
-
 /// An entry with its valid cost and its tenant's account.
 #[derive(Debug)]
 pub(super) struct Waiting {
@@ -22,8 +19,8 @@
 /// The place of an entry among those of its tenant.
 pub(super) type Place = (u32, Millis, u64);
 
-/// The place of an entry among all: its priority, its tenant's use once the tenant's entries before it are served, in
-/// units of [`LEVEL_USE`], the time until which it can start, and its number.
+/// The place of an entry among all: its priority, the [`level`] of its tenant's use once the tenant's entries before it
+/// are served, the time until which it can start, and its number.
 ///
 /// Within a tenant, keys increase with the place. So the entry with the least key is the next of its tenant, and
 /// charging it leaves all other keys as they are: the order of admission is the order of the keys.
@@ -105,6 +102,12 @@
 }
 
 fn key(entry: &Entry, share: &Share) -> Key {
-    let level = (share.weighted() / LEVEL_USE) as u64;
+    let level = level(share.weighted());
     Key { priority: entry.priority, level, start_by: entry.start_by, number: entry.number }
 }
+
+/// The level of a use. Tenants of one level are alike: the time left decides among them. The use of a tenant with a
+/// steady rate varies by about its root, so levels that do not widen with the use would order tenants by chance.
+fn level(used: f64) -> u64 {
+    used.sqrt() as u64
+}
--- a/crates/tgw-admission/src/queue/usage.rs
+++ b/crates/tgw-admission/src/queue/usage.rs
@@ -10,7 +10,7 @@
 /// The number of VMs whose reports are kept at most.
 const MAX_VMS: usize = 64;
 
-/// The use below which a tenant is not reported, in usual queries: among tenants of one level others do not differ.
+/// The use below which a tenant is not reported, in usual queries: below it, tenants are alike.
 const LEAST_REPORTED: f64 = 1.0;
 
 /// The largest use in a valid report: 2,500 usual queries a second of one tenant at one VM.
--- a/crates/tgw-admission/tests/queue/loads.rs
+++ b/crates/tgw-admission/tests/queue/loads.rs
@@ -39,6 +39,18 @@
     assert!(least >= mean - 0.15 && mean > 0.8, "least {least}, mean {mean}");
 }
 
+/// Guards against tenants within their share that are ordered by chance differences of their use, so that those with
+/// short targets expire while others have time: 50 tenants ask 0.95 of the capacity.
+#[test_case(1)]
+#[test_case(2)]
+fn tenants_within_their_share_are_served_by_time_left(seed: u64) {
+    let patience = |number: u64| if number.is_multiple_of(2) { 85 } else { 1900 };
+    let caller = |number| Caller::new(&format!("t{number}"), 1, 1.9, patience(number));
+    let figures = play(&(0..50).map(caller).collect::<Vec<_>>(), WORK_MS, 60, seed);
+    let short = sum(figures.iter().step_by(2)).fraction();
+    assert!(short >= 0.96, "short targets {short}");
+}
+
 /// Guards against a tenant with two queries a minute that waits behind one with 200 a second.
 #[test_case(1)]
 #[test_case(2)]
@@ -48,6 +60,20 @@
     assert!(figures[1].asked > 5 && figures[1].fraction() == 1.0, "{figures:?}");
 }
 
+/// Guards against weights that only decide between tenants of equal use: one with weight 2 is to be served twice as
+/// much as one with weight 1, both asking 1.5 of the capacity; and against max-min fairness that is that of the time
+/// left: one asks three times as much as the other.
+#[test_case(150.0, 150.0, 2.0, 1.7..2.3; "weights")]
+#[test_case(225.0, 75.0, 1.0, 0.9..1.15; "a tenant that asks three times as much")]
+fn two_tenants_share_by_weight(first: f64, second: f64, weight: f64, ratio: std::ops::Range<f64>) {
+    let callers = [Caller::new("a", 1, first, 300), Caller::new("b", 1, second, 300)];
+    let mut server = Server::new(&callers, WORK_MS, 1);
+    server.queue.set_weights([("a".into(), weight)]);
+    (0..30_000).for_each(|now| server.step(now));
+    let [first, second] = [0, 1].map(|caller: usize| server.figures[caller].served as f64);
+    assert!(ratio.contains(&(first / second)), "{first} and {second}");
+}
+
 /// Guards against priorities that are not kept, and a last priority that is starved: three priorities ask 1.5 of the
 /// capacity, with and without tenants.
 #[test_case("", "", ""; "without tenants")]
