docs(admission): links of the queue's documentation resolve

Cause: the module's documentation links to items that are not in scope at its declaration; `cargo doc` fails with `-D warnings`. Change: plain words. Result: `cargo doc` of tgw-admission and tgw-bench passes.

--- a/crates/tgw-admission/src/queue.rs
+++ b/crates/tgw-admission/src/queue.rs
@@ -1,8 +1,8 @@
 //! Order and fairness among queries that wait for admission.
 //!
 //! A query waits by its priority, then by the recent use of its tenant, then by the time it has left. Some of the
-//! admissions go by [`aging`] instead, so that neither the last priority nor any tenant is starved. The state is
-//! bounded: [`CAPACITY`] entries, and the tenants with recent use.
+//! admissions are out of order, so that neither the last priority nor any tenant is starved. The state is bounded: 256
+//! entries, and the tenants with recent use.
 
 /// The use of tenants, and how many of their queries were served.
 mod account;
