feat(bench): slope of a push to a full queue

Cause: a push that displaces another entry takes another path than a push with a pop, and was not measured. Change: a row of `bench slopes`.

--- a/crates/tgw-bench/src/slopes.rs
+++ b/crates/tgw-bench/src/slopes.rs
@@ -273,11 +273,16 @@
         unit: "µs",
         values: found.iter().map(|(size, times)| (size.clone(), times[pick])).collect(),
     };
-    vec![of("waiting queries, push and pop", 0), of("waiting queries, work ahead of one", 1)]
+    vec![
+        of("waiting queries, push and pop", 0),
+        of("waiting queries, work ahead of one", 1),
+        of("waiting queries, push to a full queue", 2),
+    ]
 }
 
-/// The µs of a push with a pop, and of asking for the work ahead, in a queue that stays at `entries`.
-fn queue_times(entries: u64, tenants: u64) -> [f64; 2] {
+/// The µs of a push with a pop, and of asking for the work ahead, in a queue that stays at `entries`; of a push that
+/// displaces another entry.
+fn queue_times(entries: u64, tenants: u64) -> [f64; 3] {
     const ROUNDS: u64 = 100_000;
     let entry = |number: u64| Entry {
         number,
@@ -302,7 +307,14 @@
         std::hint::black_box(queue.pop(now));
         turns += start.elapsed().as_secs_f64();
     }
-    [turns, ahead].map(|spent| spent * 1e6 / ROUNDS as f64)
+    let now = Millis::new(entries + ROUNDS);
+    let mut displacing = 0.0;
+    for entry in (entries + ROUNDS..entries + 2 * ROUNDS).map(entry) {
+        let start = Instant::now();
+        std::hint::black_box(queue.push(now, entry));
+        displacing += start.elapsed().as_secs_f64();
+    }
+    [turns, ahead, displacing].map(|spent| spent * 1e6 / ROUNDS as f64)
 }
 
 fn catalog_parts(services: u16) -> Vec<tgw_topology::catalog::ServiceUpdate> {
