bench(limits): eager tenants, and the least that a full window holds

Cause: a tenant that asks for more than its limit all the time gets rate x window in each later window of a token bucket, though rate x window + burst is allowed; no row showed it. Change: each setup is also played with three tenants (the two largest and the smallest) that ask for four times their rate from the start. The new column 'least' is the least that a full window of theirs holds, as a share of rate x window + burst. The other rows play as before.

--- a/crates/tgw-bench/src/limits/mod.rs
+++ b/crates/tgw-bench/src/limits/mod.rs
@@ -11,5 +11,5 @@
 mod vm;
 
 pub use outcome::{Outcome, text};
-pub use setup::{Setup, Way, setups};
+pub use setup::{EAGER_FACTOR, Setup, Way, setups};
 pub use simulation::play;
--- a/crates/tgw-bench/src/limits/outcome.rs
+++ b/crates/tgw-bench/src/limits/outcome.rs
@@ -1,4 +1,8 @@
-use super::{Setup, setup::FAULT_START_MS};
+use super::{
+    Setup,
+    setup::FAULT_START_MS,
+    simulation::{FIRST_ARRIVAL_MS, RUN_END_MS},
+};
 use crate::vm_faults::{Fault, FaultKind};
 use serde::Serialize;
 use tgw_clock::Millis;
@@ -14,6 +18,9 @@
 pub struct Outcome {
     /// Requests admitted in a window, as a fraction of the limit: the largest of all tenants and windows.
     pub worst_window: f64,
+    /// Requests of eager tenants admitted in a window, as a fraction of rate x window + burst: the least of all
+    /// these tenants and windows; 1 without eager tenants.
+    pub least_window: f64,
     /// Admitted requests as a fraction of those within the limits, before any fault.
     pub admitted: f64,
     /// The same during and after the faults.
@@ -68,6 +75,7 @@
         let bytes = self.bytes as f64 + self.packets as f64 * PACKET_HEADER_BYTES;
         Outcome {
             worst_window: self.worst_window(setup),
+            least_window: self.least_window(setup),
             admitted: self.admitted_share(setup, |at| at < FAULT_START_MS),
             admitted_beside: self.admitted_share(setup, |at| at >= FAULT_START_MS),
             latency_ms: [percentile(0.5), percentile(0.99)],
@@ -94,6 +102,28 @@
         worst
     }
 
+    fn least_window(&self, setup: &Setup) -> f64 {
+        let window = setup.terms().window;
+        let mut least: f64 = 1.0;
+        for (tenant, requests) in self.requests.iter().enumerate() {
+            if !setup.is_eager(tenant) {
+                continue;
+            }
+            let mut admitted: Vec<Millis> = requests.iter().filter_map(|(_, at)| *at).collect();
+            admitted.sort_unstable();
+            // The windows with the fewest admissions begin with the first arrivals or right after an admission.
+            let begins = std::iter::once(FIRST_ARRIVAL_MS).chain(admitted.iter().copied());
+            for begin in begins.filter(|begin| *begin + window <= RUN_END_MS) {
+                let up_to = |at| admitted.partition_point(|a| *a <= at);
+                let count = up_to(begin + window) - up_to(begin);
+                let Allowance { rate_per_s, burst } = allowance_at(setup, tenant, begin + window);
+                let allowed = rate_per_s * window.as_f64() / 1_000.0 + burst;
+                least = least.min(count as f64 / allowed);
+            }
+        }
+        least
+    }
+
     /// Admitted requests as a fraction of those that a token bucket of each limit would admit.
     fn admitted_share(&self, setup: &Setup, within: impl Fn(Millis) -> bool) -> f64 {
         let (mut owed, mut served) = (0.0, 0.0);
@@ -145,11 +175,12 @@
 /// Formats the outcomes as a table.
 pub fn text(outcomes: &[(String, Setup, Outcome)]) -> String {
     let mut text = format!(
-        "{:<30} {:>4} {:<18} {:>6} {:>8} {:>6} {:>6} {:>6} {:>7} {:>6}\n",
+        "{:<36} {:>4} {:<18} {:>6} {:>6} {:>8} {:>6} {:>6} {:>6} {:>7} {:>6}\n",
         "beside",
         "VMs",
         "way",
         "worst",
+        "least",
         "admitted",
         "beside",
         "p50 ms",
@@ -161,8 +192,9 @@
         let Setup { vms, way, .. } = setup;
         let way = way.to_string();
         text += &format!(
-            "{name:<30} {vms:>4} {way:<18} {:>6.2} {:>8.3} {:>6.3} {:>6.1} {:>6.1} {:>7.1} {:>6.0}\n",
+            "{name:<36} {vms:>4} {way:<18} {:>6.2} {:>6.2} {:>8.3} {:>6.3} {:>6.1} {:>6.1} {:>7.1} {:>6.0}\n",
             o.worst_window,
+            o.least_window,
             o.admitted,
             o.admitted_beside,
             o.latency_ms[0],
--- a/crates/tgw-bench/src/limits/setup.rs
+++ b/crates/tgw-bench/src/limits/setup.rs
@@ -29,6 +29,8 @@
     pub hot_factor: f64,
     /// All callers of the second largest tenant use one region.
     pub one_sided: bool,
+    /// The two largest tenants and the smallest one ask for [`EAGER_FACTOR`] times their limit's rate all the time.
+    pub eager: bool,
     /// The faults.
     pub faults: Vec<Fault>,
     /// Seed of the random numbers.
@@ -39,6 +41,8 @@
 const DEMAND_EXPONENT: f64 = 1.2;
 /// Factor by which a limit exceeds its tenant's usual demand.
 const LIMIT_FACTOR: f64 = 1.6;
+/// Factor of the rate of its limit at which an eager tenant asks.
+pub const EAGER_FACTOR: f64 = 4.0;
 /// When faults begin and end.
 pub(super) const FAULT_START_MS: Millis = Millis::new(12_000);
 const FAULT_END_MS: Millis = Millis::new(18_000);
@@ -53,6 +57,7 @@
             requests_per_s: 120.0,
             hot_factor: 6.0,
             one_sided: true,
+            eager: false,
             faults: Vec::new(),
             seed,
         }
@@ -66,6 +71,12 @@
         self
     }
 
+    /// Makes some tenants ask for more than their limits all the time.
+    #[must_use]
+    pub fn eager(self) -> Self {
+        Self { eager: true, ..self }
+    }
+
     /// How the limits are measured.
     pub fn terms(&self) -> Terms {
         let regions = match self.way {
@@ -82,6 +93,11 @@
         self.requests_per_s * weight(tenant) / all
     }
 
+    /// Whether a tenant asks for more than its limit all the time.
+    pub(super) fn is_eager(&self, tenant: usize) -> bool {
+        self.eager && (tenant < 2 || tenant + 1 == self.tenants)
+    }
+
     /// The limit of a tenant before any change.
     pub(super) fn allowance(&self, tenant: usize) -> Allowance {
         let rate_per_s = (self.demand(tenant) * LIMIT_FACTOR).ceil();
@@ -89,12 +105,12 @@
     }
 }
 
-/// The named setups of a report, with and without faults.
+/// The named setups of a report, with and without faults, and each with eager tenants.
 pub fn setups(vms: usize, way: Way, seed: u64) -> Vec<(String, Setup)> {
     let healthy = || Setup::healthy(vms, way, seed);
     let with = |kind, share| healthy().with_fault(kind, share);
     let named = |name: &str, setup: Setup| (name.to_owned(), setup);
-    vec![
+    let mut setups = vec![
         named("nothing else", healthy()),
         named("a third alone", with(FaultKind::Isolated, 0.34)),
         named("a third on an island", with(FaultKind::Partitioned, 0.34)),
@@ -109,5 +125,9 @@
             "limit halved, half restarted",
             with(FaultKind::LimitLowered, 0.0).with_fault(FaultKind::Restarted, 0.55),
         ),
-    ]
+    ];
+    let eager =
+        setups.iter().map(|(name, setup)| (format!("{name}, eager"), setup.clone().eager()));
+    setups.extend(eager.collect::<Vec<_>>());
+    setups
 }
--- a/crates/tgw-bench/src/limits/simulation.rs
+++ b/crates/tgw-bench/src/limits/simulation.rs
@@ -1,6 +1,7 @@
 use super::{
     Outcome, Setup,
     outcome::{Place, Record, allowance_at},
+    setup::EAGER_FACTOR,
     vm::{REGIONS, Vm},
 };
 use crate::{
@@ -23,8 +24,8 @@
 const ASK_TIMEOUT_MS: Millis = Millis::new(60);
 const SILENCE_MS: Millis = Millis::new(1_000);
 /// When the first callers arrive, and how long a run lasts.
-const FIRST_ARRIVAL_MS: Millis = Millis::new(6_000);
-const RUN_END_MS: Millis = Millis::new(26_000);
+pub(super) const FIRST_ARRIVAL_MS: Millis = Millis::new(6_000);
+pub(super) const RUN_END_MS: Millis = Millis::new(26_000);
 /// Probability that a packet is lost, usually and beside [`FaultKind::Lossy`].
 const PACKET_LOSS_RATIO: f64 = 0.002;
 const LOSSY_RATIO: f64 = 0.2;
@@ -271,8 +272,12 @@
 
     fn gap(&mut self, tenant: usize) -> Millis {
         let hot = tenant == 0 && self.now >= super::setup::FAULT_START_MS;
-        let factor = if hot { self.setup.hot_factor } else { 1.0 };
-        let mean = 1_000.0 / (self.setup.demand(tenant) * factor);
+        let demand = match self.setup.is_eager(tenant) {
+            true => self.setup.allowance(tenant).rate_per_s * EAGER_FACTOR,
+            false if hot => self.setup.demand(tenant) * self.setup.hot_factor,
+            false => self.setup.demand(tenant),
+        };
+        let mean = 1_000.0 / demand;
         Millis::from_f64(-mean * (1.0 - self.rng.random_range(0.0..1.0_f64)).ln())
     }
 
