bench(limits): callers come 16 s after the VMs start, and eager tenants ask for ten times their rate

Cause: a changed admission may be stricter while VMs of a region may not yet know one another (they compare records each 10 s), and 6 s measured that start. With four times its rate (4 requests/s) the smallest tenant's random arrivals leave windows with fewer requests than its limit holds. Change: all times are 10 s later; the factor is 10.

--- a/crates/tgw-bench/src/limits/setup.rs
+++ b/crates/tgw-bench/src/limits/setup.rs
@@ -41,11 +41,12 @@
 const DEMAND_EXPONENT: f64 = 1.2;
 /// Factor by which a limit exceeds its tenant's usual demand.
 const LIMIT_FACTOR: f64 = 1.6;
-/// Factor of the rate of its limit at which an eager tenant asks.
-pub const EAGER_FACTOR: f64 = 4.0;
+/// Factor of the rate of its limit at which an eager tenant asks. With 4, the random arrivals of the smallest one leave
+/// windows with fewer requests than its limit.
+pub const EAGER_FACTOR: f64 = 10.0;
 /// When faults begin and end.
-pub(super) const FAULT_START_MS: Millis = Millis::new(12_000);
-const FAULT_END_MS: Millis = Millis::new(18_000);
+pub(super) const FAULT_START_MS: Millis = Millis::new(22_000);
+const FAULT_END_MS: Millis = Millis::new(28_000);
 
 impl Setup {
     /// A setup without faults, with one tenant at six times its usual demand.
--- a/crates/tgw-bench/src/limits/simulation.rs
+++ b/crates/tgw-bench/src/limits/simulation.rs
@@ -23,9 +23,9 @@
 /// Time after which the next VM is asked, and for which a silent one is not asked first, as in the gateway.
 const ASK_TIMEOUT_MS: Millis = Millis::new(60);
 const SILENCE_MS: Millis = Millis::new(1_000);
-/// When the first callers arrive, and how long a run lasts.
-pub(super) const FIRST_ARRIVAL_MS: Millis = Millis::new(6_000);
-pub(super) const RUN_END_MS: Millis = Millis::new(26_000);
+/// When the first callers arrive, once the VMs know one another for certain, and how long a run lasts.
+pub(super) const FIRST_ARRIVAL_MS: Millis = Millis::new(16_000);
+pub(super) const RUN_END_MS: Millis = Millis::new(36_000);
 /// Probability that a packet is lost, usually and beside [`FaultKind::Lossy`].
 const PACKET_LOSS_RATIO: f64 = 0.002;
 const LOSSY_RATIO: f64 = 0.2;
