--- a/crates/tgw-tenant/src/limit/holder.rs
+++ b/crates/tgw-tenant/src/limit/holder.rs
@@ -121,10 +121,8 @@
 
     /// Takes back the token of a request that was not sent.
     pub fn give_back(&mut self, now: Millis, case: Case<'_>) {
-        self.note_call(now);
-        let resumed_at = self.resumed_at;
         let (account, role) = self.account(now, case);
-        account.give_back(now, role, resumed_at);
+        account.give_back(now, role);
     }
 
     /// Asks another region in place of one that has not answered, and decides about requests that wait in
@@ -140,8 +138,7 @@
         self.next_number = number.wrapping_add(1);
         let (account, role) = self.account(now, case);
         let mut decided = Vec::new();
-        account.admit_waiting(now, &mut decided);
-        account.refuse_overdue(now, role, &mut decided);
+        account.admit_waiting(&mut decided);
         if let Some(Borrowing { lender, number, tokens }) = account.borrow(now, role, number) {
             let tenant = case.tenant.clone();
             out.push(Action::Send(lender, Message::Borrow { number, tenant, tokens }));
--- a/crates/tgw-tenant/src/limit/mod.rs
+++ b/crates/tgw-tenant/src/limit/mod.rs
@@ -14,16 +14,16 @@
 
 /// What a region admits for one tenant.
 mod account;
+/// Token buckets.
+mod bucket;
 /// The accounts that one VM keeps.
 mod holder;
 /// Messages between VMs.
 pub mod message;
 /// Which VMs admit the requests of a tenant.
 pub mod ranking;
-/// The parts of VMs in a limit.
+/// Rates and sizes of the buckets.
 mod share;
-/// What the windows of a region may still hold.
-mod windows;
 
 pub use account::BORROW_TIMEOUT_MS;
 pub use holder::{Action, Asker, Case, Holder};
--- a/crates/tgw-tenant/src/limit/ranking.rs
+++ b/crates/tgw-tenant/src/limit/ranking.rs
@@ -8,9 +8,6 @@
 /// VMs of a region that may be asked about one tenant: its holder and two backups.
 pub const MAX_RANKED: usize = 3;
 
-/// Time for which VMs may know different VMs of their region: they compare their records each 10 s.
-pub(super) const SPREAD_TIME_MS: Millis = Millis::new(15_000);
-
 /// A VM that takes part in admission.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
 pub struct Candidate {
