--- a/crates/tgw-soak/src/fleet.rs
+++ b/crates/tgw-soak/src/fleet.rs
@@ -46,6 +46,10 @@
         subnet: u8,
         store_addrs: &[SocketAddr],
     ) -> anyhow::Result<Self> {
+        // What VMs of an earlier run kept in their files is not known to those of this run.
+        if folder.exists() {
+            fs::remove_dir_all(folder).with_context(|| folder.display().to_string())?;
+        }
         fs::create_dir_all(folder).with_context(|| folder.display().to_string())?;
         let ports = Ports { callers: 7801, readiness: 7802, peers: 7803 };
         let ip =
--- a/crates/tgw-soak/src/run.rs
+++ b/crates/tgw-soak/src/run.rs
@@ -1,5 +1,5 @@
 use crate::{
-    callers::{Caller, Exchanges, Kind},
+    callers::{Caller, Exchange, Exchanges, Kind},
     check::{self, Disturbances, Report},
     environment::Environment,
     fleet::{DOMAINS, Fleet},
@@ -7,6 +7,7 @@
     quarantine,
     schedule::{self, CALM_TIME, Fault},
 };
+use http::header::RETRY_AFTER;
 use nix::sys::signal::Signal;
 use std::{
     cell::{Cell, RefCell},
@@ -157,10 +158,27 @@
         let text: Vec<String> =
             steps.iter().chain(&calm_steps).map(|s| format!("{:?} {:?}", s.at, s.fault)).collect();
         fs::write(options.logs.join("faults.txt"), text.join("\n"))?;
+        let lines: Vec<String> = exchanges.iter().map(|e| exchange_line(start, e)).collect();
+        fs::write(options.logs.join("exchanges.csv"), lines.join("\n"))?;
     }
     Ok(report)
 }
 
+/// One request as a line of `exchanges.csv`: ms since the start of the faults, VM, kind, status (zero without an answer),
+/// ms until the answer and when to retry.
+fn exchange_line(start: Instant, exchange: &Exchange) -> String {
+    let Exchange { kind, elapsed, answer, vm, sent_at, request_id } = exchange;
+    let status = answer.as_ref().map_or(0, |a| a.status.as_u16());
+    let retry_after = answer.as_ref().and_then(|a| a.headers.get(RETRY_AFTER)?.to_str().ok());
+    format!(
+        "{},vm-{},{kind:?},{status},{},{},{request_id}",
+        sent_at.saturating_duration_since(start).as_millis(),
+        vm + 1,
+        elapsed.as_millis(),
+        retry_after.unwrap_or_default(),
+    )
+}
+
 fn start_callers(
     fleet: &Rc<RefCell<Fleet>>,
     options: &Options,
