fix(quarantine): evidence survives a restart of all VMs

Cause: VMs held the quarantine in memory and told it to VMs that start. With all of them killed at once nobody was left to tell. A file renamed over another one was tried first: killed processes did not end for 2 to 8 s while the disk was busy. Why it works: what is known is refused from the first request on. It cannot help with requests that nobody has seen.

--- a/crates/tgw-quarantine/src/lib.rs
+++ b/crates/tgw-quarantine/src/lib.rs
@@ -26,6 +26,8 @@
 mod record;
 /// The requests that are remembered.
 mod records;
+/// What a VM keeps over a restart.
+mod snapshot;
 /// Evidence against all requests.
 pub mod tracker;
 /// Decisions on requests.
--- a/crates/tgw-quarantine/src/record.rs
+++ b/crates/tgw-quarantine/src/record.rs
@@ -1,4 +1,5 @@
 use crate::{
+    Fingerprint,
     evidence::Evidence,
     message::{Rounds, Termination},
 };
@@ -25,6 +26,17 @@
 }
 
 impl End {
+    /// Whether it counts at all services together.
+    pub(crate) fn counts(&self) -> bool {
+        self.counts
+    }
+
+    /// The report of it, for the request under which the upstream ended.
+    pub(crate) fn termination(&self, fingerprint: Fingerprint) -> Termination {
+        let Self { upstream, service, rounds, .. } = *self;
+        Termination { fingerprint, service, upstream, rounds }
+    }
+
     /// The round in which it counts at a service, or at all; `None` if it does not.
     pub(crate) fn round(&self, service: Option<u32>) -> Option<u8> {
         match service {
--- a/crates/tgw-quarantine/tests/quarantine.rs
+++ b/crates/tgw-quarantine/tests/quarantine.rs
@@ -7,3 +7,4 @@
 mod fingerprint;
 mod ledger;
 mod reports;
+mod snapshot;
