fix(forward): a suspect leaves a service its last warm upstreams

Cause: a quarantine takes three rounds. Four queries of death share the three upstreams, and each upstream that comes back goes to one that has one or two rounds. Change: a request with a round in the last 10 s, not answered and not quarantined, is sent to a single service only if two other warm upstreams stay, and one in the same region where a route is restricted to regions. Upstreams whose end any VM reported are no spares. The first retry after a crash, queries of shards and requests answered in the last minute are exempt. Why it works: what nobody knows takes at most two upstreams, once; after that the service keeps the others, and they are warm. Tests: seven in `crates/tgw-forward/tests/quarantine`; those on spares fail without the rule.

--- a/crates/tgw-forward/src/cold.rs
+++ b/crates/tgw-forward/src/cold.rs
@@ -99,6 +99,22 @@
         eligible.peek().is_some() && eligible.all(limited)
     }
 
+    /// The upstreams of a service that would serve a request now at their full rate.
+    pub(crate) fn warm_upstreams<'a>(
+        &'a self,
+        now: Millis,
+        service: &str,
+        scope: Scope<'a>,
+    ) -> impl Iterator<Item = (Key, &'a Upstream)> {
+        let upstreams = self.upstreams_of(service).iter();
+        let upstreams = upstreams.filter_map(|key| Some((*key, self.get(*key)?)));
+        upstreams.filter(move |(_, upstream)| {
+            self.is_eligible(upstream, scope)
+                && !upstream.is_suspected(now)
+                && !upstream.is_cold(now)
+        })
+    }
+
     /// The number of VMs that hold a lease on one upstream at a time.
     fn holder_count(&self, terms: LeaseTerms) -> usize {
         (self.policy.warm_holders as usize).clamp(1, terms.max_requests())
--- a/crates/tgw-forward/src/core.rs
+++ b/crates/tgw-forward/src/core.rs
@@ -5,8 +5,9 @@
     upstream::Distance,
     warmup::Headroom,
 };
+use smallvec::{SmallVec, smallvec};
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     rc::Rc,
 };
 use tgw_admission::Admission;
@@ -91,6 +92,8 @@
     connections: HashMap<Rc<str>, u32>,
     /// Residency by route, for routes restricted to some regions.
     residencies: HashMap<Rc<str>, Residency>,
+    /// Single services that serve a route which is restricted to some regions.
+    restricted: BTreeSet<Rc<str>>,
     windows: HashMap<Rc<str>, Window>,
     hedges: HashMap<Rc<str>, [Hedge; 3]>,
     shares: HashMap<Rc<str>, RoundRobin>,
@@ -115,12 +118,18 @@
         self.parts = parts_by_service(config);
         self.fleet.set_cold_limits(config);
         let restricted = config.routes.iter().filter(|route| !route.residency.is_unrestricted());
+        self.restricted = restricted.clone().flat_map(single_services).collect();
         self.residencies = restricted.map(|r| (r.name.clone(), r.residency.clone())).collect();
         self.windows.retain(|name, _| config.services.contains_key(name));
         self.hedges.retain(|name, _| config.routes.iter().any(|r| r.name == *name));
         self.shares.retain(|name, _| config.routes.iter().any(|r| r.name == *name));
     }
 
+    /// Whether a single service serves a route that is restricted to some regions.
+    pub(crate) fn is_restricted(&self, service: &str) -> bool {
+        self.restricted.contains(service)
+    }
+
     /// The residency of a route in the current configuration, if it has one.
     pub(crate) fn residency(&self, route: &str) -> Option<&Residency> {
         self.residencies.get(route)
@@ -312,6 +321,15 @@
     }
 }
 
+/// The services to one of which a request of a route goes.
+fn single_services(route: &Rc<Route>) -> SmallVec<[Rc<str>; 1]> {
+    match &route.target {
+        Target::Single(service) => smallvec![service.clone()],
+        Target::Weighted(services) => services.iter().map(|(name, _)| name.clone()).collect(),
+        Target::Shards(_) => SmallVec::new(),
+    }
+}
+
 /// The number of parts of the largest query that each service is a shard of.
 fn parts_by_service(config: &Config) -> BTreeMap<Rc<str>, usize> {
     let mut parts: BTreeMap<Rc<str>, usize> = BTreeMap::new();
--- a/crates/tgw-forward/src/lib.rs
+++ b/crates/tgw-forward/src/lib.rs
@@ -36,7 +36,7 @@
 /// Mechanisms and weights that experiments may change.
 pub mod policy;
 /// Limits on requests that may terminate upstreams.
-mod quarantine;
+pub mod quarantine;
 /// Regions to which a request may be sent.
 mod scope;
 /// First sends, hedges and retries of a request.
--- a/crates/tgw-forward/src/quarantine.rs
+++ b/crates/tgw-forward/src/quarantine.rs
@@ -1,13 +1,26 @@
 use crate::{
-    Core, Plan,
+    Core, Plan, Upstream,
+    fleet::Key,
     message::{Reason, Response, SendOrder, Trigger},
-    part::{Part, State},
+    part::{self, Part, State},
+    upstream::Entry,
 };
+use smallvec::SmallVec;
 use tgw_clock::Millis;
 use tgw_quarantine::{
     message::Rounds,
-    tracker::{QUARANTINE_ROUNDS, Verdict},
+    tracker::{QUARANTINE_ROUNDS, Verdict, hash_name},
 };
+use tgw_route::Target;
+
+/// Number of warm upstreams that a single service keeps when a suspect is sent to another one. Suspects that each took
+/// the last warm upstream left a service without any for as long as a replacement takes to start and to become warm.
+const MIN_SPARE_UPSTREAMS: usize = 2;
+
+/// Identifies an upstream's incarnation in reports about its end.
+pub fn incarnation_hash(entry: &Entry) -> u32 {
+    hash_name(&format!("{}/{}", entry.id, entry.started))
+}
 
 /// Whether one more send may be made now.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
@@ -101,6 +114,9 @@
             1.. if any_in_flight => return Permission::Wait,
             _ => {}
         }
+        if self.lacks_spares(now, part, rounds, core) {
+            return Permission::Denied;
+        }
         let turn = core.quarantine.turn(self.fingerprint, &part.service);
         let turn = turn.filter(|at| !self.answered && *at > now);
         self.resume_at = turn.filter(|at| *at < self.deadline);
@@ -117,6 +133,36 @@
         Permission::Granted(Rounds { total: rounds.max(known.total), ..known })
     }
 
+    /// Whether the request is a suspect whose next send could leave a single service without warm upstreams. The retry
+    /// after the first termination is exempt: most of these are crashes that the request did not cause. So are queries,
+    /// whose sends go to another shard each.
+    fn lacks_spares(&self, now: Millis, part: &Part, rounds: u8, core: &Core) -> bool {
+        let exempt_rounds = if part.sends == 0 { 0 } else { 1 };
+        let single = !matches!(self.route.target, Target::Shards(_));
+        if !single
+            || self.answered
+            || rounds <= exempt_rounds
+            || !core.quarantine.is_suspect(now, self.fingerprint)
+        {
+            return false;
+        }
+        let (service, scope) = (&part.service, core.scope(&self.route));
+        let limits = part::send_limits(core, &self.route, service);
+        let Some(choice) = core.fleet.pick(now, service, limits, &part.tried, scope) else {
+            return false;
+        };
+        let warm = core.fleet.warm_upstreams(now, service, scope);
+        let spares: SmallVec<[(Key, &Upstream); 4]> = warm
+            .filter(|(key, upstream)| {
+                *key != choice.key && !core.quarantine.has_ended(incarnation_hash(&upstream.entry))
+            })
+            .collect();
+        let region = |upstream: &Upstream| core.fleet.place.region(&upstream.entry.domain);
+        let chosen = core.fleet.get(choice.key).and_then(region);
+        spares.len() < MIN_SPARE_UPSTREAMS
+            || (core.is_restricted(service) && !spares.iter().any(|(_, u)| region(u) == chosen))
+    }
+
     /// Gives a part up because its request is quarantined.
     pub(crate) fn give_up_quarantined(&mut self, index: usize, trigger: Trigger) {
         self.withhold(index, trigger, Reason::Quarantined);
--- a/crates/tgw-forward/tests/quarantine/mod.rs
+++ b/crates/tgw-forward/tests/quarantine/mod.rs
@@ -1,19 +1,21 @@
 //! Requests under which upstreams terminate, over several attempts.
 
-use crate::world::{World, answered, record, route, shards};
+use crate::world::{FAR, NEAR, World, answered, entry, record, route, shards};
+use std::rc::Rc;
 use test_case::test_case;
 use tgw_clock::Millis;
 use tgw_forward::{
     Policy,
     plan::{Answer, Cause, SendResult, Trigger},
-    upstream::SendOutcome,
+    quarantine::incarnation_hash,
+    upstream::{Entry, SendOutcome},
 };
 use tgw_quarantine::{
     Fingerprint,
     message::{Rounds, Termination},
     tracker::hash_name,
 };
-use tgw_route::{Safety, Target};
+use tgw_route::{Config, Residency, Route, Safety, Service, Target, Warmup};
 
 fn terminate(world: &mut World, index: usize) -> Option<Answer> {
     world.end(index, SendResult::Terminated, SendOutcome::Broken)
@@ -293,3 +295,111 @@
     }
     assert_eq!(world.orders.len(), 8);
 }
+
+/// A single service with three warm upstreams, one of which has terminated under the request of this world as another VM
+/// reports.
+fn suspect_world() -> World {
+    let mut world = World::new(1);
+    world.core.fleet.put(Millis::ZERO, entry("s0-third", "s0", NEAR));
+    report_termination(&mut world, "s0", 0, Rounds::default());
+    world
+}
+
+fn single() -> Rc<Route> {
+    route(Target::Single("s0".into()), Safety::Idempotent)
+}
+
+// Four deadly queries of a service with three upstreams each terminated one upstream for each that came back. None of
+// them was quarantined for want of a third upstream, and the service served nothing for seconds. A suspect leaves the
+// last two warm upstreams alone.
+#[test_case(0, true; "two spares")]
+#[test_case(1, false; "one spare")]
+#[test_case(2, false; "the last one")]
+fn suspect_is_sent_only_beside_spare_upstreams(gone: usize, sent: bool) {
+    let mut world = suspect_world();
+    for id in ["s0-near", "s0-far"].iter().take(gone) {
+        world.core.fleet.remove(id);
+    }
+    let answer = world.start(&single());
+    assert_eq!(world.orders.len(), usize::from(sent));
+    let refused = matches!(answer, Some(Answer::Refused { .. }));
+    assert_eq!(refused, !sent, "it was not executed: {answer:?}");
+}
+
+// Cold upstreams accept few requests: beside two of them, the only warm one carries the service.
+#[test]
+fn cold_upstreams_are_no_spares() {
+    let mut world = suspect_world();
+    for id in ["s0-far", "s0-third"] {
+        world.core.fleet.remove(id);
+        let cold = Entry { warmup: Millis::new(5_000), ..entry(id, "s0", NEAR) };
+        world.core.fleet.put(world.now, cold);
+    }
+    assert!(matches!(world.start(&single()), Some(Answer::Refused { .. })));
+    assert!(world.orders.is_empty());
+}
+
+// Without an end to the suspicion, a harmless request whose upstream crashed once would never again be sent to a
+// service of one upstream.
+#[test]
+fn suspicion_ends_though_spares_are_missing() {
+    let mut world = suspect_world();
+    world.core.fleet.remove("s0-far");
+    world.core.fleet.remove("s0-third");
+    world.advance(10_000);
+    assert!(world.start(&single()).is_none());
+    assert_eq!(world.orders.len(), 1);
+}
+
+// An upstream crashes under a harmless request. Its retry reaches the other upstream of the service at once.
+#[test]
+fn first_retry_after_a_crash_needs_no_spares() {
+    let mut world = World::new(1);
+    world.start(&single());
+    assert!(terminate(&mut world, 0).is_none());
+    assert_eq!(world.orders.len(), 2);
+}
+
+// A popular request was answered shortly before an upstream ended under it: it is no suspect, whatever is left.
+#[test]
+fn request_answered_before_is_no_suspect() {
+    let mut world = World::new(1);
+    world.core.quarantine.record_answer(world.now, world.fingerprint, "s0");
+    report_termination(&mut world, "s0", 0, Rounds::default());
+    assert!(world.start(&single()).is_none());
+    assert_eq!(world.orders.len(), 1);
+}
+
+// Three suspects reached three VMs within 0.6 s. Each VM knew the end of the upstream that it had sent to and counted the
+// other two as spares, and the service lost all three.
+#[test]
+fn upstreams_whose_end_another_vm_reported_are_no_spares() {
+    let mut world = suspect_world();
+    let other = Fingerprint { content: 3, caller: 8 };
+    let key = world.core.fleet.key("s0-far").unwrap();
+    let upstream = incarnation_hash(&world.core.fleet.get(key).unwrap().entry);
+    let (service, rounds) = (hash_name("s0"), Rounds::default());
+    let termination = Termination { fingerprint: other, service, upstream, rounds };
+    world.core.quarantine.record_end(world.now, &termination);
+    assert!(matches!(world.start(&single()), Some(Answer::Refused { .. })));
+    assert!(world.orders.is_empty());
+}
+
+// Requests that may be served in one region only depend on its upstreams. A suspect took the only one there, though two
+// were left in other regions.
+#[test_case(&["r1"], false; "restricted")]
+#[test_case(&[], true; "unrestricted")]
+fn suspect_leaves_a_region_its_only_upstream(regions: &[&str], sent: bool) {
+    let mut world = World::new(1);
+    world.core.fleet.put(Millis::ZERO, entry("s0-third", "s0", FAR));
+    report_termination(&mut world, "s0", 0, Rounds::default());
+    let residency: Residency = regions.iter().map(|region| Rc::from(*region)).collect();
+    let home = Route { name: "home".into(), residency, ..(*single()).clone() };
+    let mut config = Config::default();
+    let service = Service { max_connections: 32, warmup: Warmup::default() };
+    config.services.insert("s0".into(), service);
+    config.routes.push(Rc::new(home));
+    world.core.configure(&config);
+    let answer = world.start(&single());
+    assert_eq!((world.orders.len(), answer.is_some()), (usize::from(sent), !sent));
+}
--- a/crates/tgw-gateway/src/quarantine.rs
+++ b/crates/tgw-gateway/src/quarantine.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use std::{cell::Cell, net::SocketAddr};
 use tgw_clock::Millis;
-use tgw_forward::upstream::Entry;
+use tgw_forward::{quarantine::incarnation_hash, upstream::Entry};
 use tgw_quarantine::{
     Fingerprint,
     message::{Termination, Update},
@@ -63,9 +63,7 @@
 
 /// Records that an upstream ended under a send of this VM.
 pub(crate) fn record_end(shared: &Shared, entry: &Entry, broken: &BrokenSend) {
-    let incarnation = format!("{}/{}", entry.id, entry.started);
-    let (service, upstream) =
-        (tracker::hash_name(&entry.service), tracker::hash_name(&incarnation));
+    let (service, upstream) = (tracker::hash_name(&entry.service), incarnation_hash(entry));
     let termination =
         Termination { fingerprint: broken.fingerprint, service, upstream, rounds: broken.seen };
     let change = shared.core.borrow_mut().quarantine.record_end(shared.now(), &termination);
--- a/crates/tgw-quarantine/src/ends.rs
+++ b/crates/tgw-quarantine/src/ends.rs
@@ -38,6 +38,11 @@
         }
     }
 
+    /// Whether the end of an upstream is remembered.
+    pub(crate) fn contains(&self, upstream: u32) -> bool {
+        self.suspects.contains_key(&upstream)
+    }
+
     /// Clears a request of an end.
     pub(crate) fn clear(&mut self, upstream: u32, content: u64) {
         if let Some(suspects) = self.suspects.get_mut(&upstream) {
--- a/crates/tgw-quarantine/src/evidence.rs
+++ b/crates/tgw-quarantine/src/evidence.rs
@@ -31,6 +31,10 @@
 /// does, and its request would end one upstream more.
 const DECISION_TIMEOUT_MS: Millis = Millis::new(500);
 
+/// Time in ms after the last round for which a request without an answer is a suspect: above the time in which a
+/// service of few upstreams has replaced the one that ended, and the new one is warm.
+const SUSPICION_MS: Millis = Millis::new(10_000);
+
 /// Greatest epoch that another VM can have reached. A greater one could not grow any more, and its quarantine never end.
 const MAX_EPOCH: u16 = u16::MAX / 2;
 
@@ -154,6 +158,12 @@
         decides.then_some(self.last_growth)
     }
 
+    /// Whether upstreams ended under the request lately, and nothing but that is known of it.
+    pub(crate) fn is_suspect(&self, now: Millis) -> bool {
+        let undecided = self.rounds > 0 && !self.is_quarantined() && !self.answered_before;
+        undecided && now < self.last_growth + SUSPICION_MS
+    }
+
     /// Time left for the send that decides on a quarantine, if one may be in flight.
     pub(crate) fn decision_wait(&self, now: Millis) -> Option<Millis> {
         let until = self.last_growth + DECISION_TIMEOUT_MS;
--- a/crates/tgw-quarantine/src/tracker.rs
+++ b/crates/tgw-quarantine/src/tracker.rs
@@ -118,6 +118,11 @@
         }
     }
 
+    /// Whether this VM or another one saw the end of an upstream's incarnation, by its hash.
+    pub fn has_ended(&self, upstream: u32) -> bool {
+        self.ends.contains(upstream)
+    }
+
     /// Records that an upstream of a service answered a request, with whatever reply. Upstreams do not see the caller,
     /// so no other caller's request with this content ends them either. Returns whether that released a quarantined
     /// request.
--- a/crates/tgw-quarantine/src/verdict.rs
+++ b/crates/tgw-quarantine/src/verdict.rs
@@ -62,6 +62,13 @@
         !self.is_empty() && self.applicable_quarantines(fingerprint, None).next().is_some()
     }
 
+    /// Whether upstreams ended lately under a request that is neither quarantined nor known to have been answered.
+    pub fn is_suspect(&self, now: Millis, fingerprint: Fingerprint) -> bool {
+        let callers = self.records.of_content(fingerprint.content).iter();
+        let mut evidence = callers.map(|(_, record)| record.overall);
+        evidence.any(|evidence| evidence.is_suspect(now))
+    }
+
     /// Number of rounds in which upstreams ended under a request, as far as they limit its sends:
     /// [`QUARANTINE_ROUNDS`] only in quarantine.
     pub fn rounds(&self, fingerprint: Fingerprint) -> u8 {
