fix(gateway): a VM that starts is told the rounds of suspects

Cause: a VM that starts was told quarantined requests only. One that was restarted while a query ended its first two upstreams took it for a new one, and sent it to the home region's only upstream and one more. Change: the state that a VM gets at its start holds all evidence, in the form that is kept in a file. Why it works: the rule for suspects needs the rounds at the VM that sends.

--- a/crates/tgw-gateway/src/state_exchange.rs
+++ b/crates/tgw-gateway/src/state_exchange.rs
@@ -11,7 +11,6 @@
 };
 use tgw_clock::Millis;
 use tgw_member::Event;
-use tgw_quarantine::message::Update as QuarantineUpdate;
 use tgw_spread::{
     Applied, Message,
     message::{Update, Versions},
@@ -109,13 +108,7 @@
     }
 
     fn apply_update(&self, from: SocketAddr, update: Update) {
-        if !update.quarantines.is_empty() {
-            quarantine::apply_update(
-                &self.shared,
-                from,
-                &QuarantineUpdate { states: update.quarantines, ..QuarantineUpdate::default() },
-            );
-        }
+        quarantine::restore(&self.shared, Millis::ZERO, &update.quarantine, &from.to_string());
         let config =
             update.config.and_then(|c| self.shared.world.borrow_mut().apply_config_update(c));
         if let Some(config) = config {
@@ -207,15 +200,14 @@
             let world = self.shared.world.borrow();
             let now = self.shared.now();
             // A starting VM serves as soon as it has this reply, so it must know the quarantined
-            // requests by then; a separate packet could be lost.
+            // requests and all suspects by then; a separate packet could be lost.
             let starting = versions.upstreams == 0;
-            let quarantined =
-                starting.then(|| self.shared.core.borrow().quarantine.all_states(now));
+            let quarantine = starting.then(|| self.shared.core.borrow().quarantine.snapshot(now));
             Update {
                 config: world.config_update_since(versions.config),
                 upstreams: world.upstreams.update_since(now, versions.upstreams),
                 evacuations: world.evacuations.update_since(versions.evacuations),
-                quarantines: quarantined.unwrap_or_default(),
+                quarantine: quarantine.unwrap_or_default(),
             }
         };
         self.write_message(stream, &Message::Update(Box::new(update))).await
--- a/crates/tgw-spread/src/message.rs
+++ b/crates/tgw-spread/src/message.rs
@@ -108,9 +108,9 @@
     pub upstreams: Option<upstreams::Update>,
     /// The evacuated failure domains.
     pub evacuations: Option<evacuations::Update>,
-    /// Quarantined requests, for a VM that starts.
+    /// Quarantined requests and the evidence against all others, for a VM that starts.
     #[serde(rename = "held")]
-    pub quarantines: Vec<quarantine::QuarantineState>,
+    pub quarantine: quarantine::Update,
 }
 
 /// Changes of the configuration.
