revert(gateway): no file of the quarantine beside the settings

Cause: VMs have no disk, and on the users' platform nothing outlives a process, so that a file would mend the soak and nobody's service. Change: the gateway keeps the quarantine in memory again; what VMs tell one that starts stays.

--- a/crates/tanagergw/src/gateway.rs
+++ b/crates/tanagergw/src/gateway.rs
@@ -1,13 +1,7 @@
 //! The `tanagergw gateway` command: serves on the users' platform.
 
 use anyhow::Context;
-use std::{
-    io,
-    path::{Path, PathBuf},
-    process::ExitCode,
-    rc::Rc,
-    time::Duration,
-};
+use std::{io, process::ExitCode, rc::Rc, time::Duration};
 use tgw_forward::Policy;
 use tgw_gateway::{
     Options,
@@ -24,10 +18,6 @@
     /// The platform's settings file.
     #[arg(long, env = settings::PATH_VARIABLE)]
     settings: String,
-    /// File in which this VM keeps the requests that end upstreams, for a restart of all VMs at once; by default
-    /// beside the settings file, with the extension `quarantine`.
-    #[arg(long)]
-    quarantine: Option<PathBuf>,
     /// Log filter, such as `info` or `tgw_gateway=debug`.
     #[arg(long, default_value = "info")]
     log: String,
@@ -52,11 +42,7 @@
         tracing::warn!(setting, "policy setting overridden by --set");
     }
     let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
-    let quarantine_file = args.quarantine.clone();
-    let quarantine_file =
-        quarantine_file.unwrap_or_else(|| Path::new(&args.settings).with_extension("quarantine"));
-    let serve = serve(&args.settings, settings, dropped_lines, policy, quarantine_file);
-    LocalSet::new().block_on(&runtime, serve)
+    LocalSet::new().block_on(&runtime, serve(&args.settings, settings, dropped_lines, policy))
 }
 
 fn read_settings(path: &str) -> anyhow::Result<Settings> {
@@ -72,7 +58,6 @@
     settings: Settings,
     dropped_lines: DropCounter,
     policy: Policy,
-    quarantine_file: PathBuf,
 ) -> anyhow::Result<ExitCode> {
     let mut term = unix::signal(unix::SignalKind::terminate())?;
     let mut hup = unix::signal(unix::SignalKind::hangup())?;
@@ -83,7 +68,6 @@
         store: store.clone(),
         dropped_lines: Some(dropped_lines),
         policy,
-        quarantine_file: Some(quarantine_file),
     };
     let mut handle = tgw_gateway::spawn(options).await?;
     let mut current = settings;
--- a/crates/tgw-gateway/src/lib.rs
+++ b/crates/tgw-gateway/src/lib.rs
@@ -55,8 +55,6 @@
 mod pool;
 /// Quarantine of requests under which upstreams end.
 pub mod quarantine;
-/// The quarantine in a file, for a restart of all VMs.
-mod quarantine_file;
 /// Readiness, metrics and quarantine over HTTP.
 mod readiness;
 /// Timeouts of request heads.
--- a/crates/tgw-gateway/src/quarantine.rs
+++ b/crates/tgw-gateway/src/quarantine.rs
@@ -39,16 +39,9 @@
     next_round_at: Cell<Millis>,
     second: Cell<u64>,
     forwards: Cell<u32>,
-    /// Evidence has changed since it was last written to the file.
-    unsaved: Cell<bool>,
 }
 
 impl Schedule {
-    /// Whether evidence has changed since the last call.
-    pub(crate) fn take_unsaved(&self) -> bool {
-        self.unsaved.replace(false)
-    }
-
     /// Whether one more packet of updates may be forwarded in this second.
     fn allow_forward(&self, now: Millis) -> bool {
         let second = now.as_whole_ms() / 1_000;
@@ -89,7 +82,7 @@
     }
 }
 
-/// Adopts all evidence that another VM, or an earlier process of this one, held `age` ago. `source` names it in the log.
+/// Adopts all evidence that another VM held `age` ago. `source` names it in the log.
 pub(crate) fn restore(shared: &Shared, age: Millis, evidence: &Update, source: &str) {
     let tracker = &mut shared.core.borrow_mut().quarantine;
     let changes = tracker.restore(shared.now(), age, evidence);
@@ -187,7 +180,6 @@
             let Some(update) = self.shared.core.borrow_mut().quarantine.take_update() else {
                 return;
             };
-            self.schedule.unsaved.set(true);
             self.send_to_random(FANOUT, &Datagram::Quarantine(update));
         }
     }
--- a/crates/tgw-gateway/src/serve.rs
+++ b/crates/tgw-gateway/src/serve.rs
@@ -5,12 +5,12 @@
     log::DropCounter,
     packets::Packets,
     peers::Peers,
-    quarantine_file, readiness,
+    readiness,
     shared::{Phase, Shared},
     stale, watch,
 };
 use anyhow::Context;
-use std::{net::SocketAddr, path::PathBuf, rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 use tgw_clock::Millis;
 use tgw_forward::Policy;
 use tgw_platform::Store;
@@ -43,8 +43,6 @@
     pub dropped_lines: Option<DropCounter>,
     /// Parameters of the decision core.
     pub policy: Policy,
-    /// Where this VM keeps its quarantine over a restart; `None` to keep it in memory only.
-    pub quarantine_file: Option<PathBuf>,
 }
 
 /// A running gateway.
@@ -70,7 +68,7 @@
 /// Binds the sockets and starts serving on the current thread. Must run within a `LocalSet`.
 /// Errors: an address is in use or does not belong to this machine.
 pub async fn spawn(options: Options) -> anyhow::Result<Handle> {
-    let Options { settings, codec, store, dropped_lines, policy, quarantine_file } = options;
+    let Options { settings, codec, store, dropped_lines, policy } = options;
     let callers = bind(settings.callers_addr, "callers").await?;
     let readiness = bind(settings.readiness_addr, "readiness").await?;
     let (callers_addr, readiness_addr) = (callers.local_addr()?, readiness.local_addr()?);
@@ -80,18 +78,12 @@
     let shared = Shared::new(settings, codec, packets, dropped_lines, policy)?;
     tracing::info!(vm = shared.settings.vm, callers = %shared.settings.callers_addr,
         seeds = ?shared.settings.peer.seeds, "start");
-    if let Some(path) = &quarantine_file {
-        quarantine_file::restore(&shared, path);
-    }
     tokio::task::spawn_local(watch::configuration(shared.clone(), store.clone()));
     tokio::task::spawn_local(watch::upstreams(shared.clone(), store.clone()));
     tokio::task::spawn_local(watch::evacuations(shared.clone(), store.clone()));
     tokio::task::spawn_local(watch::probe(shared.clone(), store.clone()));
     tokio::task::spawn_local(stale::run(shared.clone(), store.clone()));
     let peers = Peers::spawn(shared.clone(), peers)?;
-    if let Some(path) = quarantine_file {
-        tokio::task::spawn_local(quarantine_file::run(peers.clone(), path));
-    }
     let addresses =
         Addresses { callers: callers_addr, readiness: readiness_addr, peers: peers.addr() };
     tokio::task::spawn_local(discovery::run(shared.clone(), store, peers.clone()));
