--- a/crates/tgw-gateway/src/lib.rs
+++ b/crates/tgw-gateway/src/lib.rs
@@ -7,6 +7,8 @@
 
 /// Admission of requests within the limits of their tenants.
 mod admission;
+/// How the admission of each query goes, for metrics and log lines.
+mod admission_progress;
 /// Comparison of this VM's lists with those of other VMs.
 mod agreement;
 /// Who a request is made for.
@@ -25,6 +27,8 @@
 mod exchange;
 /// Queries that other VMs make for this one, and this VM for others.
 mod gather;
+/// Load of a VM that makes queries for others.
+pub mod gather_load;
 /// Handling of one request.
 mod handle;
 /// HTTP headers of forwarded messages.
