feat(admission): a level that VMs of a region agree on, off by default

Cause: a VM with few queries learns too little from its own replies.

Change: VMs report their evidence of overload (`Admission::report`) and average that of others with their own (`apply_report`); a VM with few queries admits by the resulting share. The emulator delivers reports with delay and loss; `admission_share` is the number of receivers, zero by default. The usual work of a route is known from 12 replies, or from a report.

Known red: a_region_rejects_while_overloaded_and_recovers, 2 of 100 queries rejected 2 to 4 s after overload.

--- a/crates/tgw-admission/src/admission.rs
+++ b/crates/tgw-admission/src/admission.rs
@@ -4,6 +4,8 @@
     group::{Group, Left, Service},
     permit::DropList,
     queue::Entry,
+    report::{MAX_GROUPS, Report},
+    senders::Senders,
 };
 use smallvec::SmallVec;
 use std::{collections::HashMap, rc::Rc};
@@ -39,6 +41,8 @@
     running: HashMap<u64, Running>,
     waiting: HashMap<u64, Waiting>,
     wakeups: SmallVec<[u64; 4]>,
+    senders: Senders,
+    reported_at: Option<Millis>,
 }
 
 impl Admission {
@@ -58,16 +62,24 @@
         for service in services {
             self.services.entry(service.clone()).or_default().record_query(now, &query);
         }
+        self.usual.add(&query.route);
         self.groups.entry(query.group).or_default().record_query(&query, services);
+        let senders = self.senders.recent(now);
+        if let Some(group) = self.groups.get_mut(&query.group) {
+            group.region.update(now, senders, group.max_missing());
+            group.region.record_query(now, services.len());
+        }
         self.update(now, query.group);
         let Some(group) = self.groups.get_mut(&query.group) else {
             return Decision::Admitted(Permit { number, list: self.dropped.clone() });
         };
-        if !group.take_share(query.priority) {
+        let shared = group.region.share(self.settings.thin_queries);
+        let level = shared.unwrap_or(group.limit.share());
+        if !group.take_share(query.priority, level, query.retry_spread) {
             group.limit.record_use();
             return reject(group, &query, Reason::Backlog);
         }
-        if group.queue.is_empty() && group.limit.has_room(group.running) {
+        if shared.is_some() || (group.queue.is_empty() && group.limit.has_room(group.running)) {
             group.queue.record_use(now, query.tenant.as_ref(), 1.0);
             return Decision::Admitted(self.start(now, number, &query));
         }
@@ -153,8 +165,53 @@
         let raised = overloaded || service.queue.is_suspected(now);
         let wait = self.usual.record(reply.route, latency, reply.round_trip_ms, raised);
         let allowed = service.allowed_wait(now, self.settings.wait_share);
-        service.queue.record_reply(now, (reply.upstream, reply.sent_at), wait, allowed);
         service.record_reply(now);
+        self.groups.values_mut().for_each(|group| group.record_reply(now, reply.service));
+        let Some(wait) = wait else { return };
+        service.queue.record_reply(now, (reply.upstream, reply.sent_at), wait, allowed);
+        for group in self.groups.values_mut() {
+            group.record_wait(now, reply.service, wait / allowed.max(1.0));
+        }
+    }
+
+    /// The evidence of overload for other VMs of the region, if there is any: at most 3.3 reports a
+    /// second.
+    pub fn report(&mut self, now: Millis) -> Option<Report> {
+        const REPORT_INTERVAL_MS: Millis = Millis::new(300);
+        if self.reported_at.is_some_and(|at| now - at < REPORT_INTERVAL_MS) {
+            return None;
+        }
+        let senders = self.senders.recent(now);
+        let mut age = Millis::MAX;
+        let mut groups = Vec::new();
+        for (number, group) in &mut self.groups {
+            group.region.update(now, senders, group.max_missing());
+            let Some(report) = group.region.report(now, *number) else { continue };
+            age = age.min(group.region.age(now).unwrap_or(age));
+            groups.push(report);
+        }
+        groups.sort_by_key(|group| (std::cmp::Reverse(group.offered), group.group));
+        groups.truncate(MAX_GROUPS);
+        if groups.is_empty() {
+            return None;
+        }
+        self.reported_at = Some(now);
+        let (sent_ms, age_ms) = (now.as_f64() as u64, age.as_f64() as u16);
+        Some(Report { sent_ms, age_ms, groups, usual: self.usual.report() })
+    }
+
+    /// Takes in a report of process `from`; one that is malformed, too old, from the future, replayed
+    /// or of another configuration has no effect.
+    pub fn apply_report(&mut self, now: Millis, from: u64, report: &Report) {
+        if !report.is_valid() || !self.senders.accept(now, from, report.sent_ms, report.age_ms) {
+            return;
+        }
+        self.usual.apply(&report.usual);
+        for other in &report.groups {
+            if let Some(group) = self.groups.get_mut(&other.group) {
+                group.region.apply(now, other, Millis::new(u64::from(report.age_ms)));
+            }
+        }
     }
 
     /// Records that the query ended while a part had no reply. That is evidence only if it waited longer
@@ -166,6 +223,9 @@
         let allowed = service.allowed_wait(now, self.settings.wait_share);
         if wait > allowed {
             service.queue.record_reply(now, (pending.upstream, pending.sent_at), wait, allowed);
+            for group in self.groups.values_mut() {
+                group.record_wait(now, pending.service, wait / allowed.max(1.0));
+            }
         }
     }
 
@@ -178,7 +238,7 @@
 
     /// Whether queries compete for upstreams: hedges and retries that an answer does not need are not made.
     pub fn is_overloaded(&self, _now: Millis) -> bool {
-        self.groups.values().any(|group| group.limit.value().is_some())
+        self.groups.values().any(|g| g.limit.value().is_some() || g.region.is_limited())
     }
 
     fn start(&mut self, now: Millis, number: u64, query: &Query) -> Permit {
--- a/crates/tgw-admission/src/group.rs
+++ b/crates/tgw-admission/src/group.rs
@@ -2,6 +2,7 @@
     Query, Reason,
     capacity::{Limit, Pressure, StandingQueue},
     queue::Queue,
+    region::Region,
 };
 use smallvec::SmallVec;
 use std::{
@@ -86,6 +87,7 @@
 pub(crate) struct Group {
     pub(crate) limit: Limit,
     pub(crate) queue: Queue,
+    pub(crate) region: Region,
     pub(crate) running: usize,
     services: Vec<Rc<str>>,
     /// The least number of parts that an answer of any route may miss.
@@ -114,6 +116,25 @@
         *self.asked.entry(priority).or_default() += 1.0;
     }
 
+    /// Records the wait of a request for the region.
+    pub(crate) fn record_wait(&mut self, now: Millis, service: &str, wait: f64) {
+        if let Some(index) = self.services.iter().position(|name| **name == *service) {
+            self.region.record_wait(now, index, wait);
+        }
+    }
+
+    /// Records a reply of a service for the region.
+    pub(crate) fn record_reply(&mut self, now: Millis, service: &str) {
+        if self.services.iter().any(|name| **name == *service) {
+            self.region.record_reply(now);
+        }
+    }
+
+    /// The least number of parts that an answer may miss.
+    pub(crate) fn max_missing(&self) -> usize {
+        self.max_missing.unwrap_or_default()
+    }
+
     pub(crate) fn record_end(&mut self, route: &Rc<str>, took: Millis, target: Millis) {
         let took = took.min(target).as_f64();
         let mean = self.durations.entry(route.clone()).or_insert(took);
@@ -212,21 +233,22 @@
     }
 
     /// The share of the queries of a priority that is admitted: the most urgent ones first.
-    fn admitted_share(&self, priority: u32) -> f64 {
+    fn admitted_share(&self, priority: u32, level: f64) -> f64 {
         let all: f64 = self.asked.values().sum();
         let own = self.asked.get(&priority).copied().unwrap_or_default();
         let ahead: f64 = self.asked.range(..priority).map(|(_, asked)| asked).sum();
-        if own <= 0.0 { 1.0 } else { ((self.limit.share() * all - ahead) / own).clamp(0.0, 1.0) }
+        if own <= 0.0 { 1.0 } else { ((level * all - ahead) / own).clamp(0.0, 1.0) }
     }
 
-    /// Whether a query is among the share that is admitted.
-    pub(crate) fn take_share(&mut self, priority: u32) -> bool {
+    /// Whether a query is among the `level` of all that is admitted. The first one of a VM counts by
+    /// its `spread`: VMs with few queries would otherwise all reject their first one.
+    pub(crate) fn take_share(&mut self, priority: u32, level: f64, spread: u32) -> bool {
         let priority = priority.min(MAX_PRIORITY);
-        let share = self.admitted_share(priority);
+        let share = self.admitted_share(priority, level);
         if share >= 1.0 {
             return true;
         }
-        let due = self.due.entry(priority).or_default();
+        let due = self.due.entry(priority).or_insert(f64::from(spread % 64) / 64.0);
         *due += share;
         let admitted = *due >= 1.0;
         *due -= if admitted { 1.0 } else { 0.0 };
--- a/crates/tgw-admission/src/lib.rs
+++ b/crates/tgw-admission/src/lib.rs
@@ -15,10 +15,17 @@
 mod query;
 /// Order and fairness among queries that wait.
 pub mod queue;
+/// What the VMs of a region agree on.
+mod region;
+/// Messages between VMs of a region.
+pub mod report;
+/// VMs whose reports are taken in.
+mod senders;
 /// Weights of the decisions.
 mod settings;
 
 pub use admission::Admission;
 pub use permit::{Permit, Ticket};
 pub use query::{Decision, Outcome, Query, Reason, Rejection, Reply};
+pub use report::Report;
 pub use settings::Settings;
--- a/crates/tgw-admission/tests/admission.rs
+++ b/crates/tgw-admission/tests/admission.rs
@@ -5,6 +5,7 @@
 mod facade;
 mod load;
 mod queue;
+mod region;
 
 use load::Load;
 use tgw_clock::Millis;
--- a/crates/tgw-bench/src/overload/figures.rs
+++ b/crates/tgw-bench/src/overload/figures.rs
@@ -32,6 +32,8 @@
     /// Queries that were quarantined though no upstream ends because of them.
     harmless_quarantined: BTreeSet<Fingerprint>,
     counted: Range<f64>,
+    /// Bytes of the reports of overload that VMs sent in that time.
+    report_bytes: u64,
 }
 
 /// Upstreams that ended under a query that a caller sends repeatedly.
@@ -76,6 +78,18 @@
         self.terminations.entry(content).or_default().record_send(now, number);
     }
 
+    /// Records that a VM sent a report of overload.
+    pub(super) fn record_report(&mut self, now: Millis, bytes: usize) {
+        if self.counted.contains(&now.as_f64()) {
+            self.report_bytes += bytes as u64;
+        }
+    }
+
+    /// Bytes a second of the reports of all VMs.
+    fn report_rate(&self) -> f64 {
+        ratio(self.report_bytes as f64 * 1_000.0, self.counted.end - self.counted.start)
+    }
+
     /// Records that a VM quarantines a query.
     pub(super) fn record_quarantine(&mut self, fingerprint: Fingerprint) {
         if !self.terminations.contains_key(&fingerprint.content) {
@@ -209,6 +223,8 @@
     pub p50_ms: f64,
     /// 99th percentile of the latency of answers, in ms.
     pub p99_ms: f64,
+    /// Reports of overload that all VMs together send, in bytes a second without packet headers.
+    pub report_bytes_per_s: f64,
 }
 
 impl Figures {
@@ -242,6 +258,7 @@
                 as u64,
             p50_ms: at(0.5).unwrap_or_default(),
             p99_ms: at(0.99).unwrap_or_default(),
+            report_bytes_per_s: seeds.iter().map(Tally::report_rate).sum::<f64>() / count,
         }
     }
 }
@@ -298,6 +315,9 @@
                 choice.to_string(),
                 ratio(*worth, best),
             )?;
+            if figures.report_bytes_per_s > 0.0 {
+                writeln!(f, "  reports of overload {:.0} bytes/s", figures.report_bytes_per_s)?;
+            }
             let Figures { ended, ended_late, .. } = figures;
             if *ended > 0 {
                 writeln!(f, "  most upstreams ended {ended}, sent again once known {ended_late}")?;
--- a/crates/tgw-bench/src/overload/run.rs
+++ b/crates/tgw-bench/src/overload/run.rs
@@ -1,3 +1,5 @@
+/// Reports of overload between VMs.
+mod reports;
 /// Sends, how they end, and VMs that make them for others.
 mod sends;
 
@@ -19,6 +21,7 @@
     collections::{BTreeMap, BinaryHeap},
     rc::Rc,
 };
+use tgw_admission::Report;
 use tgw_clock::Millis;
 use tgw_forward::{
     Plan, Policy,
@@ -107,6 +110,14 @@
         outcome: SendOutcome,
         load: Option<Load>,
     },
+    /// A VM receives a report of overload.
+    ReportReceived {
+        vm: usize,
+        from: usize,
+        report: Rc<Report>,
+    },
+    /// A VM reports its evidence of overload, if it has any.
+    ReportDue(usize),
     Restart,
     /// An upstream's process of this generation ends.
     End {
@@ -227,6 +238,8 @@
             rng,
             tally,
         };
+        let end = queries.last().map_or(Millis::ZERO, |query| query.at);
+        sim.schedule_reports(end);
         for (number, query) in queries.into_iter().enumerate() {
             sim.schedule(query.at, Event::Arrive(number));
             sim.queries.insert(number, query);
@@ -258,6 +271,10 @@
                     self.record_load(now, vm, ticket, load);
                     self.record_end(now, vm, ticket, outcome);
                 }
+                Some(Event::ReportReceived { vm, from, report }) => {
+                    self.vms[vm].core.admission.apply_report(now, from as u64, &report);
+                }
+                Some(Event::ReportDue(vm)) => self.report_overload(now, vm),
                 Some(Event::Restart) => self.restart(),
                 Some(Event::End { upstream, generation, content }) => {
                     self.end(now, (upstream, generation), content);
@@ -365,7 +382,7 @@
     fn restart(&mut self) {
         let (size, policy) = (self.size, self.policy);
         self.vms = (0..size.vms).map(|v| start_vm(v % REGIONS, size, policy)).collect();
-        self.events.retain(|_, event| matches!(event, Event::Arrive(_)));
+        self.events.retain(|_, event| matches!(event, Event::Arrive(_) | Event::ReportDue(_)));
         let now = Millis::from_f64(FAULT_START_S * 1_000.0);
         self.waiting.clear();
         for (_, running) in std::mem::take(&mut self.running) {
--- a/crates/tgw-forward/src/core.rs
+++ b/crates/tgw-forward/src/core.rs
@@ -27,6 +27,9 @@
 /// arrived count on neither side, and a restarted VM forgets what it spent.
 const USABLE_BUDGET_FACTOR: f64 = 0.92;
 
+/// Number of queries in 300 ms, decayed, below which a VM admits by the level of its region.
+const THIN_QUERIES: f64 = 3.0;
+
 /// The operators' budget for extra sends (hedges and retries), over all VMs.
 #[derive(Copy, Clone, Debug, Default, PartialEq)]
 pub struct Budget {
@@ -106,6 +109,7 @@
             admission: Admission::new(Settings {
                 enabled: policy.admission,
                 wait_share: policy.admission_wait,
+                thin_queries: if policy.admission_share > 0.0 { THIN_QUERIES } else { 0.0 },
             }),
             vms: Vms { all: ASSUMED_VMS, in_region: 1 },
             ..Self::default()
--- a/crates/tgw-forward/src/policy.rs
+++ b/crates/tgw-forward/src/policy.rs
@@ -58,6 +58,9 @@
     /// Fraction of the shortest latency target of a service that a request may wait at its upstream
     /// before the service counts as overloaded.
     pub admission_wait: f64,
+    /// Number of other VMs of the region to which each report of overload goes; with zero, each VM
+    /// decides alone.
+    pub admission_share: f64,
     /// Limit on concurrent sends to one upstream through other VMs: as many as an upstream has
     /// slots. Sends that would queue there do better elsewhere; twice as many differ by less than
     /// two runs of a day do.
@@ -120,6 +123,7 @@
             quarantine: true,
             admission: true,
             admission_wait: 0.3,
+            admission_share: 0.0,
             peer_most: 4.0,
             warm_holders: 1.0,
             load_weight: 0.5,
@@ -156,7 +160,7 @@
 }
 
 impl Policy {
-    fn parameters(&mut self) -> [(&'static str, Parameter<'_>); 31] {
+    fn parameters(&mut self) -> [(&'static str, Parameter<'_>); 32] {
         use Parameter::{Switch, Weight};
         [
             ("hedges", Switch(&mut self.hedges)),
@@ -178,6 +182,7 @@
             ("quarantine", Switch(&mut self.quarantine)),
             ("admission", Switch(&mut self.admission)),
             ("admission_wait", Weight(&mut self.admission_wait)),
+            ("admission_share", Weight(&mut self.admission_share)),
             ("peer_most", Weight(&mut self.peer_most)),
             ("load_weight", Weight(&mut self.load_weight)),
             ("warm_holders", Weight(&mut self.warm_holders)),
