feat(admission): state of routes and services that a configuration no longer has is dropped

Cause: evidence, usual work and stated timeouts were kept for each route and service that ever was. Change: `Core::configure` drops what the new version does not have; a set of services with queries is dropped later. Result: `routes_and_services_that_are_gone_are_dropped` fails without it (the method is new); tests of tgw-admission and tgw-forward pass.

--- a/crates/tgw-admission/src/admission.rs
+++ b/crates/tgw-admission/src/admission.rs
@@ -50,6 +50,21 @@
         Self { settings, ..Self::default() }
     }
 
+    /// Drops what is kept of routes and services that the configuration no longer has.
+    pub fn retain(&mut self, has_route: impl Fn(&str) -> bool, has_service: impl Fn(&str) -> bool) {
+        self.usual.retain(&has_route);
+        self.attempts.retain(&has_route);
+        self.services.retain(|name, service| {
+            service.retain(&has_route);
+            has_service(name)
+        });
+        // A group that still has queries is dropped by a later version of the configuration.
+        self.groups.retain(|_, group| {
+            group.retain(&has_route);
+            !group.is_idle() || group.services().iter().all(|name| has_service(name))
+        });
+    }
+
     /// The time since the first attempt of a caller that states `timeout`; zero if this probably is its first one.
     pub fn elapsed(&mut self, route: &Rc<str>, timeout: Millis) -> Millis {
         self.attempts.record(route, timeout)
--- a/crates/tgw-admission/src/attempts.rs
+++ b/crates/tgw-admission/src/attempts.rs
@@ -26,6 +26,11 @@
 }
 
 impl Attempts {
+    /// Drops the routes that `keep` does not hold for.
+    pub(crate) fn retain(&mut self, keep: impl Fn(&str) -> bool) {
+        self.routes.retain(|route, _| keep(route));
+    }
+
     /// Records a stated timeout; returns the time since the caller's first attempt, zero if this probably is the first.
     pub(crate) fn record(&mut self, route: &Rc<str>, timeout: Millis) -> Millis {
         let timeouts = self.routes.entry(route.clone()).or_default();
--- a/crates/tgw-admission/src/capacity/usual.rs
+++ b/crates/tgw-admission/src/capacity/usual.rs
@@ -18,6 +18,11 @@
 }
 
 impl UsualWork {
+    /// Drops the routes that `keep` does not hold for.
+    pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
+        self.routes.retain(|route, _| keep(route));
+    }
+
     /// Takes in a reply; returns how long it waited at its upstream, in ms. While upstreams are
     /// `overloaded`, replies that are slower than usual do not raise the estimate.
     pub fn record(
--- a/crates/tgw-admission/src/group.rs
+++ b/crates/tgw-admission/src/group.rs
@@ -61,6 +61,11 @@
 }
 
 impl Service {
+    /// Drops the routes that `keep` does not hold for.
+    pub(crate) fn retain(&mut self, keep: impl Fn(&str) -> bool) {
+        self.targets.retain(|route, _| keep(route));
+    }
+
     pub(crate) fn record_query(&mut self, now: Millis, query: &Query) {
         let latency = query.answer_by - query.arrived;
         let priority = query.priority;
@@ -122,6 +127,21 @@
 }
 
 impl Group {
+    /// Drops the routes that `keep` does not hold for.
+    pub(crate) fn retain(&mut self, keep: impl Fn(&str) -> bool) {
+        self.durations.retain(|route, _| keep(route));
+    }
+
+    /// The services that its queries need.
+    pub(crate) fn services(&self) -> &[Rc<str>] {
+        &self.services
+    }
+
+    /// Whether no query runs or waits.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.queue.is_empty() && self.running.values().all(|running| *running == 0)
+    }
+
     pub(crate) fn record_query(&mut self, query: &Query, services: &[Rc<str>]) {
         if self.services != services {
             self.services = services.to_vec();
--- a/crates/tgw-admission/tests/admission.rs
+++ b/crates/tgw-admission/tests/admission.rs
@@ -81,3 +81,16 @@
     assert_eq!(rejected_beside(2), 0);
     assert!(rejected_beside(0) > 0);
 }
+
+/// Guards against state that grows with each version of the configuration.
+#[test]
+fn routes_and_services_that_are_gone_are_dropped() {
+    let mut load = Load::new(4);
+    load.run(1_000, 10, |_| 20);
+    load.run(2_000, 10, |_| 180);
+    load.end_all();
+    load.admission.retain(|route| route == "full", |_| true);
+    assert!(load.admission.is_overloaded(load.now), "the set of services is still configured");
+    load.admission.retain(|_| false, |_| false);
+    assert!(!load.admission.is_overloaded(load.now));
+}
--- a/crates/tgw-admission/tests/load/mod.rs
+++ b/crates/tgw-admission/tests/load/mod.rs
@@ -71,6 +71,13 @@
         (admitted, rejected)
     }
 
+    /// Ends the queries that run.
+    pub(crate) fn end_all(&mut self) {
+        for (_, _, permit) in std::mem::take(&mut self.running) {
+            self.admission.finish(self.now, permit, Outcome::Failed);
+        }
+    }
+
     fn end_due(&mut self) {
         let running = std::mem::take(&mut self.running);
         for (end, (upstream, sent_at), permit) in running {
--- a/crates/tgw-forward/src/core.rs
+++ b/crates/tgw-forward/src/core.rs
@@ -7,7 +7,7 @@
 };
 use smallvec::{SmallVec, smallvec};
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     rc::Rc,
 };
 use tgw_admission::{Admission, Settings};
@@ -124,6 +124,9 @@
         let restricted = config.routes.iter().filter(|route| !route.residency.is_unrestricted());
         self.restricted = restricted.clone().flat_map(single_services).collect();
         self.residencies = restricted.map(|r| (r.name.clone(), r.residency.clone())).collect();
+        let routes: HashSet<&str> = config.routes.iter().map(|route| &*route.name).collect();
+        self.admission
+            .retain(|name| routes.contains(name), |name| config.services.contains_key(name));
         self.windows.retain(|name, _| config.services.contains_key(name));
         self.hedges.retain(|name, _| config.routes.iter().any(|r| r.name == *name));
         self.shares.retain(|name, _| config.routes.iter().any(|r| r.name == *name));
