fix(admission): a VM with few queries admits some of each priority

Cause: a VM with less than one query in flight admits a share of the queries, the most urgent first, and nothing was left for the last priority for as long as the overload lasted. Change: each priority gets 0.3 of the share of all at least. Result: `the_last_priority_is_not_starved_on_a_vm_with_few_queries` fails before (56 urgent, 0 of the last) and passes.

--- a/crates/tgw-admission/src/group.rs
+++ b/crates/tgw-admission/src/group.rs
@@ -26,6 +26,9 @@
 const CALM_WEIGHT: f64 = 0.01;
 /// Weight of one query in the shares of the priorities.
 const ASKED_WEIGHT: f64 = 0.05;
+/// Share of the queries of any priority that is admitted, relative to that of all: no tenant may be served less than a
+/// quarter as often as all.
+const MIN_RELATIVE_SHARE: f64 = 0.3;
 /// Priorities from this one are alike.
 const MAX_PRIORITY: u32 = 255;
 /// Replies of each service, on average, from which the lowest-capacity one is known.
@@ -255,7 +258,9 @@
         let all: f64 = self.asked.values().sum();
         let own = self.asked.get(&priority).copied().unwrap_or_default();
         let ahead: f64 = self.asked.range(..priority).map(|(_, asked)| asked).sum();
-        if own <= 0.0 { 1.0 } else { ((self.limit.share() * all - ahead) / own).clamp(0.0, 1.0) }
+        let level = self.limit.share();
+        let share = if own <= 0.0 { 1.0 } else { (level * all - ahead) / own };
+        share.clamp(level * MIN_RELATIVE_SHARE, 1.0)
     }
 
     /// Whether a query is among the share that is admitted.
--- a/crates/tgw-admission/tests/admission.rs
+++ b/crates/tgw-admission/tests/admission.rs
@@ -94,3 +94,20 @@
     load.admission.retain(|_| false, |_| false);
     assert!(!load.admission.is_overloaded(load.now));
 }
+
+/// Guards against a VM with few queries that admits none of the last priority for as long as it is overloaded.
+#[test]
+fn the_last_priority_is_not_starved_on_a_vm_with_few_queries() {
+    let mut load = Load::new(4);
+    load.run(6_000, 150, |_| 20);
+    let mut admitted = [0, 0];
+    for number in 0..600 {
+        let last = usize::from(number % 4 == 3);
+        load.priority = [1, 200][last];
+        let (started, _) = load.run(150, 150, |_| 140);
+        admitted[last] += if number >= 100 { started } else { 0 };
+    }
+    assert!(load.admission.is_overloaded(load.now));
+    let [urgent, last] = admitted;
+    assert!(last > 0 && urgent > 3 * last, "{urgent} urgent, {last} of the last priority");
+}
