fix(admission): a query that asks before its turn keeps its place, and none waits beyond its caller's deadline

A plan that polled its ticket while it had to wait got a new ticket, and dropping the old one gave up its place: the query would have waited until its deadline and got 504. A caller with less time than the route's target waited until its deadline, too. Cause: two tickets of one number; the time to start by followed the latency target alone. Change: the same ticket is returned; the caller's deadline bounds the wait. Result: both new tests fail before and pass.

--- a/crates/tgw-admission/src/admission.rs
+++ b/crates/tgw-admission/src/admission.rs
@@ -139,7 +139,7 @@
             },
             None => {
                 self.waiting.insert(number, Waiting { query, start_by, left });
-                Decision::Queued(self.ticket(now, number, start_by))
+                Decision::Queued(ticket)
             }
         }
     }
--- a/crates/tgw-admission/src/group.rs
+++ b/crates/tgw-admission/src/group.rs
@@ -173,12 +173,12 @@
         Millis::from_f64(self.duration_ms.unwrap_or(DEFAULT_DURATION_MS).max(1.0))
     }
 
-    /// The latest time at which a query can start and still meet its latency target.
+    /// The latest time at which a query can start and still meet its latency target, and its caller's deadline.
     pub(crate) fn start_by(&self, query: &Query) -> Millis {
         let target = (query.answer_by - query.arrived).as_f64();
         let known = self.durations.get(&query.route).copied();
         let expected = known.unwrap_or(DEFAULT_DURATION_MS).min(target * MAX_DURATION_FACTOR);
-        query.answer_by - Millis::from_f64(expected)
+        query.answer_by.min(query.deadline) - Millis::from_f64(expected)
     }
 
     /// Changes the limit by what is known of the services.
--- a/crates/tgw-admission/tests/admission.rs
+++ b/crates/tgw-admission/tests/admission.rs
@@ -7,6 +7,7 @@
 mod queue;
 
 use load::Load;
+use tgw_admission::Decision;
 use tgw_clock::Millis;
 
 /// Guards against overload that goes unnoticed, and a limit that stays after it.
@@ -111,3 +112,43 @@
     let [urgent, last] = admitted;
     assert!(last > 0 && urgent > 3 * last, "{urgent} urgent, {last} of the last priority");
 }
+
+/// Guards against a query that loses its place in the queue because its plan asked before its turn had come.
+#[test]
+fn a_query_that_asks_too_early_keeps_its_place() {
+    let mut load = Load::new(4);
+    load.run(1_000, 10, |_| 20);
+    while !load.admission.is_overloaded(load.now) {
+        load.run(10, 10, |_| 180);
+    }
+    load.route = ("patient", Millis::new(800));
+    let mut ticket = load.ask_until_queued();
+    for _ in 0..3 {
+        load.now += Millis::new(1);
+        let Decision::Queued(kept) = load.admission.poll(load.now, ticket) else {
+            panic!("its turn has come")
+        };
+        ticket = kept;
+    }
+    load.end_all();
+    assert_eq!(load.admission.take_wakeups()[..], [ticket.number()]);
+    let decision = load.admission.poll(load.now, ticket);
+    assert!(matches!(decision, Decision::Admitted(_)), "{decision:?}");
+}
+
+/// Guards against a query that waits until its caller's deadline and is then answered with a timeout.
+#[test]
+fn a_query_waits_no_longer_than_its_deadline_allows() {
+    let mut load = Load::new(4);
+    load.run(1_000, 10, |_| 20);
+    while !load.admission.is_overloaded(load.now) {
+        load.run(10, 10, |_| 180);
+    }
+    load.route = ("patient", Millis::new(8_000));
+    let arrived = load.now;
+    let ticket = load.ask_until_queued();
+    assert!(ticket.expires_at() < arrived + Millis::new(1_000));
+    load.now = ticket.expires_at();
+    let decision = load.admission.poll(load.now, ticket);
+    assert!(matches!(decision, Decision::Rejected(_)), "{decision:?}");
+}
--- a/crates/tgw-admission/tests/load/mod.rs
+++ b/crates/tgw-admission/tests/load/mod.rs
@@ -1,5 +1,5 @@
 use std::rc::Rc;
-use tgw_admission::{Admission, Decision, Outcome, Permit, Query, Reply};
+use tgw_admission::{Admission, Decision, Outcome, Permit, Query, Reply, Ticket};
 use tgw_clock::Millis;
 
 /// How much longer a request takes at a slow upstream.
@@ -46,18 +46,7 @@
         for number in 0..duration / gap {
             self.now += Millis::new(gap);
             self.end_due();
-            let (arrived, (route, target)) = (self.now, self.route);
-            let query = Query {
-                group: 1,
-                route: route.into(),
-                priority: self.priority,
-                tenant: None,
-                arrived,
-                answer_by: arrived + target,
-                deadline: arrived + Millis::new(1_000),
-                max_missing: 1,
-                retry_spread: number as u32,
-            };
+            let query = self.query(number as u32);
             match self.admission.request(self.now, query, &self.services) {
                 Decision::Admitted(permit) => {
                     admitted += 1;
@@ -71,6 +60,36 @@
         (admitted, rejected)
     }
 
+    /// A query that arrives now.
+    pub(crate) fn query(&self, retry_spread: u32) -> Query {
+        let (arrived, (route, target)) = (self.now, self.route);
+        Query {
+            group: 1,
+            route: route.into(),
+            priority: self.priority,
+            tenant: None,
+            arrived,
+            answer_by: arrived + target,
+            deadline: arrived + Millis::new(1_000),
+            max_missing: 1,
+            retry_spread,
+        }
+    }
+
+    /// Asks for queries that arrive now and do not end, until one has to wait.
+    pub(crate) fn ask_until_queued(&mut self) -> Ticket {
+        loop {
+            let query = self.query(0);
+            match self.admission.request(self.now, query, &self.services) {
+                Decision::Admitted(permit) => {
+                    self.running.push((Millis::MAX, (0, self.now), permit));
+                }
+                Decision::Queued(ticket) => return ticket,
+                Decision::Rejected(rejection) => panic!("{rejection:?}"),
+            }
+        }
+    }
+
     /// Ends the queries that run.
     pub(crate) fn end_all(&mut self) {
         for (_, _, permit) in std::mem::take(&mut self.running) {
