--- a/crates/tgw-admission/src/admission.rs
+++ b/crates/tgw-admission/src/admission.rs
@@ -200,7 +200,7 @@
         }
     }
 
-    /// Whether queries compete for upstreams: hedges and retries that an answer does not need are not made.
+    /// Whether queries compete for upstreams: retries that an answer does not need and lent sends are not made.
     pub fn is_overloaded(&self, _now: Millis) -> bool {
         self.groups.values().any(|group| group.limit.value().is_some())
     }
