--- a/review/standins/tenant_header.rs
+++ b/review/standins/tenant_header.rs
@@ -39,7 +39,7 @@
         ips,
         zones: ZONES.to_vec(),
         store: store.addr,
-        active_contracts: "\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"platform\"",
+        active_contracts: "\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"tenants\",\"platform\"",
     };
     let vms = (0..3).map(|index| deployment.start(index)).collect::<io::Result<Vec<_>>>()?;
     for vm in &vms {
