review: VMs that have not found one another yet each hold a tenant's limit

Cause: in an independent review, a VM whose seeds are dark was found to take itself for the only VM of its region 4.5 s after its start, although it can find others in the store 8 s after it at the earliest.

Change: case 3, a script with its stand-in; the shared stand-ins gain seeds by choice and the time of each run. No code of the product is changed.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for program in rollback tenant_header; do
+for program in rollback tenant_header alone; do
     rustc --edition 2024 -O -A dead_code -o "target/review/$program" "review/standins/$program.rs"
 done
--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -188,6 +188,13 @@
         revision
     }
 
+    /// The names of the objects of a kind.
+    pub fn names(&self, kind: &str) -> Vec<String> {
+        let state = lock(&self.state.0);
+        let keys = state.objects.keys().filter(|(of, _)| of == kind);
+        keys.map(|(_, name)| name.clone()).collect()
+    }
+
     fn connection(&self, mut stream: TcpStream) -> io::Result<()> {
         let mut spare = Vec::new();
         while let Some(request) = read_message(&mut stream, &mut spare)? {
@@ -282,6 +289,7 @@
     pub tenant: Option<String>,
     /// Whether the requester's key reached the leaf.
     pub has_key: bool,
+    pub at: Instant,
 }
 
 /// A sound leaf of one service.
@@ -355,6 +363,7 @@
             line: format!("{} {}", request.method(), request.target()),
             tenant: request.header("Tanagergw-Tenant-Id").map(str::to_owned),
             has_key: request.header("Authorization").is_some(),
+            at: Instant::now(),
         });
         thread::sleep(Duration::from_millis(2));
         let number = self.seals.fetch_add(1, Ordering::Relaxed);
@@ -431,6 +440,10 @@
     pub dir: PathBuf,
     pub gateway: PathBuf,
     pub ips: Vec<Ipv4Addr>,
+    /// The VMs that the settings name as seeds.
+    pub seeds: Vec<usize>,
+    /// Whether the whole system starts for the first time.
+    pub bootstrap: bool,
     pub ports: Ports,
     pub zones: Vec<Zone>,
     pub store: SocketAddr,
@@ -440,17 +453,18 @@
 impl Deployment {
     /// Starts the process of VM `index` with a settings file as the platform writes it.
     pub fn start(&self, index: usize) -> io::Result<Vm> {
-        let Self { dir, gateway, ips, ports, zones, store, active_contracts } = self;
+        let Self { dir, gateway, ips, seeds, bootstrap, ports, zones, store, active_contracts } =
+            self;
         let (ip, (zone, region)) = (ips[index], zones[index % zones.len()]);
         let name = format!("front-{zone}-{}", index / zones.len() + 1);
         let Ports { front, ready, control, internal } = *ports;
         let seeds: Vec<String> =
-            ips.iter().take(3).map(|seed| format!("\"{seed}:{control}\"")).collect();
+            seeds.iter().map(|seed| format!("\"{}:{control}\"", ips[*seed])).collect();
         let places: String = zones.iter().map(|(z, r)| format!("{z} = \"{r}\"\n")).collect();
         let text = format!(
             "node_name = \"{name}\"\nrole = \"entry\"\nmachine_class = \"front\"\n\
              serves = [\"front\",\"control\"]\nip = \"{ip}\"\nzone = \"{zone}\"\nregion = \"{region}\"\n\
-             internal_port_range = [{internal},{internal}]\nseed_nodes = [{}]\nbootstrap = true\n\
+             internal_port_range = [{internal},{internal}]\nseed_nodes = [{}]\nbootstrap = {bootstrap}\n\
              loss_counted = false\ndiscovery_source = \"platform\"\nentry_type = \"vip\"\n\
              heartbeat_ms = 1200\nactive_contracts = [{active_contracts}]\n[zones]\n{places}\
              [listen_addrs]\nfront = \"{ip}:{front}\"\nready = \"{ip}:{ready}\"\n\
@@ -489,6 +503,12 @@
         if status.success() { Ok(()) } else { Err(io::Error::other("kill failed")) }
     }
 
+    /// Kills the process, as a loss of power does, and waits for its end.
+    pub fn kill(&mut self) -> io::Result<()> {
+        self.child.kill()?;
+        self.child.wait().map(drop)
+    }
+
     /// Whether the process still runs.
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
--- a/review/standins/rollback.rs
+++ b/review/standins/rollback.rs
@@ -61,6 +61,8 @@
         gateway,
         ports: Ports::free(&ips)?,
         ips,
+        seeds: (0..2).collect(),
+        bootstrap: true,
         zones: ZONES.to_vec(),
         store: store.addr,
         active_contracts: "\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"tenants\",\"platform\"",
