fix(spread): a VM that names a version of the configuration holds that document

What callers saw: after a change of the configuration and its rollback, some VMs sent a route to the service of the change, answered 404 for a route that was back, and accepted a key that had been taken away, until the same name changed again. They named the newest version, and told VMs that start.

Cause: the configuration is one document with one version, but was kept like the list of upstreams, in which each value is written at a version of its own. A VM that missed the change and its rollback finds the value equal and keeps its old version. What it tells a VM that saw the change was compared value by value: the older version was refused, and the newest version was taken over all the same. The same in a second way: changes made for version 5 were applied by a VM that had read 7 meanwhile, and lacked what takes 7 back. No value of a document can be ordered by the version at which some VM saw it.

Ruled out: that a lost answer or the store's list is at fault; both VMs had version 9 applied.

Change: the configuration has a type of its own. Why that works: names that differ between a version of the history and the one in force carry a later version of change; this holds for a document that is read, for one that is told whole and for changes that start from the held version, so what is told since such a version is complete. The form of the messages stays, so builds before and after it understand each other.

--- a/crates/tgw-spread/src/lib.rs
+++ b/crates/tgw-spread/src/lib.rs
@@ -1,17 +1,23 @@
 //! Distributes the configuration, the list of upstreams and the evacuations among VMs: a few VMs of each
 //! failure domain read them from the platform's store, and all others receive changes from their peers.
 //!
-//! A [`VersionedMap`] keeps values with the version of their last change and computes the changes since a
-//! version. No I/O.
+//! The configuration is one document with one version ([`Configuration`]). Each upstream's entry has a version of its
+//! own ([`VersionedMap`]). No I/O.
 
 /// Comparison of lists between VMs.
 pub mod agreement;
+/// The operators' configuration: one document with one version.
+pub mod configuration;
+/// The entries of one kind in a document.
+mod entries;
 /// Evacuated failure domains, whose upstreams receive no further requests.
 pub mod evacuations;
 /// Whether a VM's configuration is the newest.
 mod freshness;
 /// Queries that one VM hands to another.
 pub mod gather;
+/// The versions of a document from which a VM can tell the changes.
+mod history;
 /// Sends that one VM asks another to make.
 pub mod hop;
 /// Messages between VMs.
@@ -27,6 +33,7 @@
 /// The configuration, the list of upstreams and the evacuations as this VM has them.
 mod world;
 
+pub use configuration::Configuration;
 pub use evacuations::Evacuations;
 pub use freshness::Freshness;
 pub use message::Message;
--- a/crates/tgw-spread/src/versioned_map.rs
+++ b/crates/tgw-spread/src/versioned_map.rs
@@ -14,8 +14,8 @@
 
 /// Values by name, each with the version of its last change.
 ///
-/// Versions come from the platform's store and rise with each change. Two VMs at the same version hold the same
-/// values.
+/// Each value was written at a version of its own by the platform's store, which raises it with each write of any value.
+/// Two VMs at the same version hold the same values.
 #[derive(Clone, Debug)]
 pub struct VersionedMap<T> {
     version: u64,
@@ -128,7 +128,7 @@
     }
 
     /// Marks a version range in which values may have been written and removed without being seen here.
-    pub(crate) fn add_gap(&mut self, from: u64, to: u64) {
+    fn add_gap(&mut self, from: u64, to: u64) {
         // A VM whose version lies between two lists of the store may hold such a name, and would keep it for
         // good if it received only the changes since.
         if from < to && !self.gaps.contains(&(from, to)) {
