feat(spread, gateway): VMs compare digests of their configurations, and read again what differs

Cause: a VM that held a wrong configuration under the newest version kept it until the same name changed again, told it to VMs that start, and no log line or metric showed it. Lists of upstreams and evacuations were compared by digests, the configuration was not.

Change: the packet with the digests carries that of the configuration, made of its contents, as equal contents may have come about by different changes. VMs that differ at one version read the store; its document replaces other contents of the same version, and the VM tells it whole to all that ask until a later version, also to VMs that name the disputed version. Operators see it: `lists of one version differ` with both digests, the digest in `configuration in force`, the gauge tgw_config_agreed_ms, the counter tgw_comparisons by kind and result. Builds before this one refuse the new packet and are not compared.

--- a/crates/tgw-bench/src/forward.rs
+++ b/crates/tgw-bench/src/forward.rs
@@ -163,10 +163,10 @@
     took.as_secs_f64() * 1e6 / (queries * shards) as f64
 }
 
-/// Digests of the lists that a VM holds.
+/// Digests of what a VM holds.
 fn digests() -> Datagram {
     let digest = Digest { version: 40_000, hash: 0x9c41_d07b_e2a3_5f68 };
-    let digests = Digests { upstreams: digest, evacuations: digest };
+    let digests = Digests { configuration: digest, upstreams: digest, evacuations: digest };
     Datagram::Digests { digests, is_reply: false }
 }
 
--- a/crates/tgw-gateway/src/agreement.rs
+++ b/crates/tgw-gateway/src/agreement.rs
@@ -1,4 +1,5 @@
 use crate::{peers::Peers, shared::Shared};
+use derive_more::Display;
 use rand::seq::IndexedRandom;
 use std::{
     cell::{Cell, RefCell},
@@ -11,15 +12,21 @@
 };
 use tokio::sync::Notify;
 
-/// Comparison of this VM's lists with those of other VMs.
+/// A hash as log lines show it.
+#[derive(Display)]
+#[display("{_0:016x}")]
+pub(crate) struct Hex(pub(crate) u64);
+
+/// Comparison of this VM's configuration and lists with those of other VMs.
 #[derive(Default)]
 pub(crate) struct Agreement {
     next_comparison: Cell<Millis>,
+    pub(crate) configuration: Compared,
     pub(crate) upstreams: Compared,
     pub(crate) evacuations: Compared,
 }
 
-/// One list that is compared.
+/// The configuration or one list, which is compared.
 #[derive(Default)]
 pub(crate) struct Compared {
     reread: RefCell<Reread>,
@@ -33,7 +40,7 @@
         self.reread.borrow().agreed_at()
     }
 
-    /// Records another VM's digest; returns whether the lists differ.
+    /// Records another VM's digest; returns how it compares with that of this VM.
     fn compare(
         &self,
         now: Millis,
@@ -41,18 +48,19 @@
         from: SocketAddr,
         own: Digest,
         other: Digest,
-    ) -> bool {
+    ) -> Comparison {
         let comparison = own.compare(other);
         if self.reread.borrow_mut().record(now, comparison) {
-            tracing::warn!(kind, %from, version = own.version, "lists of one version differ");
+            tracing::warn!(kind, %from, version = own.version,
+                digest = %Hex(own.hash), theirs = %Hex(other.hash), "lists of one version differ");
             self.reread_due.notify_one();
         }
-        comparison == Comparison::Different
+        comparison
     }
 }
 
 impl Peers {
-    /// Sends the digests of this VM's lists to another VM, if that is due.
+    /// Sends the digests of what this VM holds to another VM, if that is due.
     pub(crate) fn compare_lists(&self) {
         let now = self.shared.now();
         let next = &self.shared.agreement.next_comparison;
@@ -70,17 +78,22 @@
         self.shared.packets.send(to, &Datagram::Digests { digests, is_reply });
     }
 
-    /// Compares another VM's lists with those of this VM. The other VM learns of a difference, too,
-    /// as either may be wrong.
+    /// Compares what another VM holds with what this VM does. The other VM learns of a difference,
+    /// too, as either may be wrong.
     pub(crate) fn on_digests(&self, from: SocketAddr, other: Digests, is_reply: bool) {
-        let Shared { agreement, codec, world, .. } = &*self.shared;
+        let Shared { agreement, codec, metrics, world, .. } = &*self.shared;
         let (now, kinds) = (self.shared.now(), codec.kinds());
         let own = world.borrow().digests();
         let differs = [
+            (&agreement.configuration, &kinds.config, own.configuration, other.configuration),
             (&agreement.upstreams, &kinds.upstreams, own.upstreams, other.upstreams),
             (&agreement.evacuations, &kinds.evacuations, own.evacuations, other.evacuations),
         ]
-        .map(|(list, kind, own, other)| list.compare(now, kind, from, own, other));
+        .map(|(list, kind, own, other)| {
+            let comparison = list.compare(now, kind, from, own, other);
+            metrics.count_comparison(kind, comparison);
+            comparison == Comparison::Different
+        });
         if !is_reply && differs.contains(&true) {
             self.send_digests(from, true);
         }
--- a/crates/tgw-gateway/src/metrics.rs
+++ b/crates/tgw-gateway/src/metrics.rs
@@ -17,6 +17,7 @@
     upstream::{Distance, SendOutcome},
 };
 use tgw_platform::Error;
+use tgw_spread::agreement::Comparison;
 
 /// Upper bounds of the latency histogram in ms: dense around the latency targets of routes (100 to
 /// 400 ms).
@@ -34,6 +35,8 @@
     pub(crate) config: AtomicU64,
     /// When it came into force, in ms since the start.
     pub(crate) config_since: AtomicU64,
+    /// When another VM last held the same configuration, in ms since the start.
+    pub(crate) config_agreed: AtomicU64,
     /// Upstreams known.
     pub(crate) upstreams: AtomicU64,
     /// When another VM last held the same list of upstreams, in ms since the start.
@@ -69,9 +72,14 @@
 
 type Gauge = (&'static str, &'static str, fn(&Gauges) -> &AtomicU64);
 
-const GAUGES: [Gauge; 18] = [
+const GAUGES: [Gauge; 19] = [
     ("tgw_config_version", "version of the configuration in force", |g| &g.config),
     ("tgw_config_since_ms", "when it came into force, in ms since the start", |g| &g.config_since),
+    (
+        "tgw_config_agreed_ms",
+        "when another VM last held the same configuration, in ms since the start",
+        |g| &g.config_agreed,
+    ),
     ("tgw_upstreams", "upstreams known", |g| &g.upstreams),
     (
         "tgw_upstreams_agreed_ms",
@@ -107,6 +115,7 @@
     send_ends: Counter<u64>,
     upstream_ends: Counter<u64>,
     store_calls: Counter<u64>,
+    comparisons: Counter<u64>,
     handed_over: Counter<u64>,
     queries_offered: Counter<u64>,
     queries_admitted: Counter<u64>,
@@ -139,6 +148,7 @@
             send_ends: meter.u64_counter("tgw_sends_ended").build(),
             upstream_ends: meter.u64_counter("tgw_upstreams_ended").build(),
             store_calls: meter.u64_counter("tgw_store_calls").build(),
+            comparisons: meter.u64_counter("tgw_comparisons").build(),
             handed_over: meter.u64_counter("tgw_queries_handed_over").build(),
             queries_offered: meter.u64_counter("tgw_queries_offered").build(),
             queries_admitted: meter.u64_counter("tgw_queries_admitted").build(),
@@ -252,6 +262,17 @@
         self.store_calls.add(1, &[KeyValue::new("call", call), KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a comparison of the configuration or a list with another VM's of the same version.
+    pub(crate) fn count_comparison(&self, kind: &str, comparison: Comparison) {
+        let result = match comparison {
+            Comparison::Incomparable => return,
+            Comparison::Equal => "equal",
+            Comparison::Different => "different",
+        };
+        let kind = KeyValue::new("kind", kind.to_owned());
+        self.comparisons.add(1, &[kind, KeyValue::new("result", result)]);
+    }
+
     /// Sets the number of upstream entries that cannot be decoded.
     pub(crate) fn set_unreadable(&self, entries: usize) {
         self.gauges.unreadable.store(entries as u64, Ordering::Relaxed);
--- a/crates/tgw-gateway/src/shared.rs
+++ b/crates/tgw-gateway/src/shared.rs
@@ -1,8 +1,21 @@
 use crate::{
-    Codec, Settings, admission::Admission, agreement::Agreement, authentication::NewestCheck,
-    broken::Sends, gather::Gathered, headers, hop::Hops, log::DropCounter, log_limiter::Limiter,
-    memory::Budget, metrics::Metrics, packets::Packets, pool::Pools, request_heads::RequestHeads,
-    telemetry, waiting::Waiting,
+    Codec, Settings,
+    admission::Admission,
+    agreement::{Agreement, Hex},
+    authentication::NewestCheck,
+    broken::Sends,
+    gather::Gathered,
+    headers,
+    hop::Hops,
+    log::DropCounter,
+    log_limiter::Limiter,
+    memory::Budget,
+    metrics::Metrics,
+    packets::Packets,
+    pool::Pools,
+    request_heads::RequestHeads,
+    telemetry,
+    waiting::Waiting,
 };
 use http::{HeaderMap, Uri};
 use std::{
@@ -250,6 +263,7 @@
             routes = config.routes.len(),
             services = config.services.len(),
             tenants = config.tenants.as_ref().map(Vec::len),
+            digest = %Hex(self.world.borrow().configuration.digest().hash),
             source,
             "configuration in force"
         );
@@ -336,6 +350,7 @@
         set(&gauges.upstreams, core.fleet.len() as u64);
         set(&gauges.vms, u64::from(core.vms().all));
         set(&gauges.running, u64::from(self.running.get()));
+        set(&gauges.config_agreed, self.agreement.configuration.agreed_at().as_whole_ms());
         set(&gauges.upstreams_agreed, self.agreement.upstreams.agreed_at().as_whole_ms());
         set(&gauges.idle_connections, self.pools.len() as u64);
         set(&gauges.lines_left_out, self.log_limiter.left_out());
--- a/crates/tgw-gateway/src/watch/configuration.rs
+++ b/crates/tgw-gateway/src/watch/configuration.rs
@@ -67,4 +67,8 @@
     fn set_reading(&self, reading: bool) {
         self.shared.store_reads.config.set(reading);
     }
+
+    fn mark_disputed(&self) {
+        self.shared.world.borrow_mut().configuration.mark_disputed();
+    }
 }
--- a/crates/tgw-gateway/src/watch/mod.rs
+++ b/crates/tgw-gateway/src/watch/mod.rs
@@ -110,13 +110,14 @@
     }
 }
 
-/// Waits until a list is to be read again, as another VM's differs; never for a kind that is not
-/// compared.
+/// Waits until a kind is to be read again, as another VM's differs; never for probes.
 async fn reread_due(shared: &Shared, mode: ReadMode) {
+    let agreement = &shared.agreement;
     match mode {
-        ReadMode::Upstreams => shared.agreement.upstreams.reread_due.notified().await,
-        ReadMode::Evacuations => shared.agreement.evacuations.reread_due.notified().await,
-        ReadMode::Configuration | ReadMode::Probe => std::future::pending().await,
+        ReadMode::Configuration => agreement.configuration.reread_due.notified().await,
+        ReadMode::Upstreams => agreement.upstreams.reread_due.notified().await,
+        ReadMode::Evacuations => agreement.evacuations.reread_due.notified().await,
+        ReadMode::Probe => std::future::pending().await,
     }
 }
 
--- a/crates/tgw-spread/src/agreement.rs
+++ b/crates/tgw-spread/src/agreement.rs
@@ -1,4 +1,4 @@
-//! Comparison of lists between VMs, which finds VMs that hold different lists of one version.
+//! Comparison of the configuration and of lists between VMs, which finds VMs that hold different ones of one version.
 //!
 //! Changes spread by versions: a VM asks those that are ahead of it. A VM that has missed a change but
 //! counts as being as far as the others asks nobody, and would keep the mistake until the same entry
@@ -49,9 +49,11 @@
     }
 }
 
-/// Digests of the lists that a VM holds.
+/// Digests of what a VM holds.
 #[derive(Copy, Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Digests {
+    /// Digest of the configuration.
+    pub configuration: Digest,
     /// Digest of the list of upstreams.
     pub upstreams: Digest,
     /// Digest of the list of evacuated failure domains.
--- a/crates/tgw-spread/src/configuration.rs
+++ b/crates/tgw-spread/src/configuration.rs
@@ -67,7 +67,8 @@
     }
 
     /// Records that another VM holds a different document of the same version. The next one that is read from the store
-    /// starts the history anew: VMs that ask this one receive it whole, as they may have been told what was wrong here.
+    /// is told whole to all VMs that ask, also to those that name its version later on: they may have been told what was
+    /// wrong here.
     pub fn mark_disputed(&mut self) {
         self.disputed = true;
     }
@@ -80,12 +81,15 @@
         if document.version < self.version.max(1) {
             return false;
         }
-        let is_newer = document.version > self.version;
+        let version = document.version;
+        let is_newer = version > self.version;
         let changed = self.replace(document);
         if std::mem::take(&mut self.disputed) || (changed && !is_newer) {
-            self.history.restart(self.version);
+            self.history.clear();
+        } else {
+            self.history.record(version);
         }
-        self.finish();
+        self.refresh();
         is_newer || changed
     }
 
@@ -134,7 +138,8 @@
         if !told_whole {
             versions.into_iter().for_each(|version| self.history.record(version));
         }
-        self.finish();
+        self.history.record(to);
+        self.refresh();
         true
     }
 
@@ -161,14 +166,13 @@
         if changed {
             // An update tells no removals of tenants where there are none, so no history reaches across this.
             self.tenants = Entries::default();
-            self.history = History::default();
+            self.history.clear();
         }
         changed
     }
 
-    /// Records the version that this VM now holds, and what follows from its contents.
-    fn finish(&mut self) {
-        self.history.record(self.version);
+    /// Brings what follows from the contents and the history up to date.
+    fn refresh(&mut self) {
         while self.removals() > MAX_REMOVALS {
             self.history.forget_oldest();
             self.forget_removals();
--- a/crates/tgw-spread/src/history.rs
+++ b/crates/tgw-spread/src/history.rs
@@ -24,9 +24,9 @@
         }
     }
 
-    /// Forgets all versions but this one.
-    pub(crate) fn restart(&mut self, version: u64) {
-        self.versions = [version].into();
+    /// Forgets all versions.
+    pub(crate) fn clear(&mut self) {
+        self.versions.clear();
     }
 
     /// Forgets the oldest version.
--- a/crates/tgw-spread/src/world.rs
+++ b/crates/tgw-spread/src/world.rs
@@ -32,9 +32,13 @@
         }
     }
 
-    /// The digests of the lists that this VM holds.
+    /// The digests of what this VM holds.
     pub fn digests(&self) -> Digests {
-        Digests { upstreams: self.upstreams.digest(), evacuations: self.evacuations.digest() }
+        Digests {
+            configuration: self.configuration.digest(),
+            upstreams: self.upstreams.digest(),
+            evacuations: self.evacuations.digest(),
+        }
     }
 
     /// The version of the configuration; zero before the first.
--- a/crates/tgw-spread/tests/configuration/mod.rs
+++ b/crates/tgw-spread/tests/configuration/mod.rs
@@ -8,7 +8,7 @@
     Config, Limits, Residency, Route, Safety, Service, Target,
     config::{Shards, Warmup},
 };
-use tgw_spread::{ReplicatedState, message::ConfigUpdate};
+use tgw_spread::{ReplicatedState, agreement::Comparison, message::ConfigUpdate};
 use tgw_tenant::{ApiKey, Tenant};
 
 const NAMES: [&str; 3] = ["alarms", "history", "orders"];
@@ -194,6 +194,11 @@
     vms[asking].apply(update);
 }
 
+/// How the configurations of two VMs compare.
+fn compare(one: &Vm, other: &Vm) -> Comparison {
+    one.state.digests().configuration.compare(other.state.digests().configuration)
+}
+
 /// Checks that a VM does what the version that it names says.
 fn check(vm: &Vm, store: &Store) {
     assert_eq!(behavior(&vm.active), store.behavior_at(vm.version()), "at {}", vm.version());
@@ -274,6 +279,32 @@
     assert_eq!((vms[1].version(), vms[1].active.routes.len()), (2, 1));
 }
 
+// A VM was told wrong contents under the right version, by a build with a fault, and another VM was told by it. They are
+// found by their digests, and the store's document replaces theirs, also where they tell others.
+#[test_case(Contents { routes: [2, 1, 0], ..USUAL }; "route")]
+#[test_case(Contents { services: [2, 1, 0], ..USUAL }; "service")]
+#[test_case(Contents { tenants: Some([3, 0]), ..USUAL }; "key")]
+#[test_case(Contents { tenants: None, ..USUAL }; "no tenants")]
+#[test_case(Contents { head_kib: 32, ..USUAL }; "limits")]
+fn vm_that_was_told_wrong_contents_is_found_and_mended(wrong: Contents) {
+    let mut store = Store::new();
+    let mut vms = [Vm::default(), Vm::default(), Vm::default()];
+    vms[0].state.apply_config(&wrong.document(3));
+    vms[0].state.apply_config(&wrong.document(5));
+    vms[1].read(&store);
+    ask(&mut vms, 2, 0);
+    assert_eq!(compare(&vms[0], &vms[1]), Comparison::Different);
+    assert_eq!(compare(&vms[0], &vms[2]), Comparison::Equal);
+    vms[0].state.configuration.mark_disputed();
+    vms[0].read(&store);
+    check(&vms[0], &store);
+    assert_eq!(compare(&vms[0], &vms[1]), Comparison::Equal);
+    store.write(Contents { routes: [1, 1, 1], ..USUAL });
+    vms[0].read(&store);
+    ask(&mut vms, 2, 0);
+    check(&vms[2], &store);
+}
+
 /// One step of a random order of events.
 #[derive(Clone, Copy, Debug)]
 enum Step {
@@ -302,6 +333,11 @@
     Restart {
         vm: usize,
     },
+    /// An older build tells the VM other contents under the version that it names.
+    Corrupt {
+        vm: usize,
+        number: u8,
+    },
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -318,8 +354,15 @@
     ]
 }
 
-/// Plays an order of events, checking all VMs after each; then one VM reads the store and all ask all.
-fn play(count: usize, steps: &[Step]) {
+/// All steps, and VMs that hold wrong contents among them.
+fn step_or_corruption() -> impl Strategy<Value = Step> {
+    let corrupt = (0..MAX_VMS, 0..5_u8).prop_map(|(vm, number)| Step::Corrupt { vm, number });
+    prop_oneof![9 => step(), 1 => corrupt]
+}
+
+/// Plays an order of events; then one VM reads the store and all ask all. `check` sees the VMs that changed after each
+/// event.
+fn play(count: usize, steps: &[Step], check: impl Fn(&Vm, &Store)) -> (Vec<Vm>, Store) {
     let mut store = Store::new();
     let mut vms: Vec<Vm> = (0..count).map(|_| Vm::default()).collect();
     let mut under_way = Vec::new();
@@ -346,16 +389,45 @@
                 vms[vm].apply(update);
             }
             Step::Restart { vm } => vms[vm % count] = Vm::default(),
+            Step::Corrupt { vm, number } => {
+                let vm = &mut vms[vm % count];
+                let wrong = Contents { routes: [number; 3], ..USUAL };
+                let document = wrong.document(vm.version());
+                *vm = Vm::default();
+                vm.state.apply_config(&document);
+            }
         }
         vms.iter().filter(|vm| vm.changed.take()).for_each(|vm| check(vm, &store));
     }
     vms[0].read(&store);
+    ask_all(&mut vms);
+    (vms, store)
+}
+
+/// Has all VMs ask all until nothing is left to be told.
+fn ask_all(vms: &mut [Vm]) {
+    let count = vms.len();
     for _ in 0..ROUNDS {
-        (0..count * count).for_each(|n| ask(&mut vms, n / count, n % count));
+        (0..count * count).for_each(|n| ask(vms, n / count, n % count));
+    }
+}
+
+/// Has two VMs compare their digests and read the store if they differ.
+fn compare_and_read(vms: &mut [Vm], one: usize, other: usize, store: &Store) {
+    if compare(&vms[one], &vms[other]) == Comparison::Different {
+        for vm in [one, other] {
+            vms[vm].state.configuration.mark_disputed();
+            vms[vm].read(store);
+        }
     }
-    for vm in &vms {
+}
+
+/// Checks that all VMs do what the store's newest version says, and know that they agree.
+fn check_newest(vms: &[Vm], store: &Store) {
+    for vm in vms {
+        assert_eq!(compare(vm, &vms[0]), Comparison::Equal);
         assert_eq!(vm.version(), store.newest().0);
-        check(vm, &store);
+        check(vm, store);
     }
 }
 
@@ -374,6 +446,25 @@
         count in 2..=MAX_VMS,
         steps in prop::collection::vec(step(), 1..40),
     ) {
-        play(count, &steps);
+        let (vms, store) = play(count, &steps, check);
+        check_newest(&vms, &store);
+    }
+
+    // Some VMs were told wrong contents under a right version, and pass them on, in any order. Those that read the
+    // store because their digests differ, and those that they tell later, do what the store's version says.
+    #[test]
+    fn vms_that_differ_are_mended_from_the_store(
+        count in 2..=MAX_VMS,
+        steps in prop::collection::vec(step_or_corruption(), 1..40),
+    ) {
+        let (mut vms, mut store) = play(count, &steps, |_, _| ());
+        for one in 0..count {
+            (0..count).for_each(|other| compare_and_read(&mut vms, one, other, &store));
+        }
+        check_newest(&vms, &store);
+        store.write(store.newest().1.edited(0, 0, 3));
+        vms[0].read(&store);
+        ask_all(&mut vms);
+        check_newest(&vms, &store);
     }
 }
