fix(gateway): a VM that reads the configuration acts by the same document as one that is told it

What callers could see: where two routes of a host have the same prefix, VMs that read the store sent requests by the first in the document, VMs that are told by a peer by the first by name.

Cause: the reader put the store's document into force, and told others what its replicated state made of it. Found on the related paths of the rolled-back configuration: again two VMs at one version that act differently.

Change: the reader acts by its replicated state as well.

Result: the new test fails without the change (the reader serves from s0, the other VM from s1) and passes with it.

--- a/crates/tgw-gateway/src/watch/configuration.rs
+++ b/crates/tgw-gateway/src/watch/configuration.rs
@@ -25,9 +25,13 @@
                     tracing::warn!(%finding, revision = object.version,
                         "part of the configuration cannot be decoded");
                 }
-                let newer = self.shared.world.borrow_mut().apply_config(&value);
-                if newer {
-                    self.shared.apply_config(&value, "store");
+                let mut world = self.shared.world.borrow_mut();
+                let changed = world.apply_config(&value);
+                // A VM that is told this version gets the same document, in the same order of routes.
+                let document = changed.then(|| world.configuration.document());
+                drop(world);
+                if let Some(document) = document {
+                    self.shared.apply_config(&document, "store");
                 }
             }
             Err(findings) => {
