test(soak): changes of the configuration that are taken back, and what each VM does in the end

Cause: the soak wrote new versions of the configuration, but never took one back, and checked no answer for the version behind it.

Change: among the faults, a change moves and drops a route, adds and takes away a key and adds a tenant, and is taken back while VMs are stopped, cut from the store or killed, or right after an outage of the store.

The test of a route that is added and removed while a VM is cut off stands beside the others of the configuration now, unchanged in what it asks.

--- a/crates/tgw-soak/src/callers.rs
+++ b/crates/tgw-soak/src/callers.rs
@@ -1,4 +1,5 @@
 use crate::{
+    configuration::Probe,
     overload,
     tenants::{self, Tenant},
 };
@@ -51,6 +52,8 @@
     UnknownKey,
     /// To all shards, for this one of the tenants of the overload.
     Load(u8),
+    /// Tells which configuration a VM acts by.
+    Probe(Probe),
 }
 
 impl Kind {
@@ -63,6 +66,7 @@
             Self::HomeRegion => "/home/q".into(),
             Self::Deadly(number) => deadly_target(number),
             Self::Load(_) => "/all/load".into(),
+            Self::Probe(probe) => probe.target(),
         }
     }
 
@@ -75,6 +79,7 @@
     fn key(self) -> &'static str {
         match self {
             Self::UnknownKey => tenants::UNKNOWN_KEY,
+            Self::Probe(probe) => probe.key(),
             _ => self.tenant().key,
         }
     }
--- a/crates/tgw-soak/src/environment.rs
+++ b/crates/tgw-soak/src/environment.rs
@@ -1,4 +1,4 @@
-use crate::{callers::deadly_target, fleet::DOMAINS, proxy::Proxy};
+use crate::{callers::deadly_target, configuration::Trial, fleet::DOMAINS, proxy::Proxy};
 use serde_json::{Value, json};
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 use tgw_site_standin::{
@@ -102,9 +102,11 @@
 pub(crate) struct Environment {
     pub(crate) store: Store,
     pub(crate) upstreams: Vec<Upstream>,
-    /// Tenants of the configuration.
+    /// Tenants of the configuration that trials do not change.
     tenants: Vec<Value>,
-    config_version: u64,
+    pub(crate) config_version: u64,
+    /// A change of the configuration that will be taken back.
+    trial: Trial,
     last_number: u32,
     /// Requests that ran, by upstream id.
     pub(crate) runs: BTreeMap<String, Vec<Run>>,
@@ -141,6 +143,7 @@
             upstreams,
             tenants,
             config_version: 0,
+            trial: Trial::default(),
             last_number: 0,
             runs,
             outages: Vec::new(),
@@ -287,6 +290,7 @@
         ];
         let extra = format!("extra-{}", self.config_version);
         routes.push(files::route(&extra, SINGLE_SERVICE, true));
+        routes.extend(self.trial.routes());
         services.push(SINGLE_SERVICE.into());
         let mut document = files::config(self.config_version, &routes, &services);
         if let Some(services) = document["services"].as_array_mut() {
@@ -298,10 +302,17 @@
                 );
             }
         }
-        let document = files::with_tenants(document, &self.tenants);
+        let tenants = [self.trial.tenants(), self.tenants.clone()].concat();
+        let document = files::with_tenants(document, &tenants);
         self.store.put("config", "main", &document);
     }
 
+    /// Writes a configuration with this change in place of an earlier one; without any, it is the usual one again.
+    pub(crate) fn write_trial(&mut self, trial: Trial) {
+        self.trial = trial;
+        self.write_config();
+    }
+
     /// Replaces an upstream. If `announced`, its entry says that it drains; otherwise the entry is removed
     /// without notice.
     pub(crate) async fn replace_upstream(
--- a/crates/tgw-soak/src/main.rs
+++ b/crates/tgw-soak/src/main.rs
@@ -9,6 +9,8 @@
 mod callers;
 /// Checks of the guarantees.
 mod check;
+/// Changes of the configuration that are taken back.
+mod configuration;
 /// The fake store, the upstreams and the configuration.
 mod environment;
 /// VMs, each a process of the program.
--- a/crates/tgw-soak/src/run.rs
+++ b/crates/tgw-soak/src/run.rs
@@ -1,12 +1,13 @@
 use crate::{
     callers::{Caller, Exchange, Exchanges, Kind},
     check::{self, Disturbances, Report},
+    configuration::{self, Trial},
     environment::Environment,
     fleet::{DOMAINS, Fleet},
     overload,
     proxy::{Mode, Proxy},
     quarantine,
-    schedule::{self, CALM_TIME, Fault},
+    schedule::{self, CALM_TIME, Fault, MISSED_TRIAL_TIME},
     tenants,
 };
 use http::header::RETRY_AFTER;
@@ -33,6 +34,8 @@
 const CALM_DELAY: Duration = Duration::from_millis(4_000);
 /// Length of the phase after the calm phase, in which its upstreams still serve.
 const CALM_END_TIME: Duration = Duration::from_millis(1_500);
+/// Time within which VMs act by the newest configuration, by the settings of the stand-ins.
+const CONFIG_TIMEOUT: Duration = Duration::from_millis(4_000);
 /// Interval of an upstream's heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Time after which the process and entry of a leaving upstream are removed.
@@ -90,11 +93,13 @@
     Entry(String),
     /// Ends the evacuation of this failure domain.
     Evacuation(&'static str),
+    /// Takes the change of the configuration back.
+    Trial,
 }
 
 /// Starts a fleet, injects the faults of the seed, and checks the guarantees.
 pub(crate) async fn run(options: Options) -> anyhow::Result<Report> {
-    let mut tenants = tenants::documents().to_vec();
+    let mut tenants = tenants::documents();
     if options.overload {
         tenants.extend(overload::documents());
     }
@@ -156,6 +161,17 @@
     if !options.overload {
         run.advance_until(calm_from + CALM_DELAY + CALM_TIME + CALM_END_TIME).await?;
     }
+    let mut outdated = Vec::new();
+    if !options.overload {
+        let missed_from = Instant::now();
+        for step in schedule::draw_missed_trial(options.seed, usize::from(options.vms)) {
+            run.advance_until(missed_from + step.at).await?;
+            run.inject(step.fault).await?;
+        }
+        run.advance_until(missed_from + MISSED_TRIAL_TIME + CONFIG_TIMEOUT).await?;
+        let version = run.environment.config_version;
+        configuration::check(version, &run.fleet, &run.exchanges, &mut outdated).await;
+    }
     // A request aborted here would count as run but never sent, so callers finish first.
     stop.set(true);
     while callers.join_next().await.is_some() {}
@@ -171,6 +187,7 @@
         burst,
     };
     let mut report = check::check(&observed);
+    report.broken.append(&mut outdated);
     report.broken.append(&mut run.unexpected_exits);
     quarantine::check_harmless(&options.logs, &mut report.broken)?;
     if report.broken.is_empty() && !options.keep {
@@ -276,6 +293,7 @@
                 }
                 Undo::Entry(id) => self.environment.write_entry(&id),
                 Undo::Evacuation(domain) => self.environment.end_evacuation(domain),
+                Undo::Trial => self.environment.write_trial(Trial::default()),
                 Undo::StoreUp => self.environment.store.set_down(false),
                 Undo::UpstreamLink(id) => {
                     let upstream = self.environment.upstreams.iter().find(|u| u.leaf.id() == id);
@@ -355,6 +373,10 @@
             }
             Fault::Compact => self.environment.store.compact(),
             Fault::Configure => self.environment.write_config(),
+            Fault::Trial(trial, span) => {
+                self.environment.write_trial(trial);
+                self.undo.push((now + span, Undo::Trial));
+            }
             Fault::Deadly(vm) => self.send_deadly(vm),
             Fault::Evacuate(index, span) => {
                 let domain = DOMAINS[index].0;
--- a/crates/tgw-soak/src/schedule.rs
+++ b/crates/tgw-soak/src/schedule.rs
@@ -1,4 +1,4 @@
-use crate::fleet::DOMAINS;
+use crate::{configuration::Trial, fleet::DOMAINS};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use std::time::Duration;
 
@@ -38,6 +38,8 @@
     Vanish(usize),
     /// A new version of the configuration is written.
     Configure,
+    /// The configuration is changed, and changed back after a while.
+    Trial(Trial, Duration),
     /// An upstream's process ends, and another starts under the same id.
     Restart(usize),
     /// An upstream's entry is overwritten by another writer with a malformed document, for a while.
@@ -82,6 +84,17 @@
 /// Own random sequence, as for `ENTRY_SEED`.
 const HOLD_SEED: u64 = 0x686f_6c64;
 
+/// How long a change of the configuration lasts that few VMs see.
+const SHORT_TRIAL: Duration = Duration::from_millis(50);
+/// Typical interval of changes of the configuration that are taken back.
+const TRIAL_INTERVAL_MS: u64 = 2_400;
+/// Own random sequence, as for `ENTRY_SEED`.
+const TRIAL_SEED: u64 = 0x7472_6961;
+/// Own random sequence, as for `ENTRY_SEED`.
+const MISSED_TRIAL_SEED: u64 = 0x6d69_7373;
+/// Time until all VMs go on that missed a change of the configuration or its rollback.
+pub(crate) const MISSED_TRIAL_TIME: Duration = Duration::from_millis(7_000);
+
 /// Own random sequence, as for `ENTRY_SEED`.
 const CALM_SEED: u64 = 0x6361_6c6d;
 /// Groups of upstreams that leave in the calm phase, the number in each, and the time between two groups:
@@ -136,6 +149,7 @@
     if seed.is_multiple_of(3) {
         steps.push(draw_evacuation(seed));
     }
+    steps.extend(draw_trials(seed, span, vms));
     steps.sort_by_key(|step| step.at);
     steps
 }
@@ -163,6 +177,74 @@
     steps
 }
 
+/// Draws changes of the configuration that are taken back: while VMs are stopped, cut from the store or killed, one at
+/// the change and one at the rollback; right after the store was down for all; or with nothing else.
+fn draw_trials(seed: u64, span: Duration, vms: usize) -> Vec<Step> {
+    let mut rng = StdRng::seed_from_u64(seed ^ TRIAL_SEED);
+    let ms = Duration::from_millis;
+    let mut steps = Vec::new();
+    let mut at = ms(rng.random_range(300..TRIAL_INTERVAL_MS));
+    while at < span {
+        let trial = draw_trial(&mut rng);
+        let (first, second) = (rng.random_range(0..vms), rng.random_range(0..vms));
+        let lasts = ms(rng.random_range(400..2_500));
+        let missed = ms(rng.random_range(200..1_500));
+        let around = |fault: &dyn Fn(usize, Duration) -> Fault| {
+            let before = ms(100);
+            let change =
+                Step { at: at.saturating_sub(before), fault: fault(first, lasts + missed) };
+            let rollback = Step { at: at + lasts - before, fault: fault(second, missed + missed) };
+            [change, rollback]
+        };
+        let mut trials = vec![Step { at, fault: Fault::Trial(trial, lasts) }];
+        match rng.random_range(0..6) {
+            0 => steps.extend(around(&Fault::Freeze)),
+            1 => steps.extend(around(&Fault::StoreCut)),
+            2 => steps.extend(around(&|vm, _| Fault::Kill(vm))),
+            3 | 4 => {
+                // Those that read the store for the others reach it again at different moments.
+                let down = ms(rng.random_range(1_500..3_200));
+                steps.push(Step { at, fault: Fault::StoreDown(down) });
+                let brief = Fault::Trial(trial, SHORT_TRIAL);
+                let delays = [450, 750, 1_050].map(ms);
+                trials = delays.map(|delay| Step { at: at + down + delay, fault: brief }).into();
+                at += down;
+            }
+            _ => {}
+        }
+        steps.extend(trials);
+        at += ms(rng.random_range(TRIAL_INTERVAL_MS / 2..TRIAL_INTERVAL_MS * 2));
+    }
+    steps
+}
+
+/// Draws a change of the configuration that one VM misses together with its rollback, while all others miss the rollback
+/// alone, and nothing else is wrong. Each is stopped for longer than a watch of the store lasts, so that it lists the store
+/// when it goes on; the one is the first to do so, and tells the others. The faults are in order of time.
+pub(crate) fn draw_missed_trial(seed: u64, vms: usize) -> Vec<Step> {
+    let mut rng = StdRng::seed_from_u64(seed ^ MISSED_TRIAL_SEED);
+    let ms = Duration::from_millis;
+    let at = ms(600);
+    let (one, trial) = (rng.random_range(0..vms), draw_trial(&mut rng));
+    let lasts = ms(rng.random_range(2_200..2_600));
+    let stopped = ms(rng.random_range(3_400..3_800));
+    let rest = (0..vms).filter(|vm| *vm != one).map(|vm| Fault::Freeze(vm, stopped));
+    let rest = rest.map(|fault| Step { at: at + lasts - ms(200), fault });
+    let one = Step { at: Duration::ZERO, fault: Fault::Freeze(one, stopped) };
+    let trial = Step { at, fault: Fault::Trial(trial, lasts) };
+    [one, trial].into_iter().chain(rest).collect()
+}
+
+fn draw_trial(rng: &mut StdRng) -> Trial {
+    Trial {
+        moves_route: rng.random(),
+        drops_route: rng.random(),
+        adds_key: rng.random(),
+        removes_key: rng.random(),
+        adds_tenant: rng.random(),
+    }
+}
+
 /// Draws an evacuation that lasts longer than all VMs may take to learn of it.
 fn draw_evacuation(seed: u64) -> Step {
     let mut rng = StdRng::seed_from_u64(seed ^ EVACUATION_SEED);
--- a/crates/tgw-soak/src/tenants.rs
+++ b/crates/tgw-soak/src/tenants.rs
@@ -23,6 +23,12 @@
 pub(crate) const USUAL: Tenant = Tenant { name: "lodge", key: "6dnvhz6prvnzqjynjcfv" };
 /// The tenant that sends more than its limit.
 pub(crate) const LIMITED: Tenant = Tenant { name: "mill", key: "8nmpby256b5cwa32q6qy" };
+/// A further key of the usual tenant, which trials of the configuration take away.
+pub(crate) const SPARE_KEY: &str = "k2v6cz8tqh4mwd3nsxr7";
+/// A further key of the usual tenant that only trials name.
+pub(crate) const TRIAL_KEY: &str = "p9x4jw7bnd2gkq5hvt8c";
+/// A tenant that only trials name.
+pub(crate) const TRIAL: Tenant = Tenant { name: "kiln", key: "w3r8fy6zmk5tbc2qxj9d" };
 /// A key that no tenant holds.
 pub(crate) const UNKNOWN_KEY: &str = "never-held";
 
@@ -33,12 +39,9 @@
 const MAX_IN_WINDOW: usize = 59;
 const WINDOW: Duration = Duration::from_secs(5);
 
-/// The tenants of a configuration.
-pub(crate) fn documents() -> [Value; 2] {
-    [
-        files::tenant(USUAL.name, &[USUAL.key], 0.0, 0.0),
-        files::tenant(LIMITED.name, &[LIMITED.key], RATE_PER_S, BURST),
-    ]
+/// The tenants of a configuration that trials do not change.
+pub(crate) fn documents() -> Vec<Value> {
+    vec![files::tenant(LIMITED.name, &[LIMITED.key], RATE_PER_S, BURST)]
 }
 
 /// Checks that upstreams were told the right tenant and no key, that nothing ran with an unknown key, and that the
--- a/crates/tgw-spread/tests/configuration/mod.rs
+++ b/crates/tgw-spread/tests/configuration/mod.rs
@@ -230,6 +230,23 @@
     assert_eq!(vms[1].version(), vms[0].version());
 }
 
+// Operators add a route and remove it while one VM is cut off from the store. Another VM, which saw only the
+// first of the two edits, asks it for changes and must not go on serving the route.
+#[test]
+fn route_added_and_removed_while_cut_off_is_dropped() {
+    let brief = Contents { routes: [1, 1, 1], ..USUAL };
+    let (mut skipping, mut asking) = (ReplicatedState::default(), ReplicatedState::default());
+    for document in [USUAL.document(3), USUAL.document(6)] {
+        skipping.apply_config(&document);
+    }
+    for document in [USUAL.document(3), brief.document(4)] {
+        asking.apply_config(&document);
+    }
+    let update = skipping.config_update_since(asking.config_version()).unwrap();
+    let routes = asking.apply_config_update(update).unwrap().routes;
+    assert_eq!(routes.iter().map(|r| &*r.name).collect::<Vec<_>>(), ["alarms", "history"]);
+}
+
 // A VM asks a peer for changes, and reads a change from the store before the answer arrives, which was made for the
 // version before and lacks what takes that change back.
 #[test]
--- a/crates/tgw-spread/tests/spread.rs
+++ b/crates/tgw-spread/tests/spread.rs
@@ -21,9 +21,8 @@
     Fingerprint,
     message::{Answer, Order, QuarantineState, Rounds, Termination, Update},
 };
-use tgw_route::{Config, Residency, Route, Safety, Target};
 use tgw_spread::{
-    Delta, Message, ReplicatedState, Upstreams, VersionedMap, hop,
+    Delta, Message, Upstreams, VersionedMap, hop,
     message::{Datagram, PeerReport},
 };
 
@@ -120,40 +119,6 @@
     Delta { from: None, to: 0, changed: vec![], removed: vec![], gaps: vec![] }
 }
 
-fn config(version: u64, routes: &[&str]) -> Config {
-    let route = |name: &&str| Route {
-        name: (*name).into(),
-        host: "a.example".into(),
-        prefix: "/".into(),
-        target: Target::Single("s".into()),
-        safety: Safety::Idempotent,
-        timeout: Millis::new(800),
-        target_latency: Millis::new(150),
-        max_attempts: 2,
-        priority: 0,
-        residency: Residency::default(),
-        anonymous: false,
-    };
-    let routes = routes.iter().map(|name| Rc::new(route(name))).collect();
-    Config { version, routes, ..Config::default() }
-}
-
-// Operators add a route and remove it while one VM is cut off from the store. Another VM, which saw only the
-// first of the two edits, asks it for changes and must not go on serving the route.
-#[test]
-fn route_added_and_removed_while_cut_off_is_dropped() {
-    let (mut skipping, mut asking) = (ReplicatedState::default(), ReplicatedState::default());
-    for version in [config(3, &["kept"]), config(6, &["kept"])] {
-        skipping.apply_config(&version);
-    }
-    for version in [config(3, &["kept"]), config(4, &["kept", "brief"])] {
-        asking.apply_config(&version);
-    }
-    let update = skipping.config_update_since(asking.config_version()).unwrap();
-    let routes = asking.apply_config_update(update).unwrap().routes;
-    assert_eq!(routes.iter().map(|r| &*r.name).collect::<Vec<_>>(), ["kept"]);
-}
-
 pub(crate) fn upstream(started: u64) -> Entry {
     Entry {
         id: "u".into(),
