fix(gateway): what a caller sends never removes or changes what upstreams are told

Cause: the tenant's header was set among the caller's headers, and those that Connection lists were removed after that; Host went the same way. Requests of other VMs were sent on with the headers of their packets, whatever the principal beside them said.

Change: headers of callers and of packets are reduced first, to a type that only reducing makes; the request's id and the tenant are added last, by the one function that makes the headers of all messages, packets included.

Trailers, Upgrade and framing were not looked into.

--- a/crates/tgw-gateway/src/authentication.rs
+++ b/crates/tgw-gateway/src/authentication.rs
@@ -1,5 +1,5 @@
 use crate::{peers::Peers, shared::Shared};
-use http::{HeaderMap, HeaderValue, header};
+use http::{HeaderMap, header};
 use smallvec::SmallVec;
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 use tgw_route::Route;
@@ -72,8 +72,6 @@
     if has_tenants || key.is_some() {
         headers.remove(header::AUTHORIZATION);
     }
-    // Callers cannot speak for a tenant, whatever the deployment.
-    headers.remove(&shared.codec.headers().tenant);
     if !has_tenants || route.anonymous {
         return Ok(None);
     }
@@ -82,8 +80,6 @@
         Some(identity) => identity,
         None => find_in_newest(shared, key).await?,
     };
-    let name = HeaderValue::from_str(&identity.tenant.name).map_err(|_| Error::UnknownKey)?;
-    headers.insert(shared.codec.headers().tenant.clone(), name);
     Ok(Some(identity))
 }
 
--- a/crates/tgw-gateway/src/codec.rs
+++ b/crates/tgw-gateway/src/codec.rs
@@ -30,6 +30,34 @@
     pub missing_parts: HeaderName,
 }
 
+impl Headers {
+    /// All names.
+    pub(crate) fn all(&self) -> [&HeaderName; 9] {
+        let Self {
+            request_id,
+            deadline,
+            expected_incarnation,
+            signature,
+            load,
+            not_executed,
+            tenant,
+            part_signatures,
+            missing_parts,
+        } = self;
+        [
+            request_id,
+            deadline,
+            expected_incarnation,
+            signature,
+            load,
+            not_executed,
+            tenant,
+            part_signatures,
+            missing_parts,
+        ]
+    }
+}
+
 /// Kinds of objects in the platform's store.
 #[derive(Clone, Debug)]
 pub struct Kinds {
--- a/crates/tgw-gateway/src/exchange.rs
+++ b/crates/tgw-gateway/src/exchange.rs
@@ -1,12 +1,14 @@
 use crate::{
-    broken, headers, hop,
+    broken, codec,
+    headers::{self, EndToEnd},
+    hop,
     memory::Reservation,
     pool::{self, Connection},
     shared::Shared,
     telemetry,
 };
 use bytes::Bytes;
-use http::{HeaderValue, Method, Request, Response, StatusCode, Uri, header};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use std::{cell::Cell, io, rc::Rc, time::Duration};
@@ -29,8 +31,7 @@
 pub(crate) struct OutgoingRequest {
     pub(crate) method: Method,
     pub(crate) uri: Uri,
-    /// End-to-end headers only.
-    pub(crate) headers: http::HeaderMap,
+    pub(crate) headers: EndToEnd,
     pub(crate) body: Bytes,
     /// The memory reserved for the body, released when the request is dropped.
     pub(crate) _memory: Option<Reservation>,
@@ -44,6 +45,19 @@
     pub(crate) deadline: Millis,
 }
 
+impl OutgoingRequest {
+    /// The headers for upstreams, but for those that differ from send to send. What this product says comes last.
+    /// Errors: the tenant's name is no value of a header.
+    pub(crate) fn head(&self, names: &codec::Headers) -> http::Result<HeaderMap> {
+        let mut head = (*self.headers).clone();
+        head.insert(names.request_id.clone(), self.identity.clone());
+        if let Some(principal) = &self.principal {
+            head.insert(names.tenant.clone(), HeaderValue::from_str(&principal.tenant)?);
+        }
+        Ok(head)
+    }
+}
+
 /// One send in progress. Dropping it reports the outcome to the core, also when its task was
 /// cancelled.
 pub(crate) struct ActiveSend {
@@ -251,7 +265,7 @@
         .body(Full::new(request.body.clone()))?;
     let remaining = (request.deadline - shared.now()).as_whole_ms().max(1);
     let head = message.headers_mut();
-    head.clone_from(&request.headers);
+    *head = request.head(names)?;
     head.insert(names.deadline.clone(), HeaderValue::from(remaining));
     head.insert(names.expected_incarnation.clone(), expected.clone());
     Ok(message)
--- a/crates/tgw-gateway/src/gather.rs
+++ b/crates/tgw-gateway/src/gather.rs
@@ -252,7 +252,7 @@
     options: &Options,
     arrived: Millis,
 ) -> Option<Query> {
-    let (headers, uri) = hop::pack_head(request)?;
+    let (headers, uri) = hop::pack_head(shared, request)?;
     let number = shared.gathered.next_number.get().wrapping_add(1);
     shared.gathered.next_number.set(number);
     Some(Query {
--- a/crates/tgw-gateway/src/handle.rs
+++ b/crates/tgw-gateway/src/handle.rs
@@ -3,7 +3,8 @@
     authentication::{self, Identity},
     drive,
     exchange::OutgoingRequest,
-    gather, headers,
+    gather,
+    headers::{self, EndToEnd},
     memory::Reservation,
     shared::{Phase, Shared},
     telemetry,
@@ -140,8 +141,7 @@
         body: &body,
     };
     let fingerprint = shared.hasher.fingerprint(caller, &content);
-    let mut headers = head.headers;
-    headers::strip(&mut headers);
+    let headers = EndToEnd::reduce(head.headers, names);
     let admitted = admit(shared, tenant.as_ref(), arrived, &identity).await?;
     let principal = tenant.map(|t| t.principal);
     let outgoing = OutgoingRequest {
--- a/crates/tgw-gateway/src/headers.rs
+++ b/crates/tgw-gateway/src/headers.rs
@@ -1,3 +1,5 @@
+use crate::codec;
+use derive_more::Deref;
 use http::{HeaderMap, HeaderName, Uri, header, uri::Authority};
 
 /// Hop-by-hop headers, which are never forwarded.
@@ -13,6 +15,22 @@
 const KEEP_ALIVE: &str = "keep-alive";
 const PROXY_CONNECTION: &str = "proxy-connection";
 
+/// The headers of a request that a caller addresses to upstreams: end-to-end ones, and none of those that this product
+/// sets. These are added when a message is built, so that nothing that a caller sends removes or changes them.
+#[derive(Clone, Debug, Deref)]
+pub(crate) struct EndToEnd(HeaderMap);
+
+impl EndToEnd {
+    /// Reduces the headers of a caller's request, or of one that another VM passes on.
+    pub(crate) fn reduce(mut headers: HeaderMap, names: &codec::Headers) -> Self {
+        strip(&mut headers);
+        for name in names.all() {
+            headers.remove(name);
+        }
+        Self(headers)
+    }
+}
+
 /// Removes hop-by-hop headers and those that describe the framing, which hyper sets anew.
 pub(crate) fn strip(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
@@ -21,6 +39,8 @@
         .filter_map(|v| v.to_str().ok())
         .flat_map(|v| v.split(','))
         .filter_map(|name| name.trim().parse().ok())
+        // Each request needs one, whatever the sender names.
+        .filter(|name| name != header::HOST)
         .collect();
     for name in named.iter().chain(&HOP) {
         headers.remove(name);
--- a/crates/tgw-gateway/src/hop.rs
+++ b/crates/tgw-gateway/src/hop.rs
@@ -1,5 +1,6 @@
 use crate::{
     exchange::{self, ActiveSend, OutgoingRequest},
+    headers::EndToEnd,
     packets::MAX_PACKET_BYTES,
     shared::Shared,
 };
@@ -205,7 +206,7 @@
 /// Encodes the request for a packet; `None` if it does not fit into one.
 fn pack(send: &ActiveSend) -> Option<Request> {
     let ActiveSend { shared, request, entry, .. } = send;
-    let (headers, uri) = pack_head(request)?;
+    let (headers, uri) = pack_head(shared, request)?;
     let number = shared.hops.next_number.get().wrapping_add(1);
     shared.hops.next_number.set(number);
     Some(Request {
@@ -231,9 +232,13 @@
 type PackedHeaders = Vec<(String, Vec<u8>)>;
 
 /// The headers and the path of a request for a packet; `None` if they and the body do not fit into one.
-pub(crate) fn pack_head(request: &OutgoingRequest) -> Option<(PackedHeaders, String)> {
+pub(crate) fn pack_head(
+    shared: &Shared,
+    request: &OutgoingRequest,
+) -> Option<(PackedHeaders, String)> {
+    let head = request.head(shared.codec.headers()).ok()?;
     let headers: PackedHeaders =
-        request.headers.iter().map(|(n, v)| (n.to_string(), v.as_bytes().to_vec())).collect();
+        head.iter().map(|(n, v)| (n.to_string(), v.as_bytes().to_vec())).collect();
     let uri = request.uri.to_string();
     let size: usize = headers.iter().map(|(n, v)| n.len() + v.len()).sum();
     let fits = size + uri.len() + request.body.len() + PACKET_OVERHEAD_BYTES <= MAX_PACKET_BYTES;
@@ -377,7 +382,8 @@
     for (name, value) in head.headers {
         headers.append(HeaderName::try_from(name).ok()?, HeaderValue::from_bytes(&value).ok()?);
     }
-    let identity = headers.get(&shared.codec.headers().request_id)?.clone();
+    let names = shared.codec.headers();
+    let identity = headers.get(&names.request_id)?.clone();
     let uri: Uri = head.uri.parse().ok()?;
     let route = {
         let config = shared.config.borrow();
@@ -392,7 +398,7 @@
     Some(OutgoingRequest {
         method: head.method.parse().ok()?,
         uri,
-        headers,
+        headers: EndToEnd::reduce(headers, names),
         body: body.into(),
         _memory: None,
         identity,
