fix(spread): versions between are known only if every part came as changes

Cause: an earlier build may tell the routes as changes and the services whole; what was removed of these between the two versions is then unknown, and the versions between were recorded as known all the same.

Change: they are recorded only if all parts came as changes.

--- a/crates/tgw-spread/src/configuration.rs
+++ b/crates/tgw-spread/src/configuration.rs
@@ -118,14 +118,16 @@
     pub fn apply_update(&mut self, update: ConfigUpdate) -> bool {
         let ConfigUpdate { routes, services, limits, tenants } = update;
         let (to, held) = (routes.to, self.version);
-        let tenants_from = tenants.as_ref().and_then(|tenants| tenants.from);
+        // Where there are no tenants, none changed either.
+        let tenants_from = tenants.as_ref().map_or(Some(held), |tenants| tenants.from);
         let starts = [routes.from, services.from, tenants_from];
         // The answer may arrive after this VM has read another version. What changed in between is not in it, nor is
         // what took that change back.
         if to <= held || starts.into_iter().flatten().any(|from| from != held) {
             return false;
         }
-        let told_whole = routes.from.is_none();
+        // A part that is told whole lacks what was removed at the versions between.
+        let has_steps = starts.iter().all(Option::is_some);
         let versions: Vec<u64> = routes.gaps.iter().map(|(_, version)| *version).collect();
         self.version = to;
         self.routes.apply(routes);
@@ -135,7 +137,7 @@
         if let Some(tenants) = tenants {
             self.tenants.apply(tenants);
         }
-        if !told_whole {
+        if has_steps {
             versions.into_iter().for_each(|version| self.history.record(version));
         }
         self.history.record(to);
