fix(gateway): a request with two Host headers or two ids gets 400

What callers saw: such a request ran. The first header counted here, and upstreams got both, so that another reader could take it for a request to another host, or for another request.

Cause: repeated headers were read by their first value and passed on as they stood.

Change: they are refused before a route is looked up; the line says why.

Not mended: a length beside chunks is not passed on, but the connection stays open.

--- a/crates/tgw-gateway/src/handle.rs
+++ b/crates/tgw-gateway/src/handle.rs
@@ -85,6 +85,11 @@
     let arrived = shared.now();
     let (mut head, body) = request.into_parts();
     let names = shared.codec.headers();
+    if let Some(cause) = headers::ambiguity(&head.headers, names) {
+        let id = header_text(&head.headers, &names.request_id);
+        telemetry::request_unread(shared, arrived, id, cause);
+        return Err(refuse(StatusCode::BAD_REQUEST, None));
+    }
     let host = headers::host(&head.uri, &head.headers);
     let (route, version) = {
         let config = shared.config.borrow();
--- a/crates/tgw-gateway/src/headers.rs
+++ b/crates/tgw-gateway/src/headers.rs
@@ -51,6 +51,16 @@
     headers.remove(header::EXPECT);
 }
 
+/// What makes a request's headers ambiguous; `None` if nothing does. Another reader could take such a request for one to
+/// another host (RFC 9112, section 3.2), or for another request.
+pub(crate) fn ambiguity(headers: &HeaderMap, names: &codec::Headers) -> Option<&'static str> {
+    let is_repeated = |name: &HeaderName| headers.get_all(name).iter().nth(1).is_some();
+    if is_repeated(&header::HOST) {
+        return Some("several hosts");
+    }
+    is_repeated(&names.request_id).then_some("several identities")
+}
+
 /// The host named by a request.
 pub(crate) fn host<'a>(uri: &'a Uri, headers: &'a HeaderMap) -> Option<&'a str> {
     let named = || headers.get(header::HOST)?.to_str().ok();
