refactor(spread, soak): a file by the name of its type, named delays, a missed change that changes something

Cause: world.rs held ReplicatedState; the last change of the soak could be drawn without any effect, and would then have checked nothing.

Change: the file has the type's name; the missed change always moves a route.

--- a/crates/tgw-soak/src/schedule.rs
+++ b/crates/tgw-soak/src/schedule.rs
@@ -86,6 +86,8 @@
 
 /// How long a change of the configuration lasts that few VMs see.
 const SHORT_TRIAL: Duration = Duration::from_millis(50);
+/// Times after an outage of the store at which such changes are made: VMs reach it again over about a second.
+const AFTER_OUTAGE_MS: [u64; 3] = [450, 750, 1_050];
 /// Typical interval of changes of the configuration that are taken back.
 const TRIAL_INTERVAL_MS: u64 = 2_400;
 /// Own random sequence, as for `ENTRY_SEED`.
@@ -206,8 +208,8 @@
                 let down = ms(rng.random_range(1_500..3_200));
                 steps.push(Step { at, fault: Fault::StoreDown(down) });
                 let brief = Fault::Trial(trial, SHORT_TRIAL);
-                let delays = [450, 750, 1_050].map(ms);
-                trials = delays.map(|delay| Step { at: at + down + delay, fault: brief }).into();
+                let after = AFTER_OUTAGE_MS.map(|delay| at + down + ms(delay));
+                trials = after.map(|at| Step { at, fault: brief }).into();
                 at += down;
             }
             _ => {}
@@ -225,7 +227,9 @@
     let mut rng = StdRng::seed_from_u64(seed ^ MISSED_TRIAL_SEED);
     let ms = Duration::from_millis;
     let at = ms(600);
-    let (one, trial) = (rng.random_range(0..vms), draw_trial(&mut rng));
+    let one = rng.random_range(0..vms);
+    // Without any change there would be nothing to miss.
+    let trial = Trial { moves_route: true, ..draw_trial(&mut rng) };
     let lasts = ms(rng.random_range(2_200..2_600));
     let stopped = ms(rng.random_range(3_400..3_800));
     let rest = (0..vms).filter(|vm| *vm != one).map(|vm| Fault::Freeze(vm, stopped));
--- a/crates/tgw-spread/src/lib.rs
+++ b/crates/tgw-spread/src/lib.rs
@@ -22,6 +22,8 @@
 pub mod hop;
 /// Messages between VMs.
 pub mod message;
+/// The configuration, the list of upstreams and the evacuations as this VM has them.
+mod replicated_state;
 /// When a VM that starts reads the store, and which VMs it asks before.
 pub mod start;
 /// When a VM lists the store, watches it, or leaves that to another VM.
@@ -30,15 +32,13 @@
 pub mod upstreams;
 /// Values with versions, and the changes since a version.
 mod versioned_map;
-/// The configuration, the list of upstreams and the evacuations as this VM has them.
-mod world;
 
 pub use configuration::Configuration;
 pub use evacuations::Evacuations;
 pub use freshness::Freshness;
 pub use message::Message;
+pub use replicated_state::ReplicatedState;
 pub use start::Bootstrap;
 pub use store_reads::Schedule;
 pub use upstreams::Upstreams;
 pub use versioned_map::{Applied, Delta, VersionedMap};
-pub use world::ReplicatedState;
