test(spread): a version between is unknown where one part is told whole

Cause: came without a test, as no message of this build has the form; one of an earlier build can be put together from two answers.

--- a/crates/tgw-spread/tests/configuration/mod.rs
+++ b/crates/tgw-spread/tests/configuration/mod.rs
@@ -267,6 +267,27 @@
     assert_eq!(vms[1].version(), vms[0].version());
 }
 
+// An earlier build tells the routes as changes and the services whole, which lack a service that came and went between.
+// The VM that is told must not take itself to know the changes since the version between.
+#[test]
+fn version_between_is_unknown_where_one_part_is_told_whole() {
+    let mut store = Store::new();
+    let mut vms = [Vm::default(), Vm::default(), Vm::default()];
+    vms.iter_mut().for_each(|vm| vm.read(&store));
+    store.write(Contents { services: [1, 1, 1], ..USUAL });
+    vms[0].read(&store);
+    vms[2].read(&store);
+    store.write(USUAL);
+    vms[0].read(&store);
+    let mut update = vms[0].answer(vms[1].version()).unwrap();
+    assert!(update.routes.from.is_some());
+    update.services = vms[0].answer(0).unwrap().services;
+    vms[1].apply(Some(update));
+    ask(&mut vms, 2, 1);
+    check(&vms[2], &store);
+    assert_eq!(vms[2].version(), vms[1].version());
+}
+
 // A VM is cut off while the configuration changes more often than peers keep versions, or while one change drops more
 // routes than they keep removals. It is told the whole document, and nothing that was dropped stays.
 #[test]
