--- a/crates/tgw-gateway/src/codec.rs
+++ b/crates/tgw-gateway/src/codec.rs
@@ -33,27 +33,16 @@
 impl Headers {
     /// All names.
     pub(crate) fn all(&self) -> [&HeaderName; 9] {
-        let Self {
-            request_id,
-            deadline,
-            expected_incarnation,
-            signature,
-            load,
-            not_executed,
-            tenant,
-            part_signatures,
-            missing_parts,
-        } = self;
         [
-            request_id,
-            deadline,
-            expected_incarnation,
-            signature,
-            load,
-            not_executed,
-            tenant,
-            part_signatures,
-            missing_parts,
+            &self.request_id,
+            &self.deadline,
+            &self.expected_incarnation,
+            &self.signature,
+            &self.load,
+            &self.not_executed,
+            &self.tenant,
+            &self.part_signatures,
+            &self.missing_parts,
         ]
     }
 }
