fix(member): VMs that are named as seeds are asked at once

What callers saw: after a start with dark seeds one VM in nine met the others up to 2 s later than they met one another, and acted alone meanwhile.

Cause: two addresses a second were drawn from all seeds, dark ones among them, and from the dead; those that the store had just named waited for their turn.

Change: addresses are asked when they are named, up to 16 of them; the retry each second is as it was.

--- a/crates/tgw-member/src/failure_detector.rs
+++ b/crates/tgw-member/src/failure_detector.rs
@@ -130,7 +130,7 @@
     }
 
     /// Pings dead VMs and unknown seeds: after a partition no regular probe reaches them.
-    pub(crate) fn retry_dead_and_seeds(&mut self, out: &mut Actions) {
+    pub(crate) fn ping_dead_and_seeds(&mut self, max_targets: usize, out: &mut Actions) {
         let known: BTreeSet<SocketAddr> = self
             .records
             .values()
@@ -142,7 +142,7 @@
         targets.extend(self.options.seeds.iter().copied());
         targets.retain(|addr| !known.contains(addr));
         targets.shuffle(&mut self.rng);
-        for addr in targets.into_iter().take(2) {
+        for addr in targets.into_iter().take(max_targets) {
             self.gossip.enqueue(Update::Record(self.own_record()), 1);
             let seq = self.probes.next_seq();
             // The receiver may know this VM from an earlier incarnation. A join still asks for all
--- a/crates/tgw-member/src/member.rs
+++ b/crates/tgw-member/src/member.rs
@@ -30,6 +30,10 @@
 const RELAY_INTERVAL_MS: Millis = Millis::new(250);
 /// How often a dead VM or a seed is pinged, so that the end of a partition is detected.
 const RETRY_INTERVAL_MS: Millis = Millis::new(1000);
+/// Dead VMs and seeds that are pinged at each retry.
+const RETRY_TARGETS: usize = 2;
+/// Those that are pinged at once when seeds are named: most of them may be down, and one that lives tells of the others.
+const MAX_NEW_SEEDS: usize = 16;
 /// First interval between join attempts of a VM that knows no other; doubles up to
 /// [`RETRY_INTERVAL_MS`]. Where all VMs start at once, the seeds may not have bound their sockets yet:
 /// with the first packet lost and the next one sent a second later, 295 VMs knew one another only
@@ -189,7 +193,10 @@
         match event {
             Event::Packet(addr, packet) => self.handle_packet(now, addr, *packet, out),
             Event::Records(records) => self.merge_records(now, records, out),
-            Event::Seeds(seeds) => self.options.seeds = seeds,
+            Event::Seeds(seeds) => {
+                self.options.seeds = seeds;
+                self.ping_dead_and_seeds(MAX_NEW_SEEDS, out);
+            }
             Event::Edition(edition) => {
                 self.edition = self.edition.max(edition);
                 self.report_edition(out);
@@ -393,7 +400,7 @@
         }
         if now >= self.next_retry {
             self.next_retry = now + self.next_retry_interval();
-            self.retry_dead_and_seeds(out);
+            self.ping_dead_and_seeds(RETRY_TARGETS, out);
         }
         if now >= self.next_compare {
             self.next_compare = now + COMPARE_INTERVAL_MS;
