fix(gateway, spread): a VM acts as the only one by evidence only

Cause: "no other VM lives" was taken from "no other VM has been found yet". A lone VM counted itself as the only one at 4.5 s, and VMs published themselves only after that, so that they found one another at 8 s.

Change: a VM that knows no other publishes its address, lists all addresses after the acknowledgement, and acts alone only if nobody is there or answers within a second. Of two VMs at least one sees the other, in every order. Where the store does not answer it acts alone from 4.5 s on, as before, and asks again. All that depends on being alone goes through one place.

Left: store away and seeds dark at once.

--- a/crates/tgw-gateway/src/live_vms.rs
+++ b/crates/tgw-gateway/src/live_vms.rs
@@ -42,6 +42,9 @@
         let in_region = others().filter(|(_, m)| Some(m.place.region) == own_region);
         let in_region: Vec<SocketAddr> = in_region.map(|(_, m)| m.addr).collect();
         let near = in_region.len() + 1;
+        if all > 1 {
+            self.has_met_others.set(true);
+        }
         self.on_start_event(start::Event::Peers(&in_region));
         self.region_peers.replace(in_region);
         self.all_peers.replace(others().map(|(_, m)| m.addr).collect());
--- a/crates/tgw-gateway/src/peers.rs
+++ b/crates/tgw-gateway/src/peers.rs
@@ -17,7 +17,7 @@
 use tgw_forward::upstream::PeerReport;
 use tgw_member::{Action, Event, Member};
 use tgw_spread::{
-    Message,
+    Lookup, Message,
     message::{self, Datagram, Versions},
     start::{self, PeerState},
 };
@@ -61,6 +61,10 @@
     /// The set of known VMs has changed since the last count.
     pub(crate) membership_changed: Cell<bool>,
     pub(crate) counted_at: Cell<Millis>,
+    /// The lookup of other VMs in the store.
+    pub(crate) lookup: RefCell<Lookup>,
+    /// Whether this VM has known another one since its start.
+    pub(crate) has_met_others: Cell<bool>,
 }
 
 /// Incarnation of this process, from the time of day, so that it is higher than that of an earlier
@@ -97,6 +101,8 @@
             transfers: Transfers::default(),
             membership_changed: Cell::new(false),
             counted_at: Cell::new(Millis::ZERO),
+            lookup: RefCell::default(),
+            has_met_others: Cell::new(false),
         });
         tokio::task::spawn_local(peers.clone().run());
         tokio::task::spawn_local(peers.clone().fetch_state());
@@ -316,9 +322,15 @@
             .for_each(|to| self.shared.packets.send(to, &datagram));
     }
 
-    /// Whether this VM has run for long enough to rely on what it knows of the others.
+    /// Whether this VM can rely on what it knows of the others. One that has met none may just not have been found
+    /// yet: until the store shows that, it must not act as the only one.
     pub(crate) fn is_settled(&self) -> bool {
-        self.shared.now() >= if self.is_alone() { SETTLE_TIME_ALONE_MS } else { SETTLE_TIME_MS }
+        let now = self.shared.now();
+        if !self.is_alone() {
+            return now >= SETTLE_TIME_MS;
+        }
+        let is_informed = self.has_met_others.get() || self.lookup.borrow().is_over(now);
+        is_informed && now >= SETTLE_TIME_ALONE_MS
     }
 
     fn update_relay(self: &Rc<Self>) {
--- a/crates/tgw-spread/src/lib.rs
+++ b/crates/tgw-spread/src/lib.rs
@@ -20,6 +20,8 @@
 mod history;
 /// Sends that one VM asks another to make.
 pub mod hop;
+/// Finding other VMs through the store, and evidence that there are none.
+mod lookup;
 /// Messages between VMs.
 pub mod message;
 /// The configuration, the list of upstreams and the evacuations as this VM has them.
@@ -36,6 +38,7 @@
 pub use configuration::Configuration;
 pub use evacuations::Evacuations;
 pub use freshness::Freshness;
+pub use lookup::Lookup;
 pub use message::Message;
 pub use replicated_state::ReplicatedState;
 pub use start::Bootstrap;
--- a/crates/tgw-spread/tests/spread.rs
+++ b/crates/tgw-spread/tests/spread.rs
@@ -7,6 +7,7 @@
 mod evacuations;
 mod freshness;
 mod gather;
+mod lookup;
 mod start;
 mod upstreams;
 
