refactor(spread): the configuration is used by its own type

Cause: ReplicatedState had four functions that only called the configuration's, which is public beside the lists. Change: they are gone.

--- a/crates/tgw-gateway/src/shared.rs
+++ b/crates/tgw-gateway/src/shared.rs
@@ -247,7 +247,7 @@
     /// Passes the versions held by this VM to the start-up logic.
     pub(crate) fn record_versions(&self) {
         let world = self.world.borrow();
-        let (config, upstreams) = (world.config_version(), world.upstreams.version());
+        let (config, upstreams) = (world.configuration.version(), world.upstreams.version());
         if upstreams > 0 {
             self.upstreams_known.set(true);
         }
--- a/crates/tgw-gateway/src/state_exchange.rs
+++ b/crates/tgw-gateway/src/state_exchange.rs
@@ -109,10 +109,12 @@
 
     fn apply_update(&self, from: SocketAddr, update: Update) {
         quarantine::restore(&self.shared, Millis::ZERO, &update.quarantine, &from.to_string());
-        let config =
-            update.config.and_then(|c| self.shared.world.borrow_mut().apply_config_update(c));
-        if let Some(config) = config {
-            self.shared.apply_config(&config, "peer");
+        let mut world = self.shared.world.borrow_mut();
+        let changed = update.config.is_some_and(|c| world.configuration.apply_update(c));
+        let document = changed.then(|| world.configuration.document());
+        drop(world);
+        if let Some(document) = document {
+            self.shared.apply_config(&document, "peer");
         }
         self.shared.evacuations_checked.set(true);
         // Applied before the upstreams, so that upstreams of an evacuated domain are never
@@ -204,7 +206,7 @@
             let starting = versions.upstreams == 0;
             let quarantine = starting.then(|| self.shared.core.borrow().quarantine.snapshot(now));
             Update {
-                config: world.config_update_since(versions.config),
+                config: world.configuration.update_since(versions.config),
                 upstreams: world.upstreams.update_since(now, versions.upstreams),
                 evacuations: world.evacuations.update_since(versions.evacuations),
                 quarantine: quarantine.unwrap_or_default(),
--- a/crates/tgw-gateway/src/watch/configuration.rs
+++ b/crates/tgw-gateway/src/watch/configuration.rs
@@ -26,7 +26,7 @@
                         "part of the configuration cannot be decoded");
                 }
                 let mut world = self.shared.world.borrow_mut();
-                let changed = world.apply_config(&value);
+                let changed = world.configuration.apply_document(&value);
                 // A VM that is told this version gets the same document, in the same order of routes.
                 let document = changed.then(|| world.configuration.document());
                 drop(world);
@@ -65,7 +65,7 @@
     fn watch_answered(&mut self) {}
 
     fn is_known(&self) -> bool {
-        self.shared.world.borrow().config_version() > 0
+        self.shared.world.borrow().configuration.version() > 0
     }
 
     fn set_reading(&self, reading: bool) {
--- a/crates/tgw-spread/tests/configuration/mod.rs
+++ b/crates/tgw-spread/tests/configuration/mod.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use test_case::test_case;
 use tgw_route::Config;
-use tgw_spread::{ReplicatedState, agreement::Comparison};
+use tgw_spread::{Configuration, agreement::Comparison};
 
 // Operators change the configuration and take the change back while one VM sleeps. It must not bring the change back
 // into force, nor keep it alive, on the VM that saw it: a route moved or dropped, a key added or taken away.
@@ -40,15 +40,16 @@
 #[test]
 fn route_added_and_removed_while_cut_off_is_dropped() {
     let brief = Contents { routes: [1, 1, 1], ..USUAL };
-    let (mut skipping, mut asking) = (ReplicatedState::default(), ReplicatedState::default());
+    let (mut skipping, mut asking) = (Configuration::default(), Configuration::default());
     for document in [USUAL.document(3), USUAL.document(6)] {
-        skipping.apply_config(&document);
+        skipping.apply_document(&document);
     }
     for document in [USUAL.document(3), brief.document(4)] {
-        asking.apply_config(&document);
+        asking.apply_document(&document);
     }
-    let update = skipping.config_update_since(asking.config_version()).unwrap();
-    let routes = asking.apply_config_update(update).unwrap().routes;
+    let update = skipping.update_since(asking.version()).unwrap();
+    assert!(asking.apply_update(update));
+    let routes = asking.document().routes;
     assert_eq!(routes.iter().map(|r| &*r.name).collect::<Vec<_>>(), ["alarms", "history"]);
 }
 
@@ -116,8 +117,8 @@
     let routes = |names: &[String]| names.iter().map(|name| Rc::new(route(name, 1))).collect();
     let document = |version, names| Config { version, routes: routes(names), ..Config::default() };
     let mut vms = [Vm::default(), Vm::default()];
-    vms.iter_mut().for_each(|vm| _ = vm.state.apply_config(&document(1, &names)));
-    vms[0].state.apply_config(&document(2, &names[..1]));
+    vms.iter_mut().for_each(|vm| _ = vm.state.apply_document(&document(1, &names)));
+    vms[0].state.apply_document(&document(2, &names[..1]));
     ask(&mut vms, 1, 0);
     assert_eq!((vms[1].version(), vms[1].active.routes.len()), (2, 1));
 }
@@ -132,13 +133,13 @@
 fn vm_that_was_told_wrong_contents_is_found_and_mended(wrong: Contents) {
     let mut store = Store::new();
     let mut vms = [Vm::default(), Vm::default(), Vm::default()];
-    vms[0].state.apply_config(&wrong.document(3));
-    vms[0].state.apply_config(&wrong.document(5));
+    vms[0].state.apply_document(&wrong.document(3));
+    vms[0].state.apply_document(&wrong.document(5));
     vms[1].read(&store);
     ask(&mut vms, 2, 0);
     assert_eq!(compare(&vms[0], &vms[1]), Comparison::Different);
     assert_eq!(compare(&vms[0], &vms[2]), Comparison::Equal);
-    vms[0].state.configuration.mark_disputed();
+    vms[0].state.mark_disputed();
     vms[0].read(&store);
     check(&vms[0], &store);
     assert_eq!(compare(&vms[0], &vms[1]), Comparison::Equal);
--- a/crates/tgw-spread/tests/configuration/model.rs
+++ b/crates/tgw-spread/tests/configuration/model.rs
@@ -6,7 +6,7 @@
     Config, Limits, Residency, Route, Safety, Service, Target,
     config::{Shards, Warmup},
 };
-use tgw_spread::{ReplicatedState, agreement::Comparison, message::ConfigUpdate};
+use tgw_spread::{Configuration, agreement::Comparison, message::ConfigUpdate};
 use tgw_tenant::{ApiKey, Tenant};
 
 pub(super) const NAMES: [&str; 3] = ["alarms", "history", "orders"];
@@ -151,7 +151,7 @@
 
 #[derive(Default)]
 pub(super) struct Vm {
-    pub(super) state: ReplicatedState,
+    pub(super) state: Configuration,
     /// The configuration by which it handles requests.
     pub(super) active: Config,
     /// Its configuration has changed since it was last checked.
@@ -161,26 +161,26 @@
 impl Vm {
     pub(super) fn read(&mut self, store: &Store) {
         let document = store.document();
-        if self.state.apply_config(&document) {
-            self.active = self.state.configuration.document();
+        if self.state.apply_document(&document) {
+            self.active = self.state.document();
             self.changed.set(true);
         }
     }
 
     /// Its answer to a VM that holds `version`.
     pub(super) fn answer(&self, version: u64) -> Option<ConfigUpdate> {
-        self.state.config_update_since(version)
+        self.state.update_since(version)
     }
 
     pub(super) fn apply(&mut self, update: Option<ConfigUpdate>) {
-        if let Some(config) = update.and_then(|update| self.state.apply_config_update(update)) {
-            self.active = config;
+        if update.is_some_and(|update| self.state.apply_update(update)) {
+            self.active = self.state.document();
             self.changed.set(true);
         }
     }
 
     pub(super) fn version(&self) -> u64 {
-        self.state.config_version()
+        self.state.version()
     }
 }
 
@@ -191,7 +191,7 @@
 
 /// How the configurations of two VMs compare.
 pub(super) fn compare(one: &Vm, other: &Vm) -> Comparison {
-    one.state.digests().configuration.compare(other.state.digests().configuration)
+    one.state.digest().compare(other.state.digest())
 }
 
 /// Checks that a VM does what the version that it names says.
--- a/crates/tgw-spread/tests/configuration/orders.rs
+++ b/crates/tgw-spread/tests/configuration/orders.rs
@@ -97,7 +97,7 @@
                 let wrong = Contents { routes: [number; 3], ..USUAL };
                 let document = wrong.document(vm.version());
                 *vm = Vm::default();
-                vm.state.apply_config(&document);
+                vm.state.apply_document(&document);
             }
         }
         vms.iter().filter(|vm| vm.changed.take()).for_each(|vm| check(vm, &store));
@@ -119,7 +119,7 @@
 fn compare_and_read(vms: &mut [Vm], one: usize, other: usize, store: &Store) {
     if compare(&vms[one], &vms[other]) == Comparison::Different {
         for vm in [one, other] {
-            vms[vm].state.configuration.mark_disputed();
+            vms[vm].state.mark_disputed();
             vms[vm].read(store);
         }
     }
