Review case 8: an outage makes two holders of one limit (QUOTA)

Cause: a machine that is added with a stale seed looks for others in the store 3 s after its start; where the store answers 503, it counts that as if there were no other machine, and holds its geo's part of each limit from 4.5 s on, until its next attempt up to 5 s later. docs/incidents/lone-vms-hold-limits.md names it as left, without a bound played.

Change: a script with three zones in three geos, whose store is down for 4.5 s. The records of all scripts now hold each request, and are not committed.

--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -10,14 +10,35 @@
     trouble: bool,
 ) -> bool {
     match case {
-        "quota" => quota(binary, dir, record, trouble),
-        "stale" => stale(binary, dir, record, trouble),
-        "retained" => retained(binary, dir, record, trouble),
-        "frozen" => frozen(binary, dir, record, trouble),
+        "quota" => review_limit_held_twice_after_a_loss(binary, dir, record, trouble),
+        "retained" => review_leaf_kept_after_two_cuts(binary, dir, record, trouble),
+        "frozen" => review_config_late_in_one_geo(binary, dir, record, trouble),
+        "stale" => review_config_stale_on_an_added_machine(binary, dir, record, trouble),
+        "alone" => review_limit_held_twice_in_an_outage(binary, dir, record, trouble),
         _ => cannot_run("no such case"),
     }
 }
 
+/// Case 4.
+fn review_limit_held_twice_after_a_loss(
+    binary: &str,
+    dir: &std::path::Path,
+    record: &Record,
+    trouble: bool,
+) -> bool {
+    quota(binary, dir, record, trouble, Trouble::Removed)
+}
+
+/// Case 8.
+fn review_limit_held_twice_in_an_outage(
+    binary: &str,
+    dir: &std::path::Path,
+    record: &Record,
+    trouble: bool,
+) -> bool {
+    quota(binary, dir, record, trouble, Trouble::StoreDown)
+}
+
 const HOST: &str = "a.example";
 
 fn params(contact_ms: u64, config_apply_ms: u64) -> String {
@@ -72,8 +93,27 @@
 ];
 const HALLS: [&str; 3] = ["braga-hall", "coimbra-hall", "evora-hall"];
 
-/// A machine is removed for good and another one is added, whose seed is the machine that was removed. The rule is QUOTA.
-fn quota(binary: &str, dir: &std::path::Path, record: &Record, trouble: bool) -> bool {
+/// What happens around the time at which a machine is added.
+#[derive(Clone, Copy, PartialEq)]
+enum Trouble {
+    /// Another machine is removed for good, which is the only seed of the added one.
+    Removed,
+    /// The store is down for 4.5 s. The only seed of the added machine is stale in any case: nobody has that address.
+    StoreDown,
+}
+
+/// A machine is added to six that admit a tenant's requests. The rule is QUOTA.
+fn quota(
+    binary: &str,
+    dir: &std::path::Path,
+    record: &Record,
+    trouble: bool,
+    kind: Trouble,
+) -> bool {
+    let geos = match kind {
+        Trouble::Removed => ["centro"; 3],
+        Trouble::StoreDown => ["norte", "centro", "alentejo"],
+    };
     let runs = Arc::new(Mutex::new(Vec::new()));
     let answers = Arc::new(Mutex::new(Vec::new()));
     let store = Store::start(record, Duration::from_secs(1));
@@ -87,21 +127,20 @@
         "{{\"name\":\"crew\",\"api_keys\":[\"key-of-crew\"],\"rate_per_s\":{RATE},\"burst\":{BURST}}}"
     );
     store.put("config", "main", &config(7, &[route("desk", "desk")], &["desk"], Some(&tenant)));
-    let ips: Vec<String> = (1..=7).map(|n| format!("127.0.0.{}", 10 + n)).collect();
+    let ips: Vec<String> = (1..=8).map(|n| format!("127.0.0.{}", 10 + n)).collect();
     let ports = Ports::find(&ips);
-    let fleet = Fleet {
+    let mut fleet = Fleet {
         ports,
         store: store.addr.clone(),
         seeds: vec![ips[0].clone()],
-        zones: HALLS.iter().map(|z| (z.to_string(), "centro".to_string())).collect(),
+        zones: HALLS.iter().zip(geos).map(|(z, g)| (z.to_string(), g.to_string())).collect(),
         params: params(6_000, 5_000),
         binary: binary.into(),
         dir: dir.into(),
         record: record.clone(),
     };
-    let start =
-        |n: usize, bootstrap: bool| fleet.start(MACHINES[n].0, &ips[n], MACHINES[n].1, bootstrap);
-    let mut vms: Vec<Gateway> = (0..6).map(|n| start(n, true)).collect();
+    let mut vms: Vec<Gateway> =
+        (0..6).map(|n| fleet.start(MACHINES[n].0, &ips[n], MACHINES[n].1, true)).collect();
     vms.iter().for_each(|vm| vm.wait_ready(ports, 15.0));
     let traffic = |vm: &Gateway| Traffic {
         vm: vm.name.clone(),
@@ -116,13 +155,23 @@
     record.add(format!("addresses in the store: {:?}", store.names("tanagergw-vms")));
     let old = Requesters::start(traffic(&vms[5]), &answers);
     wait_until(19.0);
-    if trouble {
+    if kind == Trouble::Removed && trouble {
         vms[0].kill();
     }
+    if kind == Trouble::StoreDown {
+        // Nobody listens there.
+        fleet.seeds = vec![ips[7].clone()];
+    }
     wait_until(19.5);
-    let added = start(6, false);
+    let added = fleet.start(MACHINES[6].0, &ips[6], MACHINES[6].1, false);
     added.wait_ready(ports, 30.0);
     let new = Requesters::start(traffic(&added), &answers);
+    if kind == Trouble::StoreDown && trouble {
+        wait_until(21.7);
+        store.set_down(true);
+        wait_until(26.2);
+        store.set_down(false);
+    }
     wait_until(37.0);
     old.stop();
     new.stop();
@@ -131,6 +180,7 @@
     let answers = answers.lock().unwrap().clone();
     let runs = runs.lock().unwrap().clone();
     let ran: HashMap<&str, Duration> = runs.iter().map(|r| (r.id.as_str(), r.at)).collect();
+    record.requests(&answers, &runs);
     if runs.iter().any(|r| r.tenant != "crew") || answers.iter().all(|a| a.status != 200) {
         cannot_run("no request was served, or not as the tenant's");
     }
@@ -173,9 +223,14 @@
     most as f64 > bound
 }
 
-/// A machine is removed for good, another one is added, whose seed is the machine that was removed, and the config
+/// Case 7. A machine is removed for good, another one is added, whose seed is the machine that was removed, and the config
 /// moves a route to another service half a second later. The rule is CONFIG.
-fn stale(binary: &str, dir: &std::path::Path, record: &Record, trouble: bool) -> bool {
+fn review_config_stale_on_an_added_machine(
+    binary: &str,
+    dir: &std::path::Path,
+    record: &Record,
+    trouble: bool,
+) -> bool {
     const CONTACT: Duration = Duration::from_millis(4_000);
     const APPLY: Duration = Duration::from_millis(3_000);
     let runs = Arc::new(Mutex::new(Vec::new()));
@@ -237,22 +292,12 @@
     new.stop();
     drop((vms, added));
     let answers = answers.lock().unwrap().clone();
-    let ran: HashMap<String, Run> =
-        runs.lock().unwrap().iter().map(|r| (r.id.clone(), r.clone())).collect();
+    let runs = runs.lock().unwrap().clone();
+    record.requests(&answers, &runs);
+    let ran: HashMap<String, Run> = runs.iter().map(|r| (r.id.clone(), r.clone())).collect();
     if answers.iter().all(|a| a.status != 200) {
         cannot_run("no request was served");
     }
-    for a in &answers {
-        let service = ran.get(&a.id).map_or("none", |r| r.service.as_str());
-        record.add(format!(
-            "{} sent to {} at {:.3} s, answered {} at {:.3} s, run by {service}",
-            a.id,
-            a.vm,
-            a.sent.as_secs_f64(),
-            a.status,
-            a.answered.as_secs_f64()
-        ));
-    }
     let late = |a: &&Answered| {
         let in_touch = a.vm != MACHINES[6].0 || a.sent >= started + CONTACT;
         in_touch && a.sent > acked + APPLY
@@ -274,9 +319,14 @@
     !wrong.is_empty()
 }
 
-/// The machine that watches the store for its region freezes for 4 s, and a config is acknowledged meanwhile, eleven
+/// Case 6. The machine that watches the store for its region freezes for 4 s, and a config is acknowledged meanwhile, eleven
 /// times. The rule is CONFIG.
-fn frozen(binary: &str, dir: &std::path::Path, record: &Record, trouble: bool) -> bool {
+fn review_config_late_in_one_geo(
+    binary: &str,
+    dir: &std::path::Path,
+    record: &Record,
+    trouble: bool,
+) -> bool {
     const APPLY: Duration = Duration::from_millis(3_000);
     const ZONES: [&str; 6] =
         ["beja-hall", "braga-hall", "coimbra-hall", "evora-hall", "figueira-hall", "viana-hall"];
@@ -357,8 +407,10 @@
     load.into_iter().for_each(Requesters::stop);
     drop(vms);
     let answers = answers.lock().unwrap().clone();
+    let runs = runs.lock().unwrap().clone();
+    record.requests(&answers, &runs);
     let ran: HashMap<String, String> =
-        runs.lock().unwrap().iter().map(|r| (r.id.clone(), r.service.clone())).collect();
+        runs.iter().map(|r| (r.id.clone(), r.service.clone())).collect();
     if answers.iter().all(|a| a.status != 200) {
         cannot_run("no request was served");
     }
@@ -372,17 +424,6 @@
         let last = sent.iter().filter(old).map(|a| a.sent - *acked).max().unwrap_or_default();
         let broken = sent.iter().filter(late).filter(old).count();
         wrong += broken;
-        for a in sent.iter().filter(late).filter(old) {
-            record.add(format!(
-                "{} sent to {} at {:.3} s, {:.3} s after the ack, was run by {}, answered {}",
-                a.id,
-                a.vm,
-                a.sent.as_secs_f64(),
-                (a.sent - *acked).as_secs_f64(),
-                ran[&a.id],
-                a.status
-            ));
-        }
         record.add(format!(
             "round {index}: {} requests sent after the ack; the last that the old service ran was sent \
              {:.3} s after it; sent later than {APPLY:?} after it and run by the old service: {broken}",
@@ -394,9 +435,14 @@
     wrong > 0
 }
 
-/// Twice, 20 s apart, the machine that watches the store for its region is cut off from the store for 5.5 s. During the second
+/// Case 5. Twice, 20 s apart, the machine that watches the store for its region is cut off from the store for 5.5 s. During the second
 /// cut a leaf leaves: its entry is removed. The rule is DRAIN.
-fn retained(binary: &str, dir: &std::path::Path, record: &Record, trouble: bool) -> bool {
+fn review_leaf_kept_after_two_cuts(
+    binary: &str,
+    dir: &std::path::Path,
+    record: &Record,
+    trouble: bool,
+) -> bool {
     const DRAIN: Duration = Duration::from_millis(3_000);
     const CUT_S: f64 = 5.5;
     let runs = Arc::new(Mutex::new(Vec::new()));
@@ -487,16 +533,8 @@
         cannot_run("no request was served");
     }
     let runs = runs.lock().unwrap().clone();
-    let by: HashMap<&str, &Answered> = answers.iter().map(|a| (a.id.as_str(), a)).collect();
+    record.requests(&answers, &runs);
     let after: Vec<&Run> = runs.iter().filter(|r| r.at > acked && r.leaf == leafs[1].id).collect();
-    for run in &after {
-        let vm = by.get(run.id.as_str()).map_or("?", |a| a.vm.as_str());
-        record.add(format!(
-            "{} reached i-1 from {vm} {:.3} s after the ack",
-            run.id,
-            (run.at - acked).as_secs_f64()
-        ));
-    }
     let late = after.iter().filter(|r| r.at > acked + DRAIN).count();
     let last = after.iter().map(|r| r.at - acked).max().unwrap_or_default();
     let line = format!(
--- a/review/standins-2/sim.rs
+++ b/review/standins-2/sim.rs
@@ -41,6 +41,27 @@
     pub fn add(&self, line: impl Into<String>) {
         self.0.lock().unwrap().push((clock(), line.into()));
     }
+    /// Adds each request at the time at which it was sent: its answer (0 for a connection that ended without one), and the
+    /// leafs that ran it.
+    pub fn requests(&self, answers: &[Answered], runs: &[Run]) {
+        let mut ran: HashMap<&str, Vec<&Run>> = HashMap::new();
+        for run in runs {
+            ran.entry(&run.id).or_default().push(run);
+        }
+        let mut lines = self.0.lock().unwrap();
+        for a in answers {
+            let after = |at: Duration| at.saturating_sub(a.sent).as_millis();
+            let runs = ran.get(a.id.as_str()).into_iter().flatten();
+            let by: Vec<String> = runs
+                .map(|r| format!("{} ({}) after {} ms", r.leaf, r.service, after(r.at)))
+                .collect();
+            let by = if by.is_empty() { "nobody".to_owned() } else { by.join(", ") };
+            let (id, vm, status) = (a.id.trim_start_matches('0'), &a.vm, a.status);
+            let answered = after(a.answered);
+            let line = format!("{id} to {vm}: {status} after {answered} ms, run by {by}");
+            lines.push((a.sent, line));
+        }
+    }
     pub fn write(&self, path: &str) {
         let mut lines = self.0.lock().unwrap().clone();
         lines.sort_by_key(|(at, _)| *at);
@@ -189,6 +210,8 @@
     pub addr: String,
     stale: Duration,
     record: Record,
+    /// Each call is answered with 503, which means that nothing was done.
+    down: Arc<AtomicBool>,
 }
 
 fn object(name: &str, revision: u64, spec: &str) -> String {
@@ -202,7 +225,13 @@
     pub fn start(record: &Record, stale: Duration) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let addr = listener.local_addr().unwrap().to_string();
-        let store = Self { state: Arc::default(), addr, stale, record: record.clone() };
+        let store = Self {
+            state: Arc::default(),
+            addr,
+            stale,
+            record: record.clone(),
+            down: Arc::default(),
+        };
         let serving = store.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -213,6 +242,12 @@
         store
     }
 
+    pub fn set_down(&self, down: bool) {
+        self.down.store(down, Ordering::SeqCst);
+        self.state.1.notify_all();
+        self.record.add(if down { "the store is down (503)" } else { "the store is back" });
+    }
+
     /// Writes an object as the operator or a leaf does; the return is the ack.
     pub fn put(&self, kind: &str, name: &str, spec: &str) {
         self.state.0.lock().unwrap().write(kind, name, Some(spec));
@@ -242,6 +277,9 @@
 
     fn answer(&self, request: &Message) -> (u16, String) {
         thread::sleep(Duration::from_millis(4));
+        if self.down.load(Ordering::SeqCst) {
+            return (503, "null".into());
+        }
         let mut words = request.first.split(' ');
         let (method, target) = (words.next().unwrap_or(""), words.next().unwrap_or(""));
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
@@ -270,6 +308,9 @@
                         })
                         .collect();
                     let now = clock();
+                    if self.down.load(Ordering::SeqCst) {
+                        return (503, "null".into());
+                    }
                     if !events.is_empty() || now >= until {
                         let as_of = state.revision;
                         return (
