fix(tenant, spread): a silent store is no evidence that a VM is the only one

Cause: Lookup counted a store that does not answer like one that names nobody.

Change: what a VM knows of others is starting, unknown or informed. Unknown lasts until the store answers; meanwhile it admits a share of the headroom, is asked to hold nothing, watches the store, and asks it again after 2 s at most. waiting_for_others_ends had asserted the fault and now asserts the opposite. The emulator's VMs have no store, so they are unknown, too. New: gauge tgw_vms_knowledge and a log line.

--- a/crates/tgw-bench/src/limits/vm.rs
+++ b/crates/tgw-bench/src/limits/vm.rs
@@ -4,14 +4,15 @@
 use tgw_clock::Millis;
 use tgw_member::{Member, Options};
 use tgw_owner::State;
-use tgw_tenant::limit::{Holder, Ranking, ranking::Candidate};
+use tgw_tenant::limit::{Holder, Knowledge, Ranking, ranking::Candidate};
 use tgw_topology::{
     Place, Vm as Id,
     place::{Domain, Region},
 };
 
 pub(super) const REGIONS: usize = 3;
-/// Time until a VM that knows no other one relies on being the only one, as in the gateway.
+/// Time for which a VM that knows no other one waits for them, as in the gateway. After that it cannot tell: there is no
+/// store here that could show whether it is the only one.
 const SETTLE_ALONE_MS: Millis = Millis::new(4_500);
 
 /// State of one VM: its admission and membership code.
@@ -79,6 +80,8 @@
         };
         let region = regions.remove(&own_region).unwrap_or_default();
         let own = Id::from_name(&format!("vm-{}", self.number)).0;
-        self.ranking.update(now, own, region, regions, now - self.began >= SETTLE_ALONE_MS);
+        let has_waited = now - self.began >= SETTLE_ALONE_MS;
+        let knowledge = if has_waited { Knowledge::Unknown } else { Knowledge::Starting };
+        self.ranking.update(now, own, region, regions, knowledge);
     }
 }
--- a/crates/tgw-gateway/src/admission.rs
+++ b/crates/tgw-gateway/src/admission.rs
@@ -12,8 +12,8 @@
 use tgw_tenant::{
     Allowance, Tenant,
     limit::{
-        Action, Asker, BORROW_TIMEOUT_MS, Case, Decision, Holder, Message, Ranking, Standing,
-        Terms,
+        Action, Asker, BORROW_TIMEOUT_MS, Case, Decision, Holder, Knowledge, Message, Ranking,
+        Standing, Terms,
         ranking::{Candidate, MAX_RANKED},
     },
 };
@@ -85,6 +85,11 @@
         }
     }
 
+    /// What this VM knows of the others.
+    pub(crate) fn knowledge(&self) -> Knowledge {
+        self.ranking.borrow().knowledge()
+    }
+
     /// The number of tenants that this VM keeps an account of.
     pub(crate) fn accounts(&self) -> usize {
         self.holder.borrow().len()
@@ -101,9 +106,9 @@
         own: u64,
         region: Vec<Candidate>,
         other_regions: BTreeMap<u8, Vec<Candidate>>,
-        is_settled: bool,
+        knowledge: Knowledge,
     ) {
-        self.ranking.borrow_mut().update(now, own, region, other_regions, is_settled);
+        self.ranking.borrow_mut().update(now, own, region, other_regions, knowledge);
     }
 
     /// Periodic work: drops what is no longer needed.
--- a/crates/tgw-gateway/src/discovery.rs
+++ b/crates/tgw-gateway/src/discovery.rs
@@ -7,8 +7,10 @@
 /// Time after the start for the seeds of the settings to respond.
 const SEED_RESPONSE_TIME: Duration = Duration::from_millis(3_000);
 /// First interval between attempts by a VM that knows no other VM and was not answered by the store; doubles up to
-/// [`LOOKUP_INTERVAL`]. Two fit into the time until it acts as the only one all the same.
+/// [`MAX_RETRY_INTERVAL`].
 const RETRY_INTERVAL: Duration = Duration::from_millis(500);
+/// Longest such interval. Until the store answers, the VM admits next to nothing for tenants with a limit.
+const MAX_RETRY_INTERVAL: Duration = Duration::from_millis(2_000);
 /// Interval between lookups by a VM that knows no other VM.
 const LOOKUP_INTERVAL: Duration = Duration::from_millis(5_000);
 /// Interval between checks by a VM that knows other VMs.
@@ -37,9 +39,10 @@
             CHECK_INTERVAL
         } else if peers.lookup.borrow().has_failed() {
             let interval = retry_interval;
-            retry_interval = LOOKUP_INTERVAL.min(interval * 2);
+            retry_interval = MAX_RETRY_INTERVAL.min(interval * 2);
             interval
         } else {
+            retry_interval = RETRY_INTERVAL;
             LOOKUP_INTERVAL
         };
         sleep(interval).await;
--- a/crates/tgw-gateway/src/live_vms.rs
+++ b/crates/tgw-gateway/src/live_vms.rs
@@ -122,8 +122,9 @@
             }
         }
         let region = regions.remove(&own_region.0).unwrap_or_default();
-        let (now, is_settled) = (self.shared.now(), self.is_settled());
-        self.shared.admission.set_vms(now, own.0, region, regions, is_settled);
+        let (now, knowledge) = (self.shared.now(), self.knowledge());
+        self.counted_with.set(knowledge);
+        self.shared.admission.set_vms(now, own.0, region, regions, knowledge);
         let readers = self.member.borrow().platform_watchers();
         self.shared.newest_check.set_store_readers(readers);
     }
--- a/crates/tgw-gateway/src/metrics.rs
+++ b/crates/tgw-gateway/src/metrics.rs
@@ -60,6 +60,7 @@
     pub(crate) free_memory_bytes: AtomicU64,
     /// 1 while queries compete for upstreams, else 0.
     pub(crate) overloaded: AtomicU64,
+    pub(crate) knowledge: AtomicU64,
     /// 1 while the balancer may send callers, else 0.
     pub(crate) ready: AtomicU64,
     /// Upstream entries that cannot be decoded.
@@ -72,7 +73,7 @@
 
 type Gauge = (&'static str, &'static str, fn(&Gauges) -> &AtomicU64);
 
-const GAUGES: [Gauge; 19] = [
+const GAUGES: [Gauge; 20] = [
     ("tgw_config_version", "version of the configuration in force", |g| &g.config),
     ("tgw_config_since_ms", "when it came into force, in ms since the start", |g| &g.config_since),
     (
@@ -100,6 +101,11 @@
     ("tgw_requests_suspected", "requests under which an upstream ended, held back or not", |g| {
         &g.suspected
     }),
+    (
+        "tgw_vms_knowledge",
+        "whether others are known, or are known to be none: 0 just started, 1 cannot tell, 2 yes",
+        |g| &g.knowledge,
+    ),
     ("tgw_overloaded", "1 while queries compete for upstreams", |g| &g.overloaded),
     ("tgw_ready", "1 while the balancer may send callers", |g| &g.ready),
 ];
--- a/crates/tgw-gateway/src/peers.rs
+++ b/crates/tgw-gateway/src/peers.rs
@@ -21,6 +21,7 @@
     message::{self, Datagram, Versions},
     start::{self, PeerState},
 };
+use tgw_tenant::limit::Knowledge;
 use tgw_topology::Vm;
 use tgw_wire::Error;
 use tokio::{
@@ -38,8 +39,7 @@
 const START_TICK_INTERVAL: Duration = Duration::from_millis(25);
 /// Time after the start until this VM may become a relay: by then it knows its peers.
 const SETTLE_TIME_MS: Millis = Millis::new(1_500);
-/// The same for a VM that knows no other VM, and so is the first of its domain: the platform may
-/// name seeds up to 3 s late.
+/// The same for a VM that knows no other VM: the platform may name seeds up to 3 s late.
 const SETTLE_TIME_ALONE_MS: Millis = Millis::new(4_500);
 
 /// Versions above any real one, for a VM whose versions are unknown but that another VM named as
@@ -61,6 +61,8 @@
     /// The set of known VMs has changed since the last count.
     pub(crate) membership_changed: Cell<bool>,
     pub(crate) counted_at: Cell<Millis>,
+    /// What was known of the others at the last count.
+    pub(crate) counted_with: Cell<Knowledge>,
     /// The lookup of other VMs in the store.
     pub(crate) lookup: RefCell<Lookup>,
     /// Whether this VM has known another one since its start.
@@ -101,6 +103,7 @@
             transfers: Transfers::default(),
             membership_changed: Cell::new(false),
             counted_at: Cell::new(Millis::ZERO),
+            counted_with: Cell::default(),
             lookup: RefCell::default(),
             has_met_others: Cell::new(false),
         });
@@ -146,6 +149,7 @@
                 _ = tick.tick() => {
                     self.on_member_event(Event::Tick);
                     self.expire_upstreams();
+                    self.update_knowledge();
                     self.update_relay();
                     self.forward_updates();
                     self.send_quarantine_round();
@@ -323,23 +327,45 @@
     }
 
     /// Whether this VM can rely on what it knows of the others. One that has met none may just not have been found
-    /// yet: until the store shows that, it must not act as the only one.
+    /// yet: until the store shows that, it must not act as the only one, however long that takes.
     pub(crate) fn is_settled(&self) -> bool {
-        let now = self.shared.now();
-        if !self.is_alone() {
-            return now >= SETTLE_TIME_MS;
+        let is_informed = !self.is_alone()
+            || self.has_met_others.get()
+            || self.lookup.borrow().is_over(self.shared.now());
+        is_informed && self.has_waited_for_others()
+    }
+
+    /// Applies a change in what this VM knows of the others, also where their number stays the same.
+    fn update_knowledge(self: &Rc<Self>) {
+        let knowledge = self.knowledge();
+        if self.counted_with.get() != knowledge {
+            let alone = self.is_alone();
+            tracing::info!(?knowledge, alone, "what is known of other VMs");
+            self.count_vms();
+        }
+    }
+
+    /// What this VM knows of the others.
+    pub(crate) fn knowledge(&self) -> Knowledge {
+        match (self.has_waited_for_others(), self.is_settled()) {
+            (false, _) => Knowledge::Starting,
+            (true, false) => Knowledge::Unknown,
+            (true, true) => Knowledge::Informed,
         }
-        let is_informed = self.has_met_others.get() || self.lookup.borrow().is_over(now);
-        is_informed && now >= SETTLE_TIME_ALONE_MS
     }
 
+    /// Whether this VM has waited for long enough to be found by others.
+    fn has_waited_for_others(&self) -> bool {
+        let time = if self.is_alone() { SETTLE_TIME_ALONE_MS } else { SETTLE_TIME_MS };
+        self.shared.now() >= time
+    }
+
+    /// Decides whether this VM watches the store. Without evidence that it is the only one it watches all the same:
+    /// that more VMs than needed watch costs calls and breaks nothing.
     fn update_relay(self: &Rc<Self>) {
-        if self.shared.relay.borrow().is_none() && !self.is_settled() {
+        if self.shared.relay.borrow().is_none() && !self.has_waited_for_others() {
             return;
         }
-        if self.shared.relay.borrow().is_none() {
-            self.count_vms();
-        }
         let relay = self.member.borrow().watches_platform();
         self.shared.relay.send_if_modified(|known| {
             let differs = *known != Some(relay);
--- a/crates/tgw-gateway/src/shared.rs
+++ b/crates/tgw-gateway/src/shared.rs
@@ -362,6 +362,7 @@
         let (quarantined, suspected) = core.quarantine.counts();
         set(&gauges.quarantined, quarantined as u64);
         set(&gauges.suspected, suspected as u64);
+        set(&gauges.knowledge, self.admission.knowledge() as u64);
         set(&gauges.overloaded, u64::from(self.overload.get().is_overloaded));
         set(&gauges.ready, u64::from(self.is_ready()));
     }
--- a/crates/tgw-spread/src/lookup.rs
+++ b/crates/tgw-spread/src/lookup.rs
@@ -15,7 +15,7 @@
     /// Nothing yet.
     #[default]
     Unknown,
-    /// The store did not answer, so nothing more can be known.
+    /// The store did not answer: it tells neither that there are others nor that there are none.
     Unavailable,
     /// There are no other addresses.
     Nobody,
@@ -72,8 +72,8 @@
     /// Whether this VM may take itself for the only one if it knows no other.
     pub fn is_over(&self, now: Millis) -> bool {
         match self.finding {
-            Finding::Unknown => false,
-            Finding::Unavailable | Finding::Nobody => true,
+            Finding::Unknown | Finding::Unavailable => false,
+            Finding::Nobody => true,
             Finding::Asked(until) => now >= until,
         }
     }
--- a/crates/tgw-spread/tests/lookup/mod.rs
+++ b/crates/tgw-spread/tests/lookup/mod.rs
@@ -55,10 +55,12 @@
     assert!(vm.is_over(Millis::ZERO) && !vm.has_to_list(false));
 }
 
-// The listed VMs may be dead, and the store may be down: a region that is cut off must still serve.
+// The listed VMs may be dead. A store that does not answer says nothing, however long it takes: a VM that is added during an
+// outage would hold a tenant's limit beside all others.
 #[test_case(Some(1), 999, false; "listed VMs may still answer")]
 #[test_case(Some(1), 1_000, true; "none of them answers")]
-#[test_case(None, 0, true; "the store does not answer")]
+#[test_case(None, 0, false; "the store does not answer")]
+#[test_case(None, 3_600_000, false; "the store does not answer for an hour")]
 fn waiting_for_others_ends(others: Option<usize>, at: u64, is_over: bool) {
     let mut vm = Lookup::default();
     vm.record_publication(true);
@@ -76,14 +78,14 @@
     assert!(vm.is_over(Millis::new(5_000)));
 }
 
-// The store refuses a VM for a moment. Its next answer counts, also if the VM has begun to act as the only one.
+// The store refuses a VM for a moment. Its next answer counts.
 #[test]
 fn an_answer_of_the_store_replaces_its_silence() {
     let mut vm = Lookup::default();
     vm.record_publication(false);
     vm.record_list(Millis::ZERO, None);
-    assert!(vm.has_failed() && vm.is_over(Millis::ZERO));
+    assert!(vm.has_failed() && !vm.is_over(Millis::ZERO));
     vm.record_publication(true);
     vm.record_list(Millis::new(500), Some(1));
-    assert!(!vm.has_failed() && !vm.is_over(Millis::new(600)));
+    assert!(!vm.has_failed() && !vm.is_over(Millis::new(600)) && vm.is_over(Millis::new(1_500)));
 }
--- a/crates/tgw-tenant/src/limit/account.rs
+++ b/crates/tgw-tenant/src/limit/account.rs
@@ -2,7 +2,7 @@
     bucket::Bucket,
     holder::Asker,
     message::Decision,
-    ranking::Standing,
+    ranking::{Knowledge, Standing},
     share::{Share, Terms},
 };
 use crate::Allowance;
@@ -70,6 +70,16 @@
     pub(super) standing: &'a Standing,
 }
 
+impl Role<'_> {
+    /// The share of a VM that is not the holder.
+    fn unheld_share(&self) -> Share {
+        match self.standing.knowledge {
+            Knowledge::Informed => self.terms.backup_share(self.allowance),
+            Knowledge::Starting | Knowledge::Unknown => self.terms.uninformed_share(self.allowance),
+        }
+    }
+}
+
 impl Account {
     /// The account of a tenant that was not asked about before. `resumed_at` is when this VM last began to run.
     pub(super) fn new(now: Millis, role: Role<'_>, resumed_at: Millis) -> Self {
@@ -77,7 +87,7 @@
         let holder_since = role.standing.is_holder.then_some(since);
         let share = match holder_since {
             Some(_) => role.terms.new_holder_share(role.allowance, role.standing.live_part),
-            None => role.terms.backup_share(role.allowance),
+            None => role.unheld_share(),
         };
         let tokens = share.capacity;
         let mut account = Self {
@@ -110,7 +120,7 @@
             return;
         }
         self.holder_since = role.standing.is_holder.then_some(now);
-        self.bucket.cap(role.terms.backup_share(role.allowance).capacity);
+        self.bucket.cap(role.unheld_share().capacity);
         self.bucket = Bucket::new(now, self.bucket.tokens());
     }
 
@@ -207,7 +217,7 @@
             (true, None) => self.holder_since = Some(now),
             (false, Some(_)) => {
                 self.holder_since = None;
-                self.bucket.cap(role.terms.backup_share(role.allowance).capacity);
+                self.bucket.cap(role.unheld_share().capacity);
             }
             _ => {}
         }
@@ -224,7 +234,7 @@
         match self.holder_since {
             Some(_) if self.is_settled(now) => role.terms.holder_share(role.allowance, live),
             Some(_) => role.terms.new_holder_share(role.allowance, live),
-            None => role.terms.backup_share(role.allowance),
+            None => role.unheld_share(),
         }
     }
 
--- a/crates/tgw-tenant/src/limit/holder.rs
+++ b/crates/tgw-tenant/src/limit/holder.rs
@@ -1,7 +1,7 @@
 use super::{
     account::{Account, Borrowing, Role},
     message::{Decision, Message},
-    ranking::Standing,
+    ranking::{Knowledge, Standing},
     share::Terms,
 };
 use crate::Allowance;
@@ -15,7 +15,7 @@
 const IDLE_WINDOWS: f64 = 2.0;
 
 /// When a caller is to come back to a VM that knows no other one yet: most know some within 0.3 s of their start.
-const UNINFORMED_RETRY_MS: Millis = Millis::new(150);
+const STARTING_RETRY_MS: Millis = Millis::new(150);
 
 /// Who asks about a request.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
@@ -88,8 +88,8 @@
 
     /// Decides about a request, now or once tokens were borrowed.
     pub fn ask(&mut self, now: Millis, case: Case<'_>, asker: Asker, out: &mut Vec<Action>) {
-        if !case.standing.is_informed {
-            let decision = Decision::Undecided { retry_after: UNINFORMED_RETRY_MS };
+        if case.standing.knowledge == Knowledge::Starting {
+            let decision = Decision::Undecided { retry_after: STARTING_RETRY_MS };
             return out.push(Action::Decide(asker, decision));
         }
         let (account, role) = self.account(now, case);
--- a/crates/tgw-tenant/src/limit/mod.rs
+++ b/crates/tgw-tenant/src/limit/mod.rs
@@ -9,7 +9,8 @@
 //! A VM that becomes the holder does not know what its predecessor admitted. It starts with the tokens of a
 //! backup and refills as a holder only once others have seen the change. Backups are also asked while a
 //! holder does not answer. Where a part of a region's VMs does not answer, the holder refills in
-//! proportion to those that do, so that the parts of a region that is cut in two sum up to one. What this
+//! proportion to those that do, so that the parts of a region that is cut in two sum up to one. A VM that knows
+//! no other one and cannot tell whether there are any admits a few requests in place of a part. What all this
 //! admits beyond the operators' limit stays within the headroom that they grant ([`Terms`](crate::limit::Terms)).
 
 /// What a region admits for one tenant.
@@ -28,5 +29,5 @@
 pub use account::BORROW_TIMEOUT_MS;
 pub use holder::{Action, Asker, Case, Holder};
 pub use message::{Decision, Message};
-pub use ranking::{Ranking, Standing};
+pub use ranking::{Knowledge, Ranking, Standing};
 pub use share::Terms;
--- a/crates/tgw-tenant/src/limit/ranking.rs
+++ b/crates/tgw-tenant/src/limit/ranking.rs
@@ -19,6 +19,18 @@
     pub alive: bool,
 }
 
+/// What a VM knows of the others that admit requests.
+#[derive(Copy, Clone, Debug, Default, PartialEq, Eq)]
+pub enum Knowledge {
+    /// It has just started, and waits for them to be found.
+    #[default]
+    Starting,
+    /// It knows none, and cannot tell whether there are any.
+    Unknown,
+    /// It knows others, or has evidence that there are none.
+    Informed,
+}
+
 /// The VMs that admit requests, as one VM sees them. Each selects the same VMs, except while news of a change
 /// spreads.
 #[derive(Clone, Debug, Default)]
@@ -26,28 +38,34 @@
     own: u64,
     region: Vec<Candidate>,
     other_regions: BTreeMap<u8, Vec<Candidate>>,
-    /// When the VMs of the region last changed.
+    /// When the VMs of the region, or what is known of them, last changed.
     changed_at: Millis,
-    /// Whether this VM has run for long enough to rely on knowing no other one.
-    is_settled: bool,
+    knowledge: Knowledge,
 }
 
 impl Ranking {
-    /// Takes over the VMs of the own region and of the others, by the number of their region. `is_settled` tells whether
-    /// this VM has run for long enough to rely on them.
+    /// Takes over the VMs of the own region and of the others, by the number of their region. `knowledge` tells what
+    /// this VM may make of it if there are no others among them.
     pub fn update(
         &mut self,
         now: Millis,
         own: u64,
         mut region: Vec<Candidate>,
         other_regions: BTreeMap<u8, Vec<Candidate>>,
-        is_settled: bool,
+        knowledge: Knowledge,
     ) {
         region.sort_by_key(|candidate| candidate.vm);
-        if self.own != own || self.region != region {
+        if self.own != own || self.region != region || self.knowledge != knowledge {
             self.changed_at = now;
         }
-        *self = Self { own, region, other_regions, changed_at: self.changed_at, is_settled };
+        *self = Self { own, region, other_regions, changed_at: self.changed_at, knowledge };
+    }
+
+    /// What this VM knows of the others. Of VMs that have not found one another yet, each would take itself for the holder
+    /// of every tenant.
+    pub fn knowledge(&self) -> Knowledge {
+        let knows_others = self.region.len() > 1 || !self.other_regions.is_empty();
+        if knows_others { Knowledge::Informed } else { self.knowledge }
     }
 
     /// The VMs of this region that admit the requests of a tenant, the holder first.
@@ -65,12 +83,10 @@
         let is_holder = self.ranked(tenant).first().is_some_and(|first| self.is_own(first));
         let live = self.region.iter().filter(|candidate| candidate.alive).count();
         let lenders = self.other_regions.values().filter_map(|vms| ranked(vms, tenant, 1).pop());
-        // Of VMs that all start at once, each would take itself for the holder of every tenant.
-        let is_informed =
-            self.is_settled || self.region.len() > 1 || !self.other_regions.is_empty();
+        let knowledge = self.knowledge();
         Standing {
-            is_informed,
-            is_holder,
+            knowledge,
+            is_holder: is_holder && knowledge == Knowledge::Informed,
             since: self.changed_at,
             live_part: live as f64 / self.region.len().max(1) as f64,
             lenders: lenders.map(|candidate| candidate.addr).collect(),
@@ -91,8 +107,8 @@
 /// One VM's standing in the admission of a tenant's requests.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Standing {
-    /// Whether it knows other VMs, or can rely on being the only one.
-    pub is_informed: bool,
+    /// What it knows of the other VMs.
+    pub knowledge: Knowledge,
     /// Whether it is the holder of its region.
     pub is_holder: bool,
     /// When the VMs of its region last changed.
--- a/crates/tgw-tenant/src/limit/share.rs
+++ b/crates/tgw-tenant/src/limit/share.rs
@@ -1,13 +1,15 @@
 use crate::Allowance;
 use tgw_clock::Millis;
 
-/// Parts of the headroom beyond the allowance: of a settled holder, of a new one, and of each of two backups.
-/// With a full bucket and the refill of one window for each backup, and a new holder in each region, they stay
-/// below the whole: 0.25 + 0.2 + 2 x (0.1 + 0.1) = 0.85. The rest covers the time between a decision and its
+/// Parts of the headroom beyond the allowance: of a settled holder, of a new one, of each of two backups, and of a
+/// VM that cannot tell whether there are others. With a full bucket and the refill of one window for each backup
+/// and for two such VMs, and a new holder in each region, they stay below the whole:
+/// 0.25 + 0.2 + 2 x (0.1 + 0.1) + 2 x (0.025 + 0.025) = 0.95. The rest covers the time between a decision and its
 /// request.
 const HOLDER_PART: f64 = 0.25;
 const NEW_HOLDER_PART: f64 = 0.2;
 const BACKUP_PART: f64 = 0.1;
+const UNINFORMED_PART: f64 = 0.025;
 /// Part of a holder's refill that a new one gets while the previous one may not have stopped.
 const NEW_HOLDER_REFILL: f64 = 0.5;
 
@@ -64,6 +66,15 @@
         Share { tokens_per_ms: capacity / self.window.as_f64().max(1.0), capacity }
     }
 
+    /// The share of a VM that cannot tell whether there are others. There may be as many of them as VMs that start, in
+    /// whatever region, so it is no part of the limit but of what may exceed it.
+    pub(super) fn uninformed_share(&self, allowance: Allowance) -> Share {
+        let part = UNINFORMED_PART * self.headroom(allowance);
+        // Less than a whole token would never admit anything.
+        let capacity = part.max(1.0).min(BACKUP_PART * self.headroom(allowance));
+        Share { tokens_per_ms: part / self.window.as_f64().max(1.0), capacity }
+    }
+
     fn allowed(&self, Allowance { rate_per_s, burst }: Allowance) -> f64 {
         rate_per_s * self.window.as_f64() / 1_000.0 + burst
     }
--- a/crates/tgw-tenant/tests/limit/mod.rs
+++ b/crates/tgw-tenant/tests/limit/mod.rs
@@ -7,7 +7,7 @@
 use tgw_tenant::{
     Allowance,
     limit::{
-        Action, Asker, Case, Decision, Holder, Message, Ranking, Standing, Terms,
+        Action, Asker, Case, Decision, Holder, Knowledge, Message, Ranking, Standing, Terms,
         ranking::Candidate,
     },
 };
@@ -65,7 +65,7 @@
     fn with(&mut self, at: usize, f: impl FnOnce(Millis, &mut Holder, Case<'_>, &mut Vec<Action>)) {
         let others = (0..REGIONS).filter(|region| *region != at);
         let standing = Standing {
-            is_informed: true,
+            knowledge: Knowledge::Informed,
             is_holder: true,
             since: self.since[at],
             live_part: 1.0,
@@ -197,7 +197,7 @@
     };
     let ranking = |own, alive| {
         let mut ranking = Ranking::default();
-        ranking.update(Millis::ZERO, own, vms(alive), BTreeMap::new(), true);
+        ranking.update(Millis::ZERO, own, vms(alive), BTreeMap::new(), Knowledge::Informed);
         ranking
     };
     let tenants: Vec<String> = (0..50).map(|n| format!("tenant-{n}")).collect();
@@ -217,12 +217,12 @@
 
 // All VMs start at once. Until each knows of another one it would take itself for the holder of every tenant, and all
 // together would admit a multiple of the limit.
-#[test_case(false, 0; "just started")]
-#[test_case(true, 1; "alone for long")]
-fn a_vm_that_knows_no_other_admits_nothing_at_first(is_settled: bool, admitted: usize) {
+#[test_case(Knowledge::Starting, 0; "just started")]
+#[test_case(Knowledge::Informed, 1; "alone by evidence")]
+fn a_vm_that_knows_no_other_admits_nothing_at_first(knowledge: Knowledge, admitted: usize) {
     let mut ranking = Ranking::default();
     let own = Candidate { vm: 1, addr: addr(1), alive: true };
-    ranking.update(Millis::ZERO, 1, vec![own], BTreeMap::new(), is_settled);
+    ranking.update(Millis::ZERO, 1, vec![own], BTreeMap::new(), knowledge);
     let standing = ranking.standing("a");
     let case = Case { tenant: &"a".into(), allowance: LIMIT, standing: &standing };
     let mut out = Vec::new();
@@ -232,6 +232,35 @@
     assert_eq!(out.len(), 1);
 }
 
+// Guards against a VM that cannot tell whether there are others, and admits what they admit already: two of them beside a
+// fleet that uses the whole limit must not exceed it in any window, and callers still get something from each.
+#[test]
+fn vms_that_cannot_tell_who_else_is_there_fit_into_the_headroom() {
+    const ALLOWANCE: Allowance = Allowance { rate_per_s: 100.0, burst: 50.0 };
+    const WINDOW: Millis = Millis::new(5_000);
+    let terms = Terms { window: WINDOW, excess: 0.1, slack: 20.0, regions: 1 };
+    let own = Candidate { vm: 1, addr: addr(1), alive: true };
+    let admitted = |knowledge: Knowledge| {
+        let mut ranking = Ranking::default();
+        ranking.update(Millis::ZERO, 1, vec![own], BTreeMap::new(), knowledge);
+        let standing = ranking.standing("a");
+        assert_eq!(standing.is_holder, knowledge == Knowledge::Informed);
+        let mut holder = Holder::new(terms, 0);
+        let mut out = Vec::new();
+        for at in (0..20_000).step_by(10) {
+            let case = Case { tenant: &"a".into(), allowance: ALLOWANCE, standing: &standing };
+            holder.ask(Millis::new(at), case, HERE, &mut out);
+        }
+        out.retain(|action| matches!(action, Action::Decide(_, Decision::Admitted)));
+        out.len() as f64 / 4.0
+    };
+    let (whole, part) = (admitted(Knowledge::Informed), admitted(Knowledge::Unknown));
+    assert!(part >= 1.0, "{part} in a window");
+    let allowed = 550.0;
+    assert!(whole <= allowed && allowed + 2.0 * part <= terms.limit(ALLOWANCE), "{whole} {part}");
+    assert!(part <= 0.01 * allowed, "{part} in a window");
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Ask(usize, u8),
