fix(spread, member, gateway): a VM is the only one if nobody calls it, not if nobody answers

Cause: only VMs that watch the store publish their addresses, so the store named the removed VM alone, and no answer from there counted as evidence that no other VM lives. The successor published itself up to 15 s later.

Change: VMs that watch the store watch the addresses, too, and call each VM that publishes itself; one that knew nobody asks the caller for its records.

--- a/crates/tgw-gateway/src/peers.rs
+++ b/crates/tgw-gateway/src/peers.rs
@@ -57,6 +57,7 @@
     pub(crate) all_peers: RefCell<Vec<SocketAddr>>,
     pub(crate) schedule: Schedule,
     addr: SocketAddr,
+    incarnation: u64,
     pub(crate) transfers: Transfers,
     /// The set of known VMs has changed since the last count.
     pub(crate) membership_changed: Cell<bool>,
@@ -81,11 +82,12 @@
     /// Starts the tasks. Errors: the listener has no address.
     pub(crate) fn spawn(shared: Rc<Shared>, tcp: TcpListener) -> anyhow::Result<Rc<Self>> {
         let addr = tcp.local_addr()?;
+        let incarnation = incarnation_now();
         let peer = &shared.settings.peer;
         let options = tgw_member::Options {
             vm: Vm::from_name(&shared.settings.vm),
             name: shared.settings.vm.clone(),
-            incarnation: incarnation_now(),
+            incarnation,
             place: peer.place,
             addr,
             seeds: peer.seeds.clone(),
@@ -100,6 +102,7 @@
             all_peers: RefCell::default(),
             schedule: Schedule::default(),
             addr,
+            incarnation,
             transfers: Transfers::default(),
             membership_changed: Cell::new(false),
             counted_at: Cell::new(Millis::ZERO),
@@ -118,6 +121,11 @@
         self.addr
     }
 
+    /// The number of this process of the VM.
+    pub(crate) fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
     /// Announces to the other VMs that this one leaves.
     pub(crate) fn leave(self: &Rc<Self>) {
         self.on_member_event(Event::Leave);
@@ -133,6 +141,11 @@
         self.on_member_event(Event::Seeds(seeds));
     }
 
+    /// Calls VMs that may not know any other one.
+    pub(crate) fn call(self: &Rc<Self>, addresses: Vec<SocketAddr>) {
+        self.on_member_event(Event::Call(addresses));
+    }
+
     /// Handles packets from other VMs, passes on what this VM has learned, and runs the periodic work
     /// of membership and dissemination, for as long as the process runs.
     async fn run(self: Rc<Self>) {
@@ -329,9 +342,8 @@
     /// Whether this VM can rely on what it knows of the others. One that has met none may just not have been found
     /// yet: until the store shows that, it must not act as the only one, however long that takes.
     pub(crate) fn is_settled(&self) -> bool {
-        let is_informed = !self.is_alone()
-            || self.has_met_others.get()
-            || self.lookup.borrow().is_over(self.shared.now());
+        let is_informed =
+            !self.is_alone() || self.has_met_others.get() || self.lookup.borrow().is_alone();
         is_informed && self.has_waited_for_others()
     }
 
--- a/crates/tgw-gateway/src/serve.rs
+++ b/crates/tgw-gateway/src/serve.rs
@@ -86,6 +86,7 @@
     let peers = Peers::spawn(shared.clone(), peers)?;
     let addresses =
         Addresses { callers: callers_addr, readiness: readiness_addr, peers: peers.addr() };
+    tokio::task::spawn_local(watch::vms(peers.clone(), store.clone()));
     tokio::task::spawn_local(discovery::run(shared.clone(), store, peers.clone()));
     tokio::task::spawn_local(readiness::serve(shared.clone(), readiness));
     tokio::task::spawn_local(sweep(shared.clone()));
--- a/crates/tgw-gateway/src/watch/mod.rs
+++ b/crates/tgw-gateway/src/watch/mod.rs
@@ -6,10 +6,12 @@
 pub(crate) mod evacuations;
 /// Watch of the list of upstreams.
 mod upstreams;
+/// Watch of the addresses of VMs.
+pub(crate) mod vms;
 
 pub(crate) use configuration::Configuration;
 
-use crate::shared::Shared;
+use crate::{peers::Peers, shared::Shared};
 use evacuations::Evacuations;
 use std::rc::Rc;
 use tgw_clock::Millis;
@@ -26,6 +28,7 @@
     time::{sleep, timeout},
 };
 use upstreams::Upstreams;
+use vms::Vms;
 
 /// A watched kind of objects, and how its objects are applied.
 trait Topic {
@@ -67,6 +70,11 @@
     follow(&shared, &*store, &mut Evacuations::new(&shared)).await;
 }
 
+/// Watches the addresses of VMs that look for others for as long as the process runs.
+pub(crate) async fn vms(peers: Rc<Peers>, store: Rc<dyn Store>) {
+    follow(&peers.shared, &*store, &mut Vms::new(&peers)).await;
+}
+
 /// Keeps a topic up to date from the store for as long as the process runs: lists its objects, then
 /// watches for changes, while this VM is a relay, or as long as nothing is known of the kind and it
 /// is this VM's turn at the start. Otherwise it receives the state from peers; a watch stops once
@@ -110,14 +118,14 @@
     }
 }
 
-/// Waits until a kind is to be read again, as another VM's differs; never for probes.
+/// Waits until a kind is to be read again, as another VM's differs; never where VMs compare nothing.
 async fn reread_due(shared: &Shared, mode: ReadMode) {
     let agreement = &shared.agreement;
     match mode {
         ReadMode::Configuration => agreement.configuration.reread_due.notified().await,
         ReadMode::Upstreams => agreement.upstreams.reread_due.notified().await,
         ReadMode::Evacuations => agreement.evacuations.reread_due.notified().await,
-        ReadMode::Probe => std::future::pending().await,
+        ReadMode::Vms | ReadMode::Probe => std::future::pending().await,
     }
 }
 
--- a/crates/tgw-member/src/event.rs
+++ b/crates/tgw-member/src/event.rs
@@ -14,6 +14,8 @@
     Records(Vec<Record>),
     /// The platform has listed seed addresses.
     Seeds(Vec<SocketAddr>),
+    /// These VMs have published their addresses, as they may not have found any other VM yet.
+    Call(Vec<SocketAddr>),
     /// This edition of the table is in force on this VM.
     Edition(u64),
     /// The catalog of this version is in use on this VM.
--- a/crates/tgw-member/src/failure_detector.rs
+++ b/crates/tgw-member/src/failure_detector.rs
@@ -1,7 +1,7 @@
 use crate::{
     Member,
     event::Action,
-    member::{Actions, PROBE_INTERVAL_MS, SUSPICION_TIMEOUT_MS, Suspicion},
+    member::{Actions, CALL_ATTEMPTS, PROBE_INTERVAL_MS, SUSPICION_TIMEOUT_MS, Suspicion},
     packet::{Body, Update},
 };
 use rand::seq::SliceRandom;
@@ -129,6 +129,25 @@
         }
     }
 
+    /// Calls VMs that may know no other one, until they are known here.
+    pub(crate) fn call(&mut self, addresses: Vec<SocketAddr>, out: &mut Actions) {
+        self.called.extend(addresses.into_iter().map(|addr| (addr, CALL_ATTEMPTS)));
+        self.ping_called(out);
+    }
+
+    pub(crate) fn ping_called(&mut self, out: &mut Actions) {
+        let live = self.records.values().filter(|r| r.member.state != State::Dead);
+        let known: BTreeSet<SocketAddr> = live.map(|r| r.member.addr).collect();
+        self.called.retain(|addr, attempts| *attempts > 0 && !known.contains(addr));
+        let targets: Vec<SocketAddr> = self.called.keys().copied().collect();
+        self.called.values_mut().for_each(|attempts| *attempts -= 1);
+        for addr in targets {
+            self.gossip.enqueue(Update::Record(self.own_record()), 1);
+            let seq = self.probes.next_seq();
+            self.send(addr, Body::Ping { seq }, out);
+        }
+    }
+
     /// Pings dead VMs and unknown seeds: after a partition no regular probe reaches them.
     pub(crate) fn ping_dead_and_seeds(&mut self, max_targets: usize, out: &mut Actions) {
         let known: BTreeSet<SocketAddr> = self
--- a/crates/tgw-member/src/member.rs
+++ b/crates/tgw-member/src/member.rs
@@ -34,6 +34,8 @@
 const RETRY_TARGETS: usize = 2;
 /// Those that are pinged at once when seeds are named: most of them may be down, and one that lives tells of the others.
 const MAX_NEW_SEEDS: usize = 16;
+/// How often a VM is called that may know no other one: at once and at each retry, so that some packets may be lost.
+pub(crate) const CALL_ATTEMPTS: u8 = 4;
 /// First interval between join attempts of a VM that knows no other; doubles up to
 /// [`RETRY_INTERVAL_MS`]. Where all VMs start at once, the seeds may not have bound their sockets yet:
 /// with the first packet lost and the next one sent a second later, 295 VMs knew one another only
@@ -105,6 +107,8 @@
     pub(crate) relay: Relay,
     /// Domains still to be pinged in this round.
     pub(crate) domain_round: Vec<Domain>,
+    /// VMs that are called until they are known, and how often they still are.
+    pub(crate) called: BTreeMap<SocketAddr, u8>,
     pub(crate) gossip: Gossip,
     pub(crate) rng: SmallRng,
     pub(crate) last_tick: Millis,
@@ -140,6 +144,7 @@
             probe_round: Vec::new(),
             relay: Relay::default(),
             domain_round: Vec::new(),
+            called: BTreeMap::new(),
             gossip: Gossip::default(),
             rng,
             last_tick: Millis::ZERO,
@@ -197,6 +202,7 @@
                 self.options.seeds = seeds;
                 self.ping_dead_and_seeds(MAX_NEW_SEEDS, out);
             }
+            Event::Call(addresses) => self.call(addresses, out),
             Event::Edition(edition) => {
                 self.edition = self.edition.max(edition);
                 self.report_edition(out);
@@ -277,6 +283,7 @@
     fn handle_packet(&mut self, now: Millis, addr: SocketAddr, packet: Packet, out: &mut Actions) {
         let Packet { from, edition, catalog_version, evacuations_version, body, updates } = packet;
         let unknown = !self.records.contains_key(&from);
+        let knew_nobody = self.records.len() <= 1;
         self.packet_received(now, from, out);
         for update in updates {
             self.apply_update(now, update, out);
@@ -294,7 +301,14 @@
             });
         }
         match body {
-            Body::Ping { seq } => self.answer_ping(from, unknown, addr, seq, out),
+            Body::Ping { seq } => {
+                self.answer_ping(from, unknown, addr, seq, out);
+                if knew_nobody {
+                    // The VM that calls knows others, which this one cannot ask.
+                    let seq = self.probes.next_seq();
+                    self.send(addr, Body::Join { seq }, out);
+                }
+            }
             Body::Join { seq } => self.answer_ping(from, true, addr, seq, out),
             Body::Ack { seq } => self.handle_ack(seq, out),
             Body::Indirect { seq, target } => {
@@ -401,6 +415,7 @@
         if now >= self.next_retry {
             self.next_retry = now + self.next_retry_interval();
             self.ping_dead_and_seeds(RETRY_TARGETS, out);
+            self.ping_called(out);
         }
         if now >= self.next_compare {
             self.next_compare = now + COMPARE_INTERVAL_MS;
--- a/crates/tgw-spread/src/store_reads.rs
+++ b/crates/tgw-spread/src/store_reads.rs
@@ -102,6 +102,8 @@
     Upstreams,
     /// Reading the list of evacuations.
     Evacuations,
+    /// Reading the addresses of VMs.
+    Vms,
     /// Probing.
     Probe,
 }
@@ -123,7 +125,7 @@
 /// alternate between unreachable and reachable, and no other VM would take over from it.
 #[derive(Clone, Debug, Default)]
 pub struct Reachability {
-    unreachable: [bool; 4],
+    unreachable: [bool; 5],
     last_probe_refused: bool,
 }
 
