fix(spread, member, gateway): two VMs that cannot reach the store are no outage by themselves

Cause: a VM that no longer reads the store never took back that it cannot reach it, and a VM that took over took two such reports for an outage and kept the upstream for 2.5 s more. Two VMs cut off at once look the same.

Change: a report is renewed by probes, 1 to 8 s apart, and taken back by the first answer; the watch stays with the VM that took over, as VMs with fewer losses come first. A VM that takes over asks those that report, in its region, when the store did not answer them: an outage is what all of them say, two at least, whose silences overlap and are over. The emulator does the same.

--- a/crates/tgw-bench/src/leaving/actions.rs
+++ b/crates/tgw-bench/src/leaving/actions.rs
@@ -10,9 +10,11 @@
 use tgw_clock::Millis;
 use tgw_forward::upstream::Entry;
 use tgw_member::Event;
-use tgw_spread::store_reads::{
-    PROBE_INTERVAL_MS, PROBE_TIMEOUT_MS, ProbeResult, Step, TAKEOVER_OUTAGE_VMS,
-    WATCH_REPLY_MARGIN_MS,
+use tgw_spread::{
+    reachability::{
+        self, PROBE_INTERVAL_MS, PROBE_TIMEOUT_MS, ProbeResult, REPORT_TIMEOUT_MS, Silence,
+    },
+    store_reads::{Step, WATCH_REPLY_MARGIN_MS},
 };
 
 /// One-way delay between VMs, within a region and between regions.
@@ -61,10 +63,10 @@
         }
     }
 
-    /// A VM that watches the store probes whether it answers.
+    /// A VM that watches the store, or reports that it cannot reach it, probes whether it answers.
     pub(super) fn probe(&mut self, vm: usize) {
         self.schedule(self.now + PROBE_INTERVAL_MS, Scheduled::Probe(vm));
-        if self.vms[vm].relay != Some(true) {
+        if self.vms[vm].relay != Some(true) && !self.recheck_due(vm) {
             return;
         }
         let (after, result) = match self.store_fault(vm) {
@@ -75,6 +77,56 @@
         self.schedule(self.now + after, Scheduled::Probed(vm, result));
     }
 
+    fn recheck_due(&mut self, vm: usize) -> bool {
+        let state = &mut self.vms[vm];
+        if !state.reachability.is_unreachable() {
+            state.recheck_at = Millis::ZERO;
+        }
+        if state.recheck_at > self.now {
+            return false;
+        }
+        let next = state.reachability.next_recheck();
+        state.recheck_at = next.map_or(Millis::ZERO, |interval| self.now + interval);
+        next.is_some()
+    }
+
+    pub(super) fn probed(&mut self, vm: usize, result: ProbeResult) {
+        let (now, state) = (self.now, &mut self.vms[vm]);
+        if state.relay == Some(true) {
+            match result {
+                ProbeResult::Answered => {
+                    state.view.with_upstreams(|view| view.record_probe_answer(now));
+                }
+                ProbeResult::TimedOut => {
+                    state.view.with_upstreams(|view| view.record_store_failure(now));
+                }
+                ProbeResult::Refused => {}
+            }
+            state.reachability.record_probe(now, result);
+        } else {
+            state.reachability.record_recheck(now, result);
+        }
+        self.announce(vm);
+    }
+
+    /// What the VMs say that reported to this one that they cannot reach the store; each of them probes it first.
+    fn store_reports(&mut self, vm: usize) -> Vec<Option<Silence>> {
+        let asked = self.vms[vm].reporters.to_ask(self.now);
+        let reports = asked.into_iter().map(|addr| {
+            let other = self.vms.iter().position(|other| other.addr == addr)?;
+            let is_cut = self.store_fault(other).is_some()
+                || self.vms[other].dead
+                || self.vms[other].paused_until > self.now
+                || self.delivery(other, self.vms[vm].addr).is_none();
+            if is_cut {
+                return None;
+            }
+            self.probed(other, ProbeResult::Answered);
+            self.vms[other].reachability.silence().map(|silence| silence.ago(self.now))
+        });
+        reports.collect()
+    }
+
     /// Ends a call and returns it, if it is still in flight.
     pub(super) fn take_call(&mut self, vm: usize, call: u64) -> Option<Call> {
         let done = self.vms[vm].call.filter(|c| c.number == call)?;
@@ -88,16 +140,36 @@
         call: u64,
         version: u64,
         entries: Vec<(u64, Entry)>,
+    ) {
+        let reports = self.store_reports(vm);
+        if reports.is_empty() {
+            return self.apply_list(vm, call, version, entries, false);
+        }
+        let own = self.vms[vm].reachability.silence().map(|silence| silence.ago(self.now));
+        let was_down = reachability::was_down(own, &reports);
+        let is_missing = reports.iter().any(Option::is_none);
+        let after = if is_missing { REPORT_TIMEOUT_MS } else { STORE_REPLY_MS };
+        let event = Scheduled::ListedAfter { vm, call, version, entries, was_down };
+        self.schedule(self.now + after, event);
+    }
+
+    pub(super) fn apply_list(
+        &mut self,
+        vm: usize,
+        call: u64,
+        version: u64,
+        entries: Vec<(u64, Entry)>,
+        was_down: bool,
     ) {
         if self.take_call(vm, call).is_none() {
             return;
         }
         let state = &mut self.vms[vm];
-        if state.member.platform_unreachable_count() >= TAKEOVER_OUTAGE_VMS {
+        if was_down {
             state.view.with_upstreams(|view| view.record_store_failure(self.now));
         }
         state.store_schedule.record_list(version);
-        state.reachability.record_list(state.view.read_mode());
+        state.reachability.record_list(self.now, state.view.read_mode());
         state.view.apply_list(self.now, version, entries);
         self.announce(vm);
         self.step(vm);
@@ -136,9 +208,11 @@
             Step::List => {
                 state.view.with_upstreams(|view| view.record_store_failure(self.now));
                 state.store_schedule.record_list_failure(self.now, unreachable_count);
-                state
-                    .reachability
-                    .record(state.view.read_mode(), state.store_schedule.store_unreachable());
+                state.reachability.record_list_failure(
+                    began,
+                    state.view.read_mode(),
+                    state.store_schedule.store_unreachable(),
+                );
             }
             Step::Watch { wait, .. } => {
                 if self.now - began >= wait {
@@ -162,6 +236,7 @@
         self.schedule(self.now + TICK_INTERVAL_MS, Scheduled::Tick(vm));
         self.handle_member_event(vm, Event::Tick);
         let state = &mut self.vms[vm];
+        state.reporters.update(self.now, state.member.platform_unreachable_peers());
         state.view.tick(self.now);
         if self.now < SETTLE_MS {
             return;
--- a/crates/tgw-bench/src/leaving/mod.rs
+++ b/crates/tgw-bench/src/leaving/mod.rs
@@ -24,5 +24,8 @@
 mod vm;
 
 pub use outcome::{Outcome, text};
-pub use setup::{Fault, FaultKind, Setup, Subject, Target, setups, with_refused_watchers};
+pub use setup::{
+    Fault, FaultKind, Setup, Subject, Target, setups, with_followers_cut_in_turn,
+    with_refused_watchers, with_two_followers_cut,
+};
 pub use simulation::play;
--- a/crates/tgw-bench/src/leaving/setup.rs
+++ b/crates/tgw-bench/src/leaving/setup.rs
@@ -186,6 +186,8 @@
                 8_500,
             ),
         ),
+        named("one region, its followers cut off in turn", with_followers_cut_in_turn(of())),
+        named("one region, two followers cut off at once", with_two_followers_cut(of())),
         named(
             "the store away, back 4 s before",
             of().with_fault(FaultKind::Outage, Target::Share(1.0), -10_000, -4_000),
@@ -208,6 +210,24 @@
     setups
 }
 
+/// In one region, the VM that watches the store is cut off from it, long before, and then the one that took over, as the
+/// upstreams leave.
+pub fn with_followers_cut_in_turn(setup: Setup) -> Setup {
+    let one = Setup { regions: 1, leave_at: Millis::new(30_000), ..setup };
+    let silent = FaultKind::Unresponsive;
+    let first = one.with_fault(silent, Target::OneWatcher, -20_100, -14_600);
+    first.with_fault(silent, Target::OneWatcher, -100, 5_400)
+}
+
+/// In one region, the VM that watches the store is cut off from it, and then the one that took over as well, while the first
+/// still is and as the upstreams leave. Nothing else changes at the store.
+pub fn with_two_followers_cut(setup: Setup) -> Setup {
+    let one = Setup { regions: 1, rewrites: false, ..setup };
+    let silent = FaultKind::Unresponsive;
+    let first = one.with_fault(silent, Target::OneWatcher, -4_000, 8_000);
+    first.with_fault(silent, Target::OneWatcher, -100, 8_000)
+}
+
 /// The store refuses the VMs that watch it for a moment that ends just before the upstreams leave.
 pub fn with_refused_watchers(setup: Setup) -> Setup {
     setup.with_fault(FaultKind::Refused, Target::Watchers, -1_000, -100)
--- a/crates/tgw-bench/src/leaving/simulation.rs
+++ b/crates/tgw-bench/src/leaving/simulation.rs
@@ -18,7 +18,7 @@
 use tgw_spread::{
     Schedule,
     agreement::{Digest, Reread},
-    store_reads::{ProbeResult, Reachability},
+    reachability::{ProbeResult, Reachability, Reporters},
 };
 use tgw_topology::{
     Place, Vm as Id,
@@ -39,20 +39,52 @@
 #[derive(Debug)]
 pub(super) enum Scheduled {
     Tick(usize),
-    Packet { to: usize, from: SocketAddr, packet: Box<Packet> },
-    Records { to: usize, records: Vec<Record> },
+    Packet {
+        to: usize,
+        from: SocketAddr,
+        packet: Box<Packet>,
+    },
+    Records {
+        to: usize,
+        records: Vec<Record>,
+    },
     Compare(usize),
-    Digest { to: usize, from: usize, digest: Digest, is_reply: bool },
+    Digest {
+        to: usize,
+        from: usize,
+        digest: Digest,
+        is_reply: bool,
+    },
     Step(usize, u64),
     Probe(usize),
     Probed(usize, ProbeResult),
     CallReceived(usize, u64),
     Listed(usize, u64, u64, Vec<(u64, Entry)>),
+    /// The same, once it is known whether the store was down before.
+    ListedAfter {
+        vm: usize,
+        call: u64,
+        version: u64,
+        entries: Vec<(u64, Entry)>,
+        was_down: bool,
+    },
     Watched(usize, u64, u64, Vec<Change>),
     Failed(usize, u64),
-    UpdateRequest { to: usize, from: usize, version: u64, asked_at: Millis },
-    Update { to: usize, asked_at: Millis, update: Option<Update> },
-    UpdateTimeout { to: usize, asked_at: Millis },
+    UpdateRequest {
+        to: usize,
+        from: usize,
+        version: u64,
+        asked_at: Millis,
+    },
+    Update {
+        to: usize,
+        asked_at: Millis,
+        update: Option<Update>,
+    },
+    UpdateTimeout {
+        to: usize,
+        asked_at: Millis,
+    },
     FaultBegins(usize),
     FaultEnds(usize),
     SubjectChanges(usize),
@@ -165,6 +197,8 @@
             view: View::new(self.setup.subject, &self.store),
             store_schedule: Schedule::new(self.rng.random(), self.setup.subject.timing()),
             reachability: Reachability::default(),
+            recheck_at: Millis::ZERO,
+            reporters: Reporters::default(),
             reread: Reread::default(),
             relay: None,
             call: None,
@@ -199,6 +233,7 @@
         let to = match &event {
             Scheduled::Tick(vm) | Scheduled::Step(vm, _) | Scheduled::Compare(vm) => Some(*vm),
             Scheduled::Probe(vm) | Scheduled::Probed(vm, _) => Some(*vm),
+            Scheduled::ListedAfter { vm, .. } => Some(*vm),
             Scheduled::Listed(vm, ..) | Scheduled::Watched(vm, ..) | Scheduled::Failed(vm, _) => {
                 Some(*vm)
             }
@@ -234,24 +269,15 @@
             Scheduled::Step(..) => {}
             Scheduled::Probe(vm) => self.probe(vm),
             Scheduled::Probed(vm, result) => {
-                match result {
-                    ProbeResult::Answered => {
-                        self.vms[vm].view.with_upstreams(|view| view.record_probe_answer(self.now));
-                    }
-                    ProbeResult::TimedOut => {
-                        self.vms[vm]
-                            .view
-                            .with_upstreams(|view| view.record_store_failure(self.now));
-                    }
-                    ProbeResult::Refused => {}
-                }
-                self.vms[vm].reachability.record_probe(result);
-                self.announce(vm);
+                self.probed(vm, result);
             }
             Scheduled::CallReceived(vm, call) => self.receive_call(vm, call),
             Scheduled::Listed(vm, call, version, entries) => {
                 self.listed(vm, call, version, entries);
             }
+            Scheduled::ListedAfter { vm, call, version, entries, was_down } => {
+                self.apply_list(vm, call, version, entries, was_down);
+            }
             Scheduled::Watched(vm, call, version, changes) => {
                 self.watched(vm, call, version, changes);
             }
--- a/crates/tgw-bench/src/leaving/view.rs
+++ b/crates/tgw-bench/src/leaving/view.rs
@@ -7,11 +7,8 @@
 use tgw_clock::Millis;
 use tgw_forward::{Fleet, upstream::Entry};
 use tgw_spread::{
-    Delta, Evacuations, Upstreams,
-    agreement::Digest,
-    evacuations,
-    store_reads::{ReadMode, WatchTiming},
-    upstreams,
+    Delta, Evacuations, Upstreams, agreement::Digest, evacuations, reachability::ReadMode,
+    store_reads::WatchTiming, upstreams,
 };
 
 /// One VM's view of the upstreams or evacuations.
--- a/crates/tgw-bench/src/leaving/vm.rs
+++ b/crates/tgw-bench/src/leaving/vm.rs
@@ -5,7 +5,8 @@
 use tgw_spread::{
     Schedule,
     agreement::Reread,
-    store_reads::{Reachability, ReadRank, Step},
+    reachability::{Reachability, Reporters},
+    store_reads::{ReadRank, Step},
 };
 
 /// A call of the store that is in flight.
@@ -24,6 +25,10 @@
     pub(crate) view: View,
     pub(crate) store_schedule: Schedule,
     pub(crate) reachability: Reachability,
+    /// When it probes the store next to renew its report that it cannot reach it.
+    pub(crate) recheck_at: Millis,
+    /// Others that report the same.
+    pub(crate) reporters: Reporters,
     pub(crate) reread: Reread,
     pub(crate) relay: Option<bool>,
     pub(crate) call: Option<Call>,
--- a/crates/tgw-bench/src/sim.rs
+++ b/crates/tgw-bench/src/sim.rs
@@ -225,6 +225,7 @@
                 addr,
                 state: if state.leaving { State::Leaving } else { State::Alive },
                 platform_unreachable: false,
+                platform_losses: 0,
                 power: 0,
             };
             directory.members.insert(state.vm, member);
--- a/crates/tgw-bench/src/slopes.rs
+++ b/crates/tgw-bench/src/slopes.rs
@@ -123,6 +123,7 @@
             addr: addr(),
             state: State::Alive,
             platform_unreachable: false,
+            platform_losses: 0,
             power: 0,
         };
         (Vm::from_name(&format!("vm-{index}")), entry)
--- a/crates/tgw-bench/tests/leaving/mod.rs
+++ b/crates/tgw-bench/tests/leaving/mod.rs
@@ -2,7 +2,8 @@
 
 use test_case::test_case;
 use tgw_bench::leaving::{
-    FaultKind, Outcome, Setup, Subject, Target, play, setups, with_refused_watchers,
+    FaultKind, Outcome, Setup, Subject, Target, play, setups, with_followers_cut_in_turn,
+    with_refused_watchers, with_two_followers_cut,
 };
 
 /// The least time in ms for which requests may reach an upstream that leaves, less half a second
@@ -58,6 +59,23 @@
     }
 }
 
+// All VMs are in one region, and one at a time is cut off from the store, twice. A report that was never taken back made the
+// second cut look like an outage of the store, and all VMs went on sending to an upstream whose entry was removed.
+#[test]
+fn vms_cut_off_from_the_store_in_turn_are_no_outage() {
+    for seed in 1..=10 {
+        play_within_bound("cut off in turn", with_followers_cut_in_turn(Setup::healthy(9, seed)));
+    }
+}
+
+// The same, with both of them cut off at the same time, while the store answers all others.
+#[test]
+fn two_vms_cut_off_from_the_store_at_once_are_no_outage() {
+    for seed in 1..=10 {
+        play_within_bound("cut off at once", with_two_followers_cut(Setup::healthy(9, seed)));
+    }
+}
+
 // Under every fault, the sum of all delays until VMs learn of a leaving upstream must stay below
 // the bound.
 #[test]
@@ -132,3 +150,17 @@
 fn watches_that_all_hang_hold_no_evacuation_up() {
     check_evacuation_time(|name| name == HANGING_WATCHES);
 }
+
+// The store was down for all, in one region, and ends at any moment of the takeovers: the VM that takes over may be answered
+// at once. Live upstreams must be retained all the same.
+#[test]
+fn an_outage_of_any_length_takes_no_upstream_from_one_region() {
+    for (seed, lasts) in
+        (1..=3).flat_map(|seed| (0..20).map(move |step| (seed, 2_000 + 250 * step)))
+    {
+        let one = Setup { regions: 1, ..Setup::healthy(9, seed) };
+        let outage = one.with_fault(FaultKind::Outage, Target::Share(1.0), -10_000, lasts - 10_000);
+        let outcome = play_within_bound("the store away", outage);
+        assert!(outcome.usable >= 0.95, "seed {seed}, {lasts} ms: {outcome:?}");
+    }
+}
--- a/crates/tgw-bench/tests/members.rs
+++ b/crates/tgw-bench/tests/members.rs
@@ -196,7 +196,7 @@
     assert!(!after.contains(&before[0]), "{after:?}");
     simulation.set_platform_unreachable(before[0], false);
     simulation.run(SECOND);
-    assert_eq!(simulation.watchers().len(), 2);
+    assert_eq!(simulation.watchers(), after, "the watch is not given back");
 }
 
 // One of a region's two domains is partitioned from all others, but not from the platform. Unless
--- a/crates/tgw-gateway/src/live_vms.rs
+++ b/crates/tgw-gateway/src/live_vms.rs
@@ -32,6 +32,9 @@
     pub(crate) fn count_vms(self: &Rc<Self>) {
         let directory = self.member.borrow().directory();
         self.shared.peers_without_store.set(self.member.borrow().platform_unreachable_count());
+        let unreachable = self.member.borrow().platform_unreachable_peers();
+        let reporters = &self.shared.store_reports.reporters;
+        reporters.borrow_mut().update(self.shared.now(), unreachable);
         self.update_gathering(&directory);
         self.update_hosts(&directory);
         self.update_admission(&directory);
--- a/crates/tgw-gateway/src/peers.rs
+++ b/crates/tgw-gateway/src/peers.rs
@@ -271,6 +271,10 @@
             }
             Ok(Datagram::Digests { digests, is_reply }) => self.on_digests(from, digests, is_reply),
             Ok(Datagram::Gather(message)) => gather::on_message(&self.shared, from, message),
+            Ok(Datagram::StoreQuery) => self.shared.store_reports.on_query(from),
+            Ok(Datagram::StoreReply(silence)) => {
+                self.shared.store_reports.on_reply(from, silence);
+            }
             Ok(Datagram::Limit(message)) => admission::on_message(&self.shared, from, message),
             Ok(Datagram::VersionReply(state)) => {
                 self.on_version(from, state);
--- a/crates/tgw-gateway/src/serve.rs
+++ b/crates/tgw-gateway/src/serve.rs
@@ -81,7 +81,7 @@
     tokio::task::spawn_local(watch::configuration(shared.clone(), store.clone()));
     tokio::task::spawn_local(watch::upstreams(shared.clone(), store.clone()));
     tokio::task::spawn_local(watch::evacuations(shared.clone(), store.clone()));
-    tokio::task::spawn_local(watch::probe(shared.clone(), store.clone()));
+    tokio::task::spawn_local(watch::probe::run(shared.clone(), store.clone()));
     tokio::task::spawn_local(stale::run(shared.clone(), store.clone()));
     let peers = Peers::spawn(shared.clone(), peers)?;
     let addresses =
--- a/crates/tgw-gateway/src/shared.rs
+++ b/crates/tgw-gateway/src/shared.rs
@@ -16,6 +16,7 @@
     request_heads::RequestHeads,
     telemetry,
     waiting::Waiting,
+    watch::probe::StoreReports,
 };
 use http::{HeaderMap, Uri};
 use std::{
@@ -29,8 +30,8 @@
 use tgw_route::{Config, Limits, Route, Table};
 use tgw_spread::{
     Bootstrap, ReplicatedState, message,
+    reachability::Reachability,
     start::{self, Event},
-    store_reads::Reachability,
 };
 use tgw_tenant::{Directory, Principal};
 use tokio::sync::{Notify, watch};
@@ -138,6 +139,7 @@
     pub(crate) reachability: RefCell<Reachability>,
     /// Number of VMs of this domain that cannot reach the store.
     pub(crate) peers_without_store: Cell<usize>,
+    pub(crate) store_reports: StoreReports,
     /// Reports on slow upstreams that are still to be sent to other VMs.
     pub(crate) pending_reports: RefCell<Vec<message::PeerReport>>,
     /// Notified when there is an update for other VMs.
@@ -204,6 +206,7 @@
             agreement: Agreement::default(),
             reachability: RefCell::default(),
             peers_without_store: Cell::new(0),
+            store_reports: StoreReports::default(),
             pending_reports: RefCell::default(),
             update_ready: Notify::new(),
             phase: watch::Sender::new(Phase::Serving),
--- a/crates/tgw-gateway/src/watch/configuration.rs
+++ b/crates/tgw-gateway/src/watch/configuration.rs
@@ -2,7 +2,7 @@
 use crate::{codec::Decoded, shared::Shared};
 use std::rc::Rc;
 use tgw_platform::{Object, Version};
-use tgw_spread::store_reads::ReadMode;
+use tgw_spread::reachability::ReadMode;
 
 /// Watches the operators' configuration.
 pub(crate) struct Configuration {
--- a/crates/tgw-gateway/src/watch/evacuations.rs
+++ b/crates/tgw-gateway/src/watch/evacuations.rs
@@ -2,7 +2,7 @@
 use crate::shared::Shared;
 use std::{collections::BTreeSet, rc::Rc};
 use tgw_platform::{Object, Version};
-use tgw_spread::store_reads::{ReadMode, WatchTiming};
+use tgw_spread::{reachability::ReadMode, store_reads::WatchTiming};
 
 /// Watches the evacuated failure domains, whose upstreams receive no more requests.
 pub(crate) struct Evacuations {
--- a/crates/tgw-gateway/src/watch/mod.rs
+++ b/crates/tgw-gateway/src/watch/mod.rs
@@ -4,6 +4,8 @@
 mod configuration;
 /// Watch of the evacuated failure domains.
 pub(crate) mod evacuations;
+/// Probes of the store, and what VMs tell one another of it.
+pub(crate) mod probe;
 /// Watch of the list of upstreams.
 mod upstreams;
 /// Watch of the addresses of VMs.
@@ -17,11 +19,10 @@
 use tgw_clock::Millis;
 use tgw_platform::{Error, Object, Store, Version, object::List};
 use tgw_spread::{
-    Schedule, start,
-    store_reads::{
-        PROBE_INTERVAL_MS, PROBE_TIMEOUT_MS, ProbeResult, ReadMode, ReadRank, Step,
-        TAKEOVER_OUTAGE_VMS, WATCH_REPLY_MARGIN_MS, WatchTiming,
-    },
+    Schedule,
+    reachability::ReadMode,
+    start,
+    store_reads::{ReadRank, Step, WATCH_REPLY_MARGIN_MS, WatchTiming},
 };
 use tokio::{
     sync::watch,
@@ -147,6 +148,7 @@
     if schedule.failures() == 0 {
         topic.set_reading(true);
     }
+    let called_at = shared.now();
     let listed = store.list(topic.kind()).await;
     shared.metrics.count_store_call("list", &listed);
     let now = shared.now();
@@ -155,10 +157,11 @@
             if schedule.record_list(list.version) > 0 {
                 tracing::info!(kind = topic.kind(), version = list.version, "store regained");
             }
-            let changed = shared.reachability.borrow_mut().record_list(topic.read_mode());
-            report_reachability(shared, changed);
+            let changed = shared.reachability.borrow_mut().record_list(now, topic.read_mode());
+            probe::report_reachability(shared, changed);
             topic.set_reading(true);
-            if shared.peers_without_store.get() >= TAKEOVER_OUTAGE_VMS {
+            // No call of a VM that takes over has failed. Only those from which it takes over can tell of an outage.
+            if topic.read_mode() == ReadMode::Upstreams && probe::store_was_down(shared).await {
                 topic.store_lost();
             }
             topic.apply_list(list.version, list.objects);
@@ -171,11 +174,12 @@
             topic.store_lost();
             shared.notify_start(start::Event::StoreRefused);
             schedule.record_list_failure(now, shared.peers_without_store.get());
-            let changed = shared
-                .reachability
-                .borrow_mut()
-                .record(topic.read_mode(), schedule.store_unreachable());
-            report_reachability(shared, changed);
+            let changed = shared.reachability.borrow_mut().record_list_failure(
+                called_at,
+                topic.read_mode(),
+                schedule.store_unreachable(),
+            );
+            probe::report_reachability(shared, changed);
         }
     }
 }
@@ -228,45 +232,6 @@
     schedule.stop_watch(shared.now());
 }
 
-/// Reports a change in whether this VM can reach the store to other VMs.
-fn report_reachability(shared: &Shared, changed: bool) {
-    if changed {
-        let unreachable = shared.reachability.borrow().is_unreachable();
-        tracing::info!(blind = unreachable, "whether the store answers this VM");
-        shared.update_ready.notify_one();
-    }
-}
-
-/// Probes the store for as long as the process runs, while this VM reads from it.
-pub(crate) async fn probe(shared: Rc<Shared>, store: Rc<dyn Store>) {
-    let kind = &shared.codec.kinds().config;
-    loop {
-        sleep(PROBE_INTERVAL_MS.into()).await;
-        if !shared.store_reads.any() {
-            continue;
-        }
-        let probe_result = match timeout(PROBE_TIMEOUT_MS.into(), store.probe(kind)).await {
-            Ok(result) => {
-                shared.metrics.count_store_call("probe", &result);
-                if result.is_ok() { ProbeResult::Answered } else { ProbeResult::Refused }
-            }
-            Err(_) => ProbeResult::TimedOut,
-        };
-        match probe_result {
-            // The store is then available even if a watch hangs.
-            ProbeResult::Answered => {
-                shared.world.borrow_mut().upstreams.record_probe_answer(shared.now());
-            }
-            ProbeResult::TimedOut => {
-                shared.world.borrow_mut().upstreams.record_store_failure(shared.now());
-            }
-            ProbeResult::Refused => {}
-        }
-        let changed = shared.reachability.borrow_mut().record_probe(probe_result);
-        report_reachability(&shared, changed);
-    }
-}
-
 async fn wait_for(relay: &mut watch::Receiver<Option<bool>>, state: bool) {
     // Cannot fail: the sender lives as long as the process.
     let _ = relay.wait_for(|r| *r == Some(state)).await;
--- a/crates/tgw-gateway/src/watch/upstreams.rs
+++ b/crates/tgw-gateway/src/watch/upstreams.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use tgw_forward::upstream::Entry;
 use tgw_platform::{Object, Version};
-use tgw_spread::store_reads::ReadMode;
+use tgw_spread::reachability::ReadMode;
 
 /// Watches the list of upstreams.
 pub(super) struct Upstreams {
--- a/crates/tgw-gateway/src/watch/vms.rs
+++ b/crates/tgw-gateway/src/watch/vms.rs
@@ -2,7 +2,7 @@
 use crate::peers::Peers;
 use std::{net::SocketAddr, rc::Rc};
 use tgw_platform::{Object, Version};
-use tgw_spread::store_reads::{ReadMode, WatchTiming};
+use tgw_spread::{reachability::ReadMode, store_reads::WatchTiming};
 
 /// Key of the address in a VM's object.
 pub(crate) const ADDRESS_KEY: &str = "address";
--- a/crates/tgw-member/src/cross_domain.rs
+++ b/crates/tgw-member/src/cross_domain.rs
@@ -1,5 +1,5 @@
 use crate::{
-    Member,
+    Member, Record,
     member::{Actions, PUSH_FANOUT, RELAYS_PER_DOMAIN},
     packet::{Body, Update},
 };
@@ -66,10 +66,23 @@
         watchers.filter_map(|vm| self.addr(vm)).collect()
     }
 
-    /// The number of VMs of this domain that cannot reach the platform.
+    /// The number of VMs of this domain that report that they cannot reach the platform.
     pub fn platform_unreachable_count(&self) -> usize {
-        let local = self.records.values().filter(|r| r.member.place.domain == self.own_domain());
-        local.filter(|r| r.member.state.can_own() && r.member.platform_unreachable).count()
+        let own = self.own_domain();
+        self.platform_unreachable().filter(|r| r.member.place.domain == own).count()
+    }
+
+    /// The other VMs of this region that report that they cannot reach the platform: any of them may have watched it before
+    /// this one.
+    pub fn platform_unreachable_peers(&self) -> Vec<SocketAddr> {
+        let region = self.options.place.region;
+        let peers = self.platform_unreachable().filter(|r| r.vm != self.options.vm);
+        peers.filter(|r| r.member.place.region == region).map(|r| r.member.addr).collect()
+    }
+
+    fn platform_unreachable(&self) -> impl Iterator<Item = &Record> {
+        let live = self.records.values().filter(|r| r.member.state.can_own());
+        live.filter(|r| r.member.platform_unreachable)
     }
 
     /// Whether this VM is the first relay of its domain, which summarizes the editions in force in the
@@ -81,15 +94,20 @@
     /// The relays of a domain: its live VMs with the lowest identities, those that reach the platform
     /// first.
     pub(crate) fn relays(&self, domain: Domain) -> SmallVec<[Vm; 2]> {
-        let live = || {
-            let members = self.records.values().filter(move |r| r.member.place.domain == domain);
-            members.filter(|r| r.member.state.can_own())
-        };
+        let live = self.records.values().filter(|r| r.member.place.domain == domain);
+        let live = live.filter(|r| r.member.state.can_own());
         // The platform may reject some VMs and serve others. If it rejected the relays, their whole
-        // domain would learn of changes late, although its other VMs reach the platform.
-        let connected = live().filter(|r| !r.member.platform_unreachable);
-        let disconnected = live().filter(|r| r.member.platform_unreachable);
-        connected.chain(disconnected).map(|r| r.vm).take(RELAYS_PER_DOMAIN).collect()
+        // domain would learn of changes late, although its other VMs reach the platform. One that
+        // reaches it again does not take over again from the one that took over: each change of hands
+        // costs calls and a moment without any.
+        let ranked = live.map(|r| (r.member.platform_unreachable, r.member.platform_losses, r.vm));
+        let mut first: SmallVec<[(bool, u32, Vm); RELAYS_PER_DOMAIN + 1]> = SmallVec::new();
+        for candidate in ranked {
+            let at = first.iter().position(|other| candidate < *other).unwrap_or(first.len());
+            first.insert(at, candidate);
+            first.truncate(RELAYS_PER_DOMAIN);
+        }
+        first.into_iter().map(|(_, _, vm)| vm).collect()
     }
 
     pub(crate) fn set_platform_unreachable(&mut self, unreachable: bool, out: &mut Actions) {
@@ -97,6 +115,7 @@
             return;
         }
         self.platform_unreachable = unreachable;
+        self.platform_losses += u32::from(unreachable);
         self.incarnation += 1;
         let own = self.own_record();
         self.records.insert(own.vm, own.clone());
--- a/crates/tgw-member/src/member.rs
+++ b/crates/tgw-member/src/member.rs
@@ -94,6 +94,7 @@
     pub(crate) incarnation: u64,
     pub(crate) leaving: bool,
     pub(crate) platform_unreachable: bool,
+    pub(crate) platform_losses: u32,
     pub(crate) edition: u64,
     pub(crate) catalog_version: u64,
     pub(crate) evacuations_version: u64,
@@ -134,6 +135,7 @@
             options,
             leaving: false,
             platform_unreachable: false,
+            platform_losses: 0,
             edition: 0,
             catalog_version: 0,
             evacuations_version: 0,
@@ -236,8 +238,17 @@
         let Options { name, place, addr, vm, power, .. } = &self.options;
         let (name, incarnation) = (name.clone(), self.incarnation);
         let (place, addr, power) = (*place, *addr, *power);
-        let platform_unreachable = self.platform_unreachable;
-        let member = Entry { name, incarnation, place, addr, state, platform_unreachable, power };
+        let Self { platform_unreachable, platform_losses, .. } = *self;
+        let member = Entry {
+            name,
+            incarnation,
+            place,
+            addr,
+            state,
+            platform_unreachable,
+            platform_losses,
+            power,
+        };
         Record { vm: *vm, member }
     }
 
--- a/crates/tgw-owner/src/directory.rs
+++ b/crates/tgw-owner/src/directory.rs
@@ -53,6 +53,9 @@
     /// lack it.
     #[serde(default, rename = "blind")]
     pub platform_unreachable: bool,
+    /// How often the VM has lost the platform since its process started. Defaults to zero for recorded traces that lack it.
+    #[serde(default, rename = "losses")]
+    pub platform_losses: u32,
     /// Its processor power, in thousandths of a core; zero if not stated.
     #[serde(default)]
     pub power: u32,
--- a/crates/tgw-spread/src/lib.rs
+++ b/crates/tgw-spread/src/lib.rs
@@ -24,6 +24,8 @@
 mod lookup;
 /// Messages between VMs.
 pub mod message;
+/// Whether the store answers this VM, and what others may conclude from that.
+pub mod reachability;
 /// The configuration, the list of upstreams and the evacuations as this VM has them.
 mod replicated_state;
 /// When a VM that starts reads the store, and which VMs it asks before.
--- a/crates/tgw-spread/src/message.rs
+++ b/crates/tgw-spread/src/message.rs
@@ -1,6 +1,9 @@
 //! Messages between VMs, over TCP and in packets.
 
-use crate::{Delta, agreement::Digests, evacuations, gather, hop, start::PeerState, upstreams};
+use crate::{
+    Delta, agreement::Digests, evacuations, gather, hop, reachability::Silence, start::PeerState,
+    upstreams,
+};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use tgw_member::Record;
@@ -79,6 +82,11 @@
         /// They answer the receiver's digests, with which they do not agree.
         is_reply: bool,
     },
+    /// Asks a VM that reported that it cannot reach the store whether it does again; answered by
+    /// [`Datagram::StoreReply`] if so.
+    StoreQuery,
+    /// The store answers the sender again. When it did not, as times ago; `None` if it always did.
+    StoreReply(Option<Silence>),
     /// Admission of tenants' requests.
     Limit(limit::Message),
     /// Queries that are handed over.
--- a/crates/tgw-spread/src/store_reads.rs
+++ b/crates/tgw-spread/src/store_reads.rs
@@ -28,12 +28,6 @@
 pub const WATCH_WAIT_MS: Millis = Millis::new(2_500);
 /// Time in ms allowed for the reply to a watch beyond its wait; a slow store takes 0.25 s.
 pub const WATCH_REPLY_MARGIN_MS: Millis = Millis::new(500);
-/// Time in ms between two probes of the store by a VM that follows it. Without probes, a VM that the store stops
-/// answering would notice only after a watch and several lists, and no VM that learns from it would receive changes
-/// until then.
-pub const PROBE_INTERVAL_MS: Millis = Millis::new(800);
-/// Timeout in ms of a probe.
-pub const PROBE_TIMEOUT_MS: Millis = Millis::new(700);
 /// Pause in ms between an update and the next watch, so that one call brings all changes of the meantime, as when many
 /// upstreams are replaced. It is far below the 3 s within which a change must be in force.
 pub const BATCH_DELAY_MS: Millis = Millis::new(500);
@@ -46,9 +40,6 @@
 /// VMs of this domain that cannot reach the store from which on the store counts as down, rather than as rejecting some
 /// VMs: otherwise each VM that takes over from one of them would retry several times in quick succession.
 const OUTAGE_VMS: usize = 3;
-/// VMs of this domain that cannot reach the store from which on a VM that takes over, and is answered at once, assumes
-/// that the store was down, although no call of its own failed: the second of them had taken over from the first.
-pub const TAKEOVER_OUTAGE_VMS: usize = 2;
 /// Least failures that the backoff is computed from while the store counts as down, also right after a takeover.
 const OUTAGE_FAILURES: u32 = 5;
 /// Backoff in ms after the first failed call; doubles, and each is drawn between half of it and the whole.
@@ -93,76 +84,6 @@
     Watching(u64),
 }
 
-/// A kind of call to the store.
-#[derive(Copy, Clone, Debug, PartialEq, Eq)]
-pub enum ReadMode {
-    /// Reading the configuration.
-    Configuration,
-    /// Reading the list of upstreams.
-    Upstreams,
-    /// Reading the list of evacuations.
-    Evacuations,
-    /// Reading the addresses of VMs.
-    Vms,
-    /// Probing.
-    Probe,
-}
-
-/// How a probe ended.
-#[derive(Copy, Clone, Debug, PartialEq, Eq)]
-pub enum ProbeResult {
-    /// The store answered.
-    Answered,
-    /// The store refused it, or the connection broke.
-    Refused,
-    /// No answer within the timeout.
-    TimedOut,
-}
-
-/// Whether this VM can reach the store.
-///
-/// Failures are recorded per kind of call. If one kind overwrote another's result, a VM that the store rejects would
-/// alternate between unreachable and reachable, and no other VM would take over from it.
-#[derive(Clone, Debug, Default)]
-pub struct Reachability {
-    unreachable: [bool; 5],
-    last_probe_refused: bool,
-}
-
-impl Reachability {
-    /// Whether the store counts as unreachable for any kind of call.
-    pub fn is_unreachable(&self) -> bool {
-        self.unreachable.contains(&true)
-    }
-
-    /// Records the result of one kind of call. Returns whether that changes the report to other VMs.
-    pub fn record(&mut self, mode: ReadMode, unreachable: bool) -> bool {
-        let before = self.is_unreachable();
-        self.unreachable[mode as usize] = unreachable;
-        self.is_unreachable() != before
-    }
-
-    /// Records a probe. One refusal may be a broken connection, two in a row are not; a timeout counts at once, as an
-    /// answer takes only milliseconds. Returns whether that changes the report to other VMs.
-    pub fn record_probe(&mut self, result: ProbeResult) -> bool {
-        let refused = result == ProbeResult::Refused;
-        let again = std::mem::replace(&mut self.last_probe_refused, refused) && refused;
-        match result {
-            ProbeResult::Refused if !again => false,
-            result => self.record(ReadMode::Probe, result != ProbeResult::Answered),
-        }
-    }
-
-    /// Records that a list was read, so that the store is reachable. Returns whether that changes the report to other
-    /// VMs.
-    pub fn record_list(&mut self, mode: ReadMode) -> bool {
-        let before = self.is_unreachable();
-        self.record(mode, false);
-        self.record_probe(ProbeResult::Answered);
-        self.is_unreachable() != before
-    }
-}
-
 /// Schedules the calls for one kind.
 #[derive(Clone, Debug)]
 pub struct Schedule {
--- a/crates/tgw-spread/tests/spread.rs
+++ b/crates/tgw-spread/tests/spread.rs
@@ -8,6 +8,7 @@
 mod freshness;
 mod gather;
 mod lookup;
+mod reachability;
 mod start;
 mod upstreams;
 
@@ -25,6 +26,7 @@
 use tgw_spread::{
     Delta, Message, Upstreams, VersionedMap, hop,
     message::{Datagram, PeerReport},
+    reachability::Silence,
 };
 
 type Values = Vec<(Rc<str>, u32)>;
@@ -182,6 +184,7 @@
         Datagram::HopEnded(Box::new(hop::Reply { number: 7, outcome })),
         Datagram::HopCancelled(7),
         Datagram::PeerReports(vec![report]),
+        Datagram::StoreReply(Some(Silence { from: Millis::new(9), until: Millis::new(3) })),
     ]
 }
 
--- a/crates/tgw-spread/tests/upstreams/mod.rs
+++ b/crates/tgw-spread/tests/upstreams/mod.rs
@@ -4,10 +4,7 @@
 use test_case::test_case;
 use tgw_clock::Millis;
 use tgw_forward::{Fleet, catalog::MISSING_ENTRY_RETENTION_MS, upstream::Entry};
-use tgw_spread::{
-    Upstreams,
-    store_reads::{ProbeResult, Reachability, ReadMode},
-};
+use tgw_spread::Upstreams;
 
 /// The list of upstreams of one VM, and the fleet that follows it.
 #[derive(Default)]
@@ -159,27 +156,3 @@
     listing.list.apply_list(now, 14, vec![(14, late)], &[], &mut listing.fleet);
     assert_eq!([watching.uses("a"), listing.uses("a")], [used; 2]);
 }
-
-// The store rejects a VM, whose two watches fail one after the other. If the results shared one flag, the VM would
-// alternate between unreachable and reachable, and the VM that took over would give the watch back.
-#[test]
-fn kinds_of_calls_do_not_overwrite_each_others_results() {
-    let mut reachability = Reachability::default();
-    assert!(reachability.record(ReadMode::Configuration, true));
-    assert!(!reachability.record(ReadMode::Upstreams, false));
-    assert!(reachability.is_unreachable());
-    assert!(reachability.record(ReadMode::Configuration, false));
-    assert!(!reachability.is_unreachable());
-}
-
-// One refused probe may be a broken connection, not a store that rejects this VM. Two in a row or a timeout count.
-#[test]
-fn single_refused_probe_is_ignored() {
-    let mut reachability = Reachability::default();
-    assert!(!reachability.record_probe(ProbeResult::Refused));
-    assert!(!reachability.record_probe(ProbeResult::Answered));
-    assert!(!reachability.record_probe(ProbeResult::Refused));
-    assert!(reachability.record_probe(ProbeResult::Refused));
-    assert!(reachability.record_probe(ProbeResult::Answered));
-    assert!(reachability.record_probe(ProbeResult::TimedOut));
-}
