fix(member): a watcher that is alone in its domain is replaced within 2 s

Cause: nobody of its own domain notices. Other domains took over 2 s after the first ping without an answer, and pinged one domain each 250 ms in turn.

Change: a relay pings the domains that watch before its own at each turn, and one that is silent for 1.2 s is replaced as the watcher; it is not unreachable for that. A VM that was frozen itself forgets its pings.

--- a/crates/tgw-bench/src/members.rs
+++ b/crates/tgw-bench/src/members.rs
@@ -85,6 +85,15 @@
     /// Starts `domains` failure domains of `each` VMs; every VM knows the first VM of each domain
     /// as a seed.
     pub fn new(domains: usize, each: usize, seed: u64) -> Self {
+        Self::with_regions(domains, each, seed, 2)
+    }
+
+    /// The same with all domains in one region.
+    pub fn in_one_region(domains: usize, each: usize, seed: u64) -> Self {
+        Self::with_regions(domains, each, seed, domains)
+    }
+
+    fn with_regions(domains: usize, each: usize, seed: u64, domains_of_region: usize) -> Self {
         let mut simulation = Self {
             now: Millis::new(1),
             nodes: Vec::new(),
@@ -102,7 +111,10 @@
         };
         for index in 0..domains * each {
             let domain = index / each;
-            let place = Place { region: Region((domain / 2) as u8), domain: Domain(domain as u8) };
+            let place = Place {
+                region: Region((domain / domains_of_region) as u8),
+                domain: Domain(domain as u8),
+            };
             let addr = address(index);
             let vm = Vm::from_name(&format!("vm-{index}"));
             let deferred = Vec::new();
--- a/crates/tgw-bench/tests/members.rs
+++ b/crates/tgw-bench/tests/members.rs
@@ -216,6 +216,53 @@
     assert_eq!(domains(&simulation), [0, 2]);
 }
 
+/// The time in which some of the `down` VMs, which watch the platform or are next to, are replaced as watchers.
+fn time_until_watched(mut simulation: Simulation, down: &[usize], frozen: bool) -> Millis {
+    simulation.run_until(Millis::new(60_000), Simulation::converged).expect("the fleet converges");
+    let phase = simulation.now().as_whole_ms() % 977;
+    simulation.run(Millis::new(1_000 + phase));
+    assert_eq!(simulation.watchers(), down[..1]);
+    for vm in down {
+        if frozen {
+            simulation.set_paused(*vm, true);
+        } else {
+            simulation.kill(*vm);
+        }
+    }
+    let is_watched = |s: &Simulation| s.watchers().iter().any(|vm| !down.contains(vm));
+    simulation.run_until(SECOND.mul_f64(10.0), is_watched).expect("another VM watches")
+}
+
+// All VMs are in one region, one in each domain, and the one that watches the platform freezes as the configuration changes.
+// Nobody of its own domain notices. All others served by the old configuration for up to 4.5 s.
+#[test_case(&[0], 6; "one of six")]
+#[test_case(&[0, 1], 6; "the next one as well")]
+#[test_case(&[0, 1, 2], 4; "all but one")]
+#[test_case(&[0], 2; "one of two")]
+fn a_watcher_that_is_alone_in_its_domain_is_replaced_within_two_seconds(
+    down: &[usize],
+    domains: usize,
+) {
+    for (seed, frozen) in (1..=40).flat_map(|seed| [(seed, true), (seed, false)]) {
+        let simulation = Simulation::in_one_region(domains, 1, seed);
+        let time = time_until_watched(simulation, down, frozen);
+        assert!(time <= SECOND.mul_f64(2.0), "seed {seed}, frozen {frozen}: {time}");
+    }
+}
+
+// A VM that was frozen itself must not take the others for silent: it would tell its domain that all others are cut off.
+#[test]
+fn a_vm_that_was_frozen_takes_nobody_for_silent() {
+    let mut simulation = Simulation::in_one_region(4, 1, 1);
+    simulation.run_until(Millis::new(60_000), Simulation::converged).expect("the fleet converges");
+    simulation.set_paused(3, true);
+    simulation.run(SECOND.mul_f64(4.0));
+    simulation.set_paused(3, false);
+    simulation.run(Millis::new(40));
+    assert_eq!(simulation.watchers(), [0]);
+    assert!(simulation.directory(3).unreachable_domains.is_empty());
+}
+
 // The platform refuses all VMs of the domain that watches it for its region: another domain must
 // take over.
 #[test]
--- a/crates/tgw-member/src/cross_domain.rs
+++ b/crates/tgw-member/src/cross_domain.rs
@@ -35,19 +35,28 @@
         self.is_first_relay() && !self.is_watched_by_other_domain()
     }
 
-    /// Whether a domain of this region with a lower number, reachable from this one, has a VM that
+    /// Whether a domain of this region with a lower number, which answers this one, has a VM that
     /// reaches the platform.
     fn is_watched_by_other_domain(&self) -> bool {
-        let own = self.options.place;
-        let unreachable = self.relay.unreachable();
         let connected = self
             .records
             .values()
             .filter(|r| r.member.state.can_own() && !r.member.platform_unreachable);
         let mut places = connected.map(|r| r.member.place);
-        places.any(|p| {
-            p.region == own.region && p.domain < own.domain && !unreachable.contains(&p.domain)
-        })
+        places.any(|p| self.watches_before(p) && !self.relay.is_silent(p.domain))
+    }
+
+    /// Whether the domain of a VM is to watch the platform before this one's.
+    fn watches_before(&self, place: Place) -> bool {
+        let own = self.options.place;
+        place.region == own.region && place.domain < own.domain
+    }
+
+    /// The domains on whose relays this one relies for changes at the platform.
+    fn domains_before(&self) -> BTreeSet<Domain> {
+        let live = self.records.values().filter(|r| r.member.state != State::Dead);
+        let places = live.map(|r| r.member.place);
+        places.filter(|place| self.watches_before(*place)).map(|place| place.domain).collect()
     }
 
     /// The VMs that watch the platform, one of each region, that of this region first.
@@ -169,15 +178,21 @@
         if !self.is_relay() {
             return;
         }
+        // A VM that watches the platform for this one may be the only one of its domain, so nobody else
+        // notices that it is frozen or lost. In its turn among all domains it would be asked too late.
+        let before = self.domains_before();
         if self.domain_round.is_empty() {
             self.domain_round = self.other_domains();
+            self.domain_round.retain(|domain| !before.contains(domain));
             self.domain_round.shuffle(&mut self.rng);
         }
-        if let Some(domain) = self.domain_round.pop() {
+        let next = self.domain_round.pop().filter(|domain| !before.contains(domain));
+        for domain in before.into_iter().chain(next) {
             self.relay.ping_sent(now, domain);
             let seq = self.probes.next_seq();
             self.send_to_relay(domain, Body::Ping { seq }, out);
         }
+        self.changed |= self.relay.detect_silence(now);
         for update in self.relay.newly_unreachable(now, self.own_domain()) {
             self.changed = true;
             self.disseminate(update, out);
--- a/crates/tgw-member/src/failure_detector.rs
+++ b/crates/tgw-member/src/failure_detector.rs
@@ -23,6 +23,7 @@
     /// expired at once during the pause; acting on them would declare the whole fleet dead.
     pub(crate) fn resume_after_pause(&mut self, now: Millis, gap: Millis, out: &mut Actions) {
         self.probes.in_flight.clear();
+        self.relay.forget_pings();
         for suspicion in self.suspicions.values_mut() {
             *suspicion = Suspicion { deadline: now + SUSPICION_TIMEOUT_MS, final_probes: 0 };
         }
--- a/crates/tgw-member/src/relay.rs
+++ b/crates/tgw-member/src/relay.rs
@@ -6,6 +6,11 @@
 /// A domain is unreachable after its relays have left pings unanswered for this long.
 const UNREACHABLE_TIMEOUT_MS: Millis = Millis::new(2000);
 
+/// A domain counts as silent, so that another one of its region watches the platform, after its relays have left pings
+/// unanswered for this long: four or five of them. That both watch it costs calls and breaks nothing, so this may be wrong
+/// more often than [`UNREACHABLE_TIMEOUT_MS`].
+const SILENT_TIMEOUT_MS: Millis = Millis::new(1_200);
+
 /// How long VMs may be behind before other domains are informed.
 const LAG_REPORT_DELAY_MS: Millis = Millis::new(2000);
 
@@ -17,9 +22,18 @@
     /// When the oldest unanswered ping was sent.
     unanswered_since: Option<Millis>,
     unreachable: bool,
+    /// Its relays have not answered this VM for a while.
+    silent: bool,
     stamp: u64,
 }
 
+impl Reachability {
+    fn is_unanswered_for(&self, now: Millis, time: Millis) -> bool {
+        let unanswered = self.unanswered_since.is_some_and(|since| now - since >= time);
+        unanswered && now - self.last_received >= time
+    }
+}
+
 /// How far the operators' table has been adopted by the VMs of one domain: a summary of the editions
 /// (versions of the table) in force there.
 #[derive(Clone, Debug, PartialEq)]
@@ -55,6 +69,7 @@
         let state = self.reachability.entry(domain).or_default();
         state.last_received = now;
         state.unanswered_since = None;
+        state.silent = false;
         if !std::mem::take(&mut state.unreachable) {
             return None;
         }
@@ -75,12 +90,7 @@
     pub(crate) fn newly_unreachable(&mut self, now: Millis, own_domain: Domain) -> Vec<Update> {
         let mut updates = Vec::new();
         for (domain, state) in &mut self.reachability {
-            let unanswered =
-                state.unanswered_since.is_some_and(|since| now - since >= UNREACHABLE_TIMEOUT_MS);
-            if unanswered
-                && !state.unreachable
-                && now - state.last_received >= UNREACHABLE_TIMEOUT_MS
-            {
+            if state.is_unanswered_for(now, UNREACHABLE_TIMEOUT_MS) && !state.unreachable {
                 state.unreachable = true;
                 state.stamp += 1;
                 let stamp = state.stamp;
@@ -95,6 +105,27 @@
         updates
     }
 
+    /// Finds domains that have become silent; true if there are any.
+    pub(crate) fn detect_silence(&mut self, now: Millis) -> bool {
+        let mut found = false;
+        for state in self.reachability.values_mut() {
+            let silent = state.silent || state.is_unanswered_for(now, SILENT_TIMEOUT_MS);
+            found |= silent != state.silent;
+            state.silent = silent;
+        }
+        found
+    }
+
+    /// Forgets pings without an answer, as this VM did not run and could not receive any.
+    pub(crate) fn forget_pings(&mut self) {
+        self.reachability.values_mut().for_each(|state| state.unanswered_since = None);
+    }
+
+    /// Whether a domain is silent or unreachable.
+    pub(crate) fn is_silent(&self, domain: Domain) -> bool {
+        self.reachability.get(&domain).is_some_and(|state| state.silent || state.unreachable)
+    }
+
     /// Applies a relay's report on a domain; true if it is newer than what is known.
     pub(crate) fn apply_reachability(
         &mut self,
