fix(gateway): interim answers without end do not keep a VM's thread

Cause: the library reads on after an interim answer for as long as there are bytes, and nothing counted them.

Change: a connection to an upstream reads 64 KB and one read more between the first byte of a request and the end of its reply's head; beyond that it ends and the send is broken.

Test: an_upstream_whose_head_has_no_end_is_given_up, four forms; without the count the two forms of interim answers fail (504 in place of 502).

Measured: the test only. Not done: the same for the store's client and for serve's.

--- a/crates/tgw-gateway/src/exchange.rs
+++ b/crates/tgw-gateway/src/exchange.rs
@@ -277,6 +277,7 @@
     response: Response<Incoming>,
 ) -> Result<Response<Bytes>, Failure> {
     let ActiveSend { shared, request, ticket, .. } = send;
+    connection.exchange.head_read();
     let (head, body) = response.into_parts();
     let names = shared.codec.headers();
     // An upstream may send a second reply late, in place of the next one. The echoed request
--- a/crates/tgw-gateway/src/hooked_stream.rs
+++ b/crates/tgw-gateway/src/hooked_stream.rs
@@ -10,8 +10,13 @@
 
 /// What the owner of a connection does at its events.
 pub(crate) trait Hook: Unpin {
-    /// Bytes were read.
-    fn bytes_read(&self) {}
+    /// Whether more may be read. Errors: the peer has sent more than it may; the connection ends.
+    fn may_read(&self) -> io::Result<()> {
+        Ok(())
+    }
+
+    /// This many bytes were read.
+    fn bytes_read(&self, _bytes: usize) {}
 
     /// Whether to leave out the orderly shutdown before the connection is closed.
     fn skips_shutdown(&self) -> bool {
@@ -46,10 +51,12 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        self.hook.may_read()?;
         let filled = buffer.filled().len();
         let result = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if buffer.filled().len() > filled {
-            self.hook.bytes_read();
+        let bytes = buffer.filled().len() - filled;
+        if bytes > 0 {
+            self.hook.bytes_read(bytes);
         }
         result
     }
--- a/crates/tgw-gateway/src/request_heads.rs
+++ b/crates/tgw-gateway/src/request_heads.rs
@@ -97,7 +97,7 @@
 }
 
 impl Hook for HeadTimer {
-    fn bytes_read(&self) {
+    fn bytes_read(&self, _bytes: usize) {
         self.head.bytes_received(|| self.shared.now());
     }
 }
