--- a/crates/tgw-soak/src/check.rs
+++ b/crates/tgw-soak/src/check.rs
@@ -4,6 +4,7 @@
         Environment, HOME, MAX_WARMUP_REQUESTS, MIN_SHARD_SHARE, RESULT_LIMIT, SINGLE_SERVICE,
         WARMUP_TIME, shards,
     },
+    fleet::Layout,
     leaving::{self, Leavings},
     overload, quarantine, tenants,
 };
@@ -73,6 +74,8 @@
     pub(crate) recovery: Range<Instant>,
     /// When tenants asked for more than the upstreams could serve, if the run has an overload.
     pub(crate) burst: Option<Range<Instant>>,
+    /// Where the VMs are.
+    pub(crate) layout: Layout,
 }
 
 /// Checks all guarantees against what callers and upstreams observed.
@@ -103,7 +106,7 @@
     check_unknown_requests(exchanges, &runs, &mut broken);
     check_drained(environment, &mut broken);
     let leavings = leaving::check(observed, &mut broken);
-    check_home_region(environment, &mut broken);
+    check_home_region(environment, observed.layout, &mut broken);
     check_evacuated(environment, &mut broken);
     check_cold(environment, &mut broken);
     tenants::check(exchanges, environment, &mut broken);
@@ -294,8 +297,8 @@
 }
 
 /// Checks that requests restricted to one region reached no upstream of another region.
-fn check_home_region(environment: &Environment, broken: &mut Vec<String>) {
-    let outside = runs_in_domains(environment, |domain| domain != HOME.0);
+fn check_home_region(environment: &Environment, layout: Layout, broken: &mut Vec<String>) {
+    let outside = runs_in_domains(environment, |domain| !layout.is_home(domain));
     for run in outside.filter(|run| run.content.starts_with("GET /home/")) {
         broken.push(format!("{}: ran outside of its home region", run.request_id));
     }
--- a/crates/tgw-soak/src/fleet.rs
+++ b/crates/tgw-soak/src/fleet.rs
@@ -14,6 +14,31 @@
 /// Failure domains, each with its region.
 pub(crate) const DOMAINS: [(&str, &str); 3] = [("d1", "r1"), ("d2", "r2"), ("d3", "r3")];
 
+/// The region of all failure domains in a run with one region.
+const ONLY_REGION: &str = DOMAINS[0].1;
+/// Last byte of an address that no VM has.
+const DARK: u8 = 250;
+
+/// Where the VMs of a run are, and what they are told of one another.
+#[derive(Copy, Clone, Debug, Default)]
+pub(crate) struct Layout {
+    /// All failure domains are in one region, so that one VM watches the store for all.
+    pub(crate) one_region: bool,
+    /// The seeds of all VMs but the first three are addresses that no VM has.
+    pub(crate) dark_seeds: bool,
+}
+
+impl Layout {
+    fn domains(self) -> [(&'static str, &'static str); DOMAINS.len()] {
+        if self.one_region { DOMAINS.map(|(domain, _)| (domain, ONLY_REGION)) } else { DOMAINS }
+    }
+
+    /// Whether a failure domain is in the region to which requests of the home route are restricted.
+    pub(crate) fn is_home(self, domain: &str) -> bool {
+        self.domains().contains(&(domain, ONLY_REGION))
+    }
+}
+
 /// Power that the first VM of each failure domain states, in cores, and the others: these hand their queries over.
 const GATHERER_POWER: f64 = 1.0;
 const USUAL_POWER: f64 = 0.05;
@@ -45,6 +70,7 @@
         folder: &Path,
         subnet: u8,
         store_addrs: &[SocketAddr],
+        layout: Layout,
     ) -> anyhow::Result<Self> {
         // What VMs of an earlier run kept in their files is not known to those of this run.
         if folder.exists() {
@@ -62,7 +88,10 @@
             let vm = Vm { name: name.clone(), ip: ip(index), domain: domain.into() };
             let settings = folder.join(format!("{name}.toml"));
             let power = if index < DOMAINS.len() { GATHERER_POWER } else { USUAL_POWER };
-            let text = text(&vm, ports, &seeds, &DOMAINS, *store);
+            let is_dark = layout.dark_seeds && index >= seeds.len();
+            let dark = [Ipv4Addr::new(127, 77, subnet, DARK)];
+            let own_seeds = if is_dark { &dark[..] } else { &seeds[..] };
+            let text = text(&vm, ports, own_seeds, &layout.domains(), *store);
             let text = format!("{text}[limits]\ncpu_share = {power}\nmemory_mb = 260\n");
             fs::write(&settings, text)?;
             let log = folder.join(format!("{name}.log"));
--- a/crates/tgw-soak/src/main.rs
+++ b/crates/tgw-soak/src/main.rs
@@ -67,6 +67,12 @@
     /// burst ends with `--seconds`.
     #[arg(long)]
     overload: bool,
+    /// All failure domains are in one region; with three VMs there is one in each.
+    #[arg(long)]
+    one_region: bool,
+    /// All VMs but the first three have only seeds that are gone.
+    #[arg(long)]
+    dark_seeds: bool,
     /// Path of the tanagergw binary.
     #[arg(long, default_value = "target/release/tanagergw")]
     program: PathBuf,
@@ -123,6 +129,7 @@
         deadly: cli.deadly,
         seconds: cli.seconds,
         overload: cli.overload,
+        layout: fleet::Layout { one_region: cli.one_region, dark_seeds: cli.dark_seeds },
         program: cli.program.clone(),
         keep: cli.keep,
         logs: cli.logs.join(format!("seed-{seed}")),
--- a/crates/tgw-soak/src/run.rs
+++ b/crates/tgw-soak/src/run.rs
@@ -3,7 +3,7 @@
     check::{self, Disturbances, Report},
     configuration::{self, Trial},
     environment::Environment,
-    fleet::{DOMAINS, Fleet},
+    fleet::{DOMAINS, Fleet, Layout},
     overload,
     proxy::{Mode, Proxy},
     quarantine,
@@ -57,6 +57,7 @@
     pub(crate) seconds: u64,
     /// Load beyond the capacity of the upstreams instead of faults.
     pub(crate) overload: bool,
+    pub(crate) layout: Layout,
     pub(crate) program: PathBuf,
     pub(crate) logs: PathBuf,
     pub(crate) keep: bool,
@@ -115,7 +116,7 @@
     // The third byte of the VMs' addresses. It depends on the process id, so that two runs at the same time
     // seldom share addresses.
     let subnet = u8::try_from(std::process::id() % 200)?;
-    let fleet = Fleet::start(&options.program, &options.logs, subnet, &addresses)?;
+    let fleet = Fleet::start(&options.program, &options.logs, subnet, &addresses, options.layout)?;
     let fleet = Rc::new(RefCell::new(fleet));
     sleep(STARTUP_TIME).await;
     let stop = Rc::new(Cell::new(false));
@@ -185,6 +186,7 @@
         out_of_contact: &run.out_of_contact,
         recovery: recovered..calm_from,
         burst,
+        layout: options.layout,
     };
     let mut report = check::check(&observed);
     report.broken.append(&mut outdated);
